--- /dev/null
+++ b/tests/golden_files.hpp
@@ -0,0 +1,39 @@
+/// \file
+/// Where the golden files are.
+#pragma once
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace runlink::tests
+{
+
+inline std::string read_text(const std::filesystem::path& path)
+{
+    std::ifstream in{path};
+    std::ostringstream buf;
+    buf << in.rdbuf();
+    return buf.str();
+}
+
+/// The scripts, in order of their names.
+inline std::vector<std::filesystem::path> session_scripts()
+{
+    std::vector<std::filesystem::path> out;
+    for (const auto& it : std::filesystem::directory_iterator{RUNLINK_GOLDEN_DIR})
+        if (it.path().extension() == ".session")
+            out.push_back(it.path());
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
+inline std::filesystem::path golden_of(std::filesystem::path script)
+{
+    return script.replace_extension(".golden");
+}
+
+} // namespace runlink::tests
