Check an owner's memory against the store before answering from it

Cause: an owner that was paused or cut off stays 'serving' until its next write; what it answers from memory in the meantime may be overtaken. Ruled out: pausing detection alone (a cut is no pause). Now a claim that is answered from memory alone is first checked with one read of the next segment, where the last commit is older than a second. Also: an old leave mark no longer comes back behind a newer process; 'stopping' is logged as such.

--- a/include/runlink/core/ledger_partition.hpp
+++ b/include/runlink/core/ledger_partition.hpp
@@ -25,6 +25,7 @@
     double write_burst = 4;
     std::size_t segment_bytes = 512 * 1024;                ///< also of one part of a checkpoint
     std::uint64_t checkpoint_every = 64;                   ///< segments
+    milliseconds verified_for{1000}; ///< after a commit, how long memory is trusted without a read
     milliseconds retry_delay{200};                         ///< after a failed call on the store
     std::uint64_t keyed_horizon_ms = 24ULL * 3600 * 1000;  ///< how long a key is remembered
     std::uint64_t unkeyed_horizon_ms = 1ULL * 3600 * 1000; ///< how long a repeated settlement is recognised
@@ -98,6 +99,8 @@
     void answer_claim_on_held_key(time_point now, const ledger_record& held, ledger_entry entry,
                                   ledger_reply_handler handler);
     void append(time_point now, ledger_entry entry, ledger_reply reply, ledger_reply_handler handler);
+    /// Answers from memory if no other owner has written; otherwise steps down and answers `not_owner`.
+    void answer_when_verified(time_point now, ledger_reply reply, ledger_reply_handler handler);
     void answer_when_committed(const bill_id& bill, ledger_reply reply, ledger_reply_handler handler);
 
     void pump(time_point now);
@@ -108,6 +111,8 @@
     void on_read_back(const result<store_value>& it);
     void committed();
     void step_down();
+    /// Steps down and recovers from the store.
+    void restart();
 
     void read_checkpoint();
     void read_next();
@@ -132,6 +137,7 @@
     state state_ = state::idle;
     std::uint64_t tenure_ = 0;
     time_point now_{};
+    time_point verified_{};
     segment_sequence next_{};
     std::uint64_t since_checkpoint_ = 0;
     std::map<bill_id, ledger_record> records_;
--- a/src/runlink/core/instance.cpp
+++ b/src/runlink/core/instance.cpp
@@ -5,6 +5,17 @@
 
 namespace runlink::core
 {
+namespace
+{
+
+const char* state_name(const heartbeat& it)
+{
+    if (it.stopping)
+        return " is stopping";
+    return it.ready ? " is ready" : " is not ready";
+}
+
+} // namespace
 
 instance::instance(instance_options options, instance_edge edge)
     : options_{std::move(options)}, edge_{std::move(edge)}, random_{options_.random_seed},
@@ -143,7 +154,7 @@
 void instance::on_message(time_point now, const member_info& from, const heartbeat& it)
 {
     if (members_.on_heartbeat(now, from, it))
-        edge_.state_changed("instance " + from.id.str() + (it.ready ? " is ready" : " is not ready"));
+        edge_.state_changed("instance " + from.id.str() + state_name(it));
     for (const auto& e : it.leaving)
         leaving_.mark(e);
     guard_.on_peer(from.incarnation, it.versions);
--- a/src/runlink/core/leave_marks.cpp
+++ b/src/runlink/core/leave_marks.cpp
@@ -8,7 +8,9 @@
 bool leave_marks::mark(const leave_mark& it)
 {
     auto& newest = newest_[it.endpoint];
-    newest = std::max(newest, it.incarnation);
+    if (it.incarnation < newest)
+        return false;
+    newest = it.incarnation;
     const auto [found, is_new] = leaving_.try_emplace(it.endpoint, it.incarnation);
     if (is_new)
         return true;
--- a/src/runlink/core/ledger_partition.cpp
+++ b/src/runlink/core/ledger_partition.cpp
@@ -131,7 +131,7 @@
 {
     const auto bill = entry.bill;
     if (held.entry.fingerprint != entry.fingerprint)
-        return handler({ledger_status::key_reused, {}});
+        return answer_when_verified(now, {ledger_status::key_reused, {}}, std::move(handler));
     if (held.state == record_state::settled)
         return answer_when_committed(bill, {ledger_status::settled, held.entry}, std::move(handler));
     if (held.state == record_state::unknown)
@@ -139,7 +139,7 @@
     if (held.entry.request == entry.request)
         return answer_when_committed(bill, {ledger_status::granted, {}}, std::move(handler));
     if (hooks_.is_alive(held.entry.holder))
-        return handler({ledger_status::in_progress, {}});
+        return answer_when_verified(now, {ledger_status::in_progress, {}}, std::move(handler));
     if (held.entry.repeatable)
         return append(now, std::move(entry), {ledger_status::granted, {}}, std::move(handler));
     auto lost = held.entry;
@@ -206,6 +206,31 @@
     handler(reply);
 }
 
+void ledger_partition::answer_when_verified(time_point now, ledger_reply reply, ledger_reply_handler handler)
+{
+    // A write under way finds out by itself.
+    if (in_flight_ || now - verified_ <= options_.verified_for)
+        return handler(reply);
+    const auto on_found = [this, tenure = tenure_, reply = std::move(reply),
+                           handler = std::move(handler)](const result<store_value>& it)
+    {
+        const bool superseded = it && tenure == tenure_ && !in_flight_;
+        if (superseded)
+            restart();
+        else if (!it && it.error().code == errc::store_absent)
+            verified_ = now_;
+        handler(superseded ? ledger_reply{ledger_status::not_owner, {}} : reply);
+    };
+    hooks_.store.get(key_of(next_), on_found);
+}
+
+void ledger_partition::restart()
+{
+    step_down();
+    state_ = state::recovering;
+    read_checkpoint();
+}
+
 void ledger_partition::tick(time_point now)
 {
     now_ = now;
@@ -271,15 +296,14 @@
     const auto found = hooks_.codec.decode_segment(it.value().data);
     if (found && found.value().batch == in_flight_->segment.batch)
         return committed();
-    step_down();
-    state_ = state::recovering;
-    read_checkpoint();
+    restart();
 }
 
 void ledger_partition::committed()
 {
     auto done = std::move(*in_flight_);
     in_flight_.reset();
+    verified_ = now_;
     next_ = next_of(next_);
     for (auto& it : done.waiters)
         it.handler(it.reply);
