End what has ended: no run after the final word, and the final word at once

Cause: settling did not take the request out of its queue. Ruled out: two entries in the queue. A lost endpoint no longer counts against its version, and the last version is stopped only where the model says stop_last_version.

--- a/include/runlink/core/configuration.hpp
+++ b/include/runlink/core/configuration.hpp
@@ -47,6 +47,8 @@
     std::vector<model_id> cascade;
     /// Part of the answers that must be good, in percent.
     std::uint32_t quality_target_percent = 95;
+    /// Whether the guard may stop the last version that is left, so that requests are refused.
+    bool stop_last_version = false;
 
     const version_settings* find(const version_id& id) const;
     friend bool operator==(const model_settings&, const model_settings&) = default;
@@ -129,6 +131,9 @@
 
 using configuration_ptr = std::shared_ptr<const configuration>;
 
+/// Whether the guard may stop a version: another one is left for new sessions, or the model says that none need be.
+bool may_be_stopped(const configuration& it, const version_ref& version);
+
 /// Reads a configuration strictly: unknown fields, wrong types and dangling names are failures
 /// (`configuration_invalid`) whose detail holds the path of each fault, one a line.
 result<configuration> parse_configuration(std::string_view json);
--- a/include/runlink/core/request_router.hpp
+++ b/include/runlink/core/request_router.hpp
@@ -186,7 +186,12 @@
     void refuse_not_run(time_point now, active& it, failure why);
     void end_unknown(time_point now, active& it, failure why);
     void expire(time_point now, active& it);
+    /// Ends what nobody waits for, unless its answer may be asked for again.
+    void give_up(time_point now, active& it);
+    /// The final word to a caller that still listens.
+    void tell(active& it, const refusal& why);
     void forget(const request_id& id);
+    void leave_queue(const active& it);
     void charge(active& it, const attempt& from, const token_usage& usage) const;
     void count_refusal(const refusal& it);
 
--- a/include/runlink/core/version_guard.hpp
+++ b/include/runlink/core/version_guard.hpp
@@ -53,8 +53,10 @@
 public:
     version_guard(guard_options options, std::function<std::size_t()> live_instances);
 
-    /// Called once for each version that this instance's guard stops.
-    std::function<void(const version_ref&)> on_stop;
+    /// Whether a version may be stopped; one that may not is only reported.
+    std::function<bool(const version_ref&)> may_stop = [](const version_ref&) { return true; };
+    /// Called once for each version that this instance's guard finds bad.
+    std::function<void(const version_ref&, bool stopped)> on_bad;
 
     /// Whether a new session or request may start on the version.
     bool admits(time_point now, const version_ref& version, version_state state);
@@ -63,7 +65,7 @@
     void started(time_point now, const version_ref& version);
     /// An answer was rated. `failed` ratings count as bad.
     void rated(const version_ref& version, bool good);
-    /// An attempt ended without an answer.
+    /// The version gave an error or a malformed answer. An endpoint that is lost says nothing of its version.
     void failed(const version_ref& version);
 
     /// Own counts, for the heartbeat.
@@ -83,6 +85,7 @@
         double window = 0;
         badness_test test;
         bool stopped = false;
+        bool reported = false;
     };
 
     record& at(const version_ref& version);
--- a/src/runlink/core/configuration.cpp
+++ b/src/runlink/core/configuration.cpp
@@ -34,6 +34,16 @@
     return "withdrawn";
 }
 
+bool may_be_stopped(const configuration& it, const version_ref& version)
+{
+    const auto* model = it.find_model(version.model);
+    if (model == nullptr || model->stop_last_version)
+        return true;
+    return std::any_of(model->versions.begin(), model->versions.end(),
+                       [&](const auto& e)
+                       { return e.id != version.version && e.state != version_state::withdrawn; });
+}
+
 const version_settings* model_settings::find(const version_id& version) const
 {
     return find_by_id(versions, version);
--- a/src/runlink/core/configuration_json.cpp
+++ b/src/runlink/core/configuration_json.cpp
@@ -79,6 +79,7 @@
         it.cascade.emplace_back(e);
     it.quality_target_percent =
         static_cast<std::uint32_t>(in.optional_integer("quality_target_percent", 95, 0, max_percent));
+    it.stop_last_version = in.optional_bool("stop_last_version", false);
     return it;
 }
 
@@ -246,7 +247,8 @@
     return {{"name", it.id.str()},
             {"versions", versions},
             {"cascade", names_of(it.cascade)},
-            {"quality_target_percent", it.quality_target_percent}};
+            {"quality_target_percent", it.quality_target_percent},
+            {"stop_last_version", it.stop_last_version}};
 }
 
 json to_json(const account_settings& it)
--- a/src/runlink/core/instance.cpp
+++ b/src/runlink/core/instance.cpp
@@ -37,10 +37,13 @@
                                                router_parts{client_, selector_, limits_, guard_, sessions_});
     for (const auto& it : options_.seed_addresses)
         members_.add_address(it);
-    guard_.on_stop = [this](const version_ref& it)
+    guard_.may_stop = [this](const version_ref& it)
+    { return keeper_.current() && may_be_stopped(*keeper_.current(), it); };
+    guard_.on_bad = [this](const version_ref& it, bool stopped)
     {
-        edge_.state_changed("guard stopped version " + it.str());
-        keeper_.withdraw(it);
+        edge_.state_changed("version " + it.str() + (stopped ? " is bad, stopped" : " is bad, but the last one"));
+        if (stopped)
+            keeper_.withdraw(it);
     };
 }
 
--- a/src/runlink/core/request_router.cpp
+++ b/src/runlink/core/request_router.cpp
@@ -238,6 +238,11 @@
     if (found == requests_.end())
         return true;
     auto& it = found->second;
+    if (now - it.arrived >= it.request.deadline)
+    {
+        expire(now, it);
+        return true;
+    }
     if (!it.request.service)
     {
         const auto version = version_for(now, it);
@@ -407,7 +412,7 @@
     if (!from)
         return;
     auto& it = requests_.at(from->request);
-    if (!it.request.service)
+    if (!it.request.service && loss.why.code == errc::endpoint_answer_invalid)
         parts_.guard.failed(from->version);
     if (!loss.may_have_run)
     {
@@ -494,6 +499,7 @@
 void request_router::settle(time_point now, active& it, run_outcome outcome, std::string tail,
                             std::optional<refusal> why)
 {
+    leave_queue(it);
     it.at = phase::settling;
     auto entry = entry_of(it);
     entry.outcome = outcome;
@@ -516,22 +522,24 @@
     const auto found = requests_.find(id);
     if (found == requests_.end())
         return;
-    const bool tell = !found->second.caller_gone;
+    const bool listens = !found->second.caller_gone;
+    if (why)
+        tell(found->second, *why);
     forget(id);
-    if (!tell)
-    {
-        ++counters_.callers_left;
+    if (why || !listens)
         return;
-    }
-    if (why)
-    {
-        count_refusal(*why);
-        return hooks_.refuse(id, *why);
-    }
     ++counters_.answered;
     hooks_.end(id, std::move(tail));
 }
 
+void request_router::tell(active& it, const refusal& why)
+{
+    if (std::exchange(it.caller_gone, true))
+        return;
+    count_refusal(why);
+    hooks_.refuse(it.request.id, why);
+}
+
 void request_router::refuse_not_run(time_point now, active& it, failure why)
 {
     const auto id = it.request.id;
@@ -544,19 +552,28 @@
 
 void request_router::end_unknown(time_point now, active& it, failure why)
 {
-    settle(now, it, run_outcome::unknown, {}, refusal{std::move(why), run_outcome::unknown});
+    // The caller is told at once; only the record waits for the ledger.
+    const refusal final_word{std::move(why), run_outcome::unknown};
+    tell(it, final_word);
+    settle(now, it, run_outcome::unknown, {}, final_word);
 }
 
 void request_router::forget(const request_id& id)
 {
     const auto found = requests_.find(id);
-    const auto name = queue_name(found->second);
+    leave_queue(found->second);
     parts_.limits.finished(found->second.request.account);
-    if (const auto queue = queues_.find(name); queue != queues_.end())
-        queue->second.remove(id);
     requests_.erase(found);
 }
 
+void request_router::leave_queue(const active& it)
+{
+    if (it.at != phase::queued)
+        return;
+    if (const auto queue = queues_.find(queue_name(it)); queue != queues_.end())
+        queue->second.remove(it.request.id);
+}
+
 void request_router::count_refusal(const refusal& it)
 {
     ++(it.outcome == run_outcome::not_run ? counters_.refused_not_run : counters_.ended_unknown);
@@ -570,12 +587,17 @@
     const auto found = requests_.find(id);
     if (found == requests_.end())
         return;
-    auto& it = found->second;
-    it.caller_gone = true;
+    counters_.callers_left += found->second.caller_gone ? 0 : 1;
+    found->second.caller_gone = true;
+    give_up(now, found->second);
+}
+
+void request_router::give_up(time_point now, active& it)
+{
     if (it.at == phase::queued && !it.may_have_run)
         return refuse_not_run(now, it, {errc::caller_left, "connection"});
     // With a key the answer is wanted: the caller will ask for it again.
-    if (it.at != phase::running || it.request.key)
+    if (it.request.key || it.at == phase::settling)
         return;
     for (const auto attempt : std::set<attempt_id>{it.attempts})
     {
@@ -595,10 +617,8 @@
         return end_unknown(now, it, why);
     if (it.at != phase::running || it.caller_gone)
         return;
-    const auto id = it.request.id;
-    count_refusal({why, run_outcome::unknown});
-    hooks_.refuse(id, {why, run_outcome::unknown});
-    on_caller_left(now, id);
+    tell(it, {why, run_outcome::unknown});
+    give_up(now, it);
 }
 
 void request_router::tick(time_point now)
--- a/src/runlink/core/version_guard.cpp
+++ b/src/runlink/core/version_guard.cpp
@@ -39,7 +39,7 @@
     const auto found = records_.find(version);
     if (found != records_.end())
         return found->second;
-    record it{{}, {}, options_.first_window, badness_test{options_}, false};
+    record it{{}, {}, options_.first_window, badness_test{options_}, false, false};
     it.own.version = version;
     return records_.emplace(version, std::move(it)).first->second;
 }
@@ -104,12 +104,13 @@
 
 void version_guard::stop(const version_ref& version, record& it)
 {
-    if (it.stopped)
-        return;
-    it.stopped = true;
-    it.own.stopped = true;
-    if (on_stop)
-        on_stop(version);
+    const bool may = may_stop(version);
+    const bool is_news = !it.stopped && (may || !it.reported);
+    it.stopped = it.stopped || may;
+    it.own.stopped = it.stopped;
+    it.reported = true;
+    if (is_news && on_bad)
+        on_bad(version, it.stopped);
 }
 
 std::vector<version_counts> version_guard::counts() const
--- a/tests/support/fake_world.cpp
+++ b/tests/support/fake_world.cpp
@@ -223,7 +223,7 @@
     out.dispatch = [this, name](const core::attempt_start& it)
     {
         calls_.push_back({name, it, true});
-        ++runs_[work_of(it.request)];
+        count_run(it.request, 1);
         const auto target = it.version.model.empty() ? std::string{} : " " + it.version.str();
         note(name, "dispatch " + it.request.str() + " to " + it.endpoint.id.str() + target);
     };
@@ -301,6 +301,17 @@
     return it.key ? it.account.str() + "/" + it.key->str() : id.str();
 }
 
+std::string fake_world::bill_of(const core::request_id& id) const
+{
+    return (requests_.at(id).key ? "k:" : "r:") + work_of(id);
+}
+
+void fake_world::count_run(const core::request_id& id, int n)
+{
+    runs_[work_of(id)] += n;
+    runs_by_request_[id] += n;
+}
+
 std::vector<endpoint_call*> fake_world::open_calls()
 {
     std::vector<endpoint_call*> out;
@@ -348,7 +359,7 @@
 void fake_world::endpoint_refuses(endpoint_call& it)
 {
     it.open = false;
-    --runs_[work_of(it.start.request)];
+    count_run(it.start.request, -1);
     router_of(it)->on_refused(now(), it.start.attempt);
 }
 
@@ -356,7 +367,7 @@
 {
     it.open = false;
     if (!ran)
-        --runs_[work_of(it.start.request)];
+        count_run(it.start.request, -1);
     const core::failure why{core::errc::endpoint_lost, it.start.endpoint.id.str()};
     router_of(it)->on_lost(now(), it.start.attempt, {why, ran});
 }
--- a/tests/support/fake_world.hpp
+++ b/tests/support/fake_world.hpp
@@ -85,6 +85,9 @@
 
     /// How often the work of a request ran: by account and key, or by request.
     const std::map<std::string, int>& runs() const { return runs_; }
+    /// How often the endpoints ran a request, by the request.
+    const std::map<core::request_id, int>& runs_by_request() const { return runs_by_request_; }
+    std::string bill_of(const core::request_id& id) const;
     /// The settlements in the ledger, by bill.
     std::map<std::string, std::vector<core::ledger_entry>> bills() const;
     /// Every ledger entry in the store, in order of partition and sequence.
@@ -114,6 +117,7 @@
     void deliver(const std::string& from, const std::string& address, const core::peer_envelope& it);
     core::request_router* router_of(const endpoint_call& it);
     std::string work_of(const core::request_id& id) const;
+    void count_run(const core::request_id& id, int n);
     void note(const std::string& instance, const std::string& line);
 
     core::manual_clock clock_;
@@ -126,6 +130,7 @@
     std::map<core::request_id, caller_view> callers_;
     std::map<core::request_id, core::caller_request> requests_;
     std::map<std::string, int> runs_;
+    std::map<core::request_id, int> runs_by_request_;
 };
 
 /// Two accounts, one model with versions `r1` (serving) and `r2` (withdrawn) at two endpoints, and a service.
--- a/tests/support/session_script.hpp
+++ b/tests/support/session_script.hpp
@@ -11,7 +11,7 @@
 /// Runs a script and returns its trace. Throws `std::runtime_error` on a line it cannot read.
 ///
 /// Lines: `instances a b`, `advance 10ms`, `state off`, and
-/// `request a r1 [key=k] [once] [stream] [session=new|of:r0] [version=r2] [account=x] [service=s]
+/// `request a r1 [key=k] [once] [quick] [stream] [session=new|of:r0] [version=r2] [account=x] [service=s]
 /// [deadline=500] [body=x]`, `leave a r1`, `endpoint head|bytes|answer|fail|refuse|lose|lose-unsent r1
 /// [text]`, `store up|down|lose-replies=1|drop-watches`, `kill|start|freeze|thaw|stop a`, `cut|heal a b`,
 /// `plan a p1 <intent>`, `confirm a p1`, `endpoint-leaving a e1 7`, `endpoint-live a e1 7`, `rate a review/r2
