--- a/tests/support/event_loop.hpp
+++ b/tests/support/event_loop.hpp
@@ -14,7 +14,7 @@
 /// Runs the event loop until the condition holds. Returns false only where it never does.
 inline bool run_until(const std::function<bool()>& condition)
 {
-    constexpr int never_ms = 60'000;
+    constexpr int never_ms = 30'000;
     constexpr int slice_ms = 5;
     QElapsedTimer timer;
     timer.start();
