--- a/include/runlink/core/instance.hpp
+++ b/include/runlink/core/instance.hpp
@@ -138,6 +138,8 @@
     std::vector<std::unique_ptr<ledger_partition>> partitions_;
     std::unique_ptr<request_router> router_;
     time_point next_heartbeat_{};
+    std::uint64_t heartbeats_ = 0;
+    std::map<version_ref, version_counts> sent_counts_;
     bool stopping_ = false;
     bool was_ready_ = false;
     time_point stop_admission_at_{};
--- a/include/runlink/core/membership.hpp
+++ b/include/runlink/core/membership.hpp
@@ -48,6 +48,7 @@
     std::vector<member_info> peers() const;
     std::size_t live_count() const { return members_.size() + 1; }
     /// The member that serves a partition: ready, not stopping, highest rendezvous score.
+    /// Answers are kept until a member comes, goes or changes its state.
     std::optional<member_info> owner_of(partition_id partition) const;
     /// Live peers to hold copies, in failure domains as different as there are.
     std::vector<member_info> copy_holders(std::size_t n) const;
@@ -63,6 +64,8 @@
         time_point seen{};
     };
 
+    std::optional<member_info> find_owner(partition_id partition) const;
+
     member_info self_;
     membership_options options_;
     bool self_ready_ = false;
@@ -71,6 +74,7 @@
     std::set<incarnation_id> replaced_;
     std::set<std::string> addresses_;
     std::optional<time_point> last_tick_;
+    mutable std::map<partition_id, std::optional<member_info>> owners_; ///< found since the last change
 };
 
 } // namespace runlink::core
--- a/include/runlink/core/peer_messages.hpp
+++ b/include/runlink/core/peer_messages.hpp
@@ -55,8 +55,8 @@
     bool stopping = false;
     config_revision revision{};
     std::vector<leave_mark> leaving;
-    std::vector<version_counts> versions;
-    std::vector<member_info> members; ///< the live members that the sender knows
+    std::vector<version_counts> versions; ///< those that changed, and now and then all
+    std::vector<member_info> members;     ///< now and then the live members that the sender knows
 
     friend bool operator==(const heartbeat&, const heartbeat&) = default;
 };
--- a/src/runlink/core/instance.cpp
+++ b/src/runlink/core/instance.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/// Heartbeats between two that hold all members and all counts.
+constexpr std::uint64_t whole_heartbeat_every = 10;
+
 const char* state_name(const heartbeat& it)
 {
     if (it.stopping)
@@ -136,13 +139,21 @@
 void instance::send_heartbeats(time_point now)
 {
     next_heartbeat_ = now + options_.members.heartbeat_interval;
+    // Counts are running totals: what a lost heartbeat held comes again with the next whole one.
+    const bool whole = heartbeats_++ % whole_heartbeat_every == 0;
     heartbeat it;
     it.ready = keeper_.is_ready(now, members_);
     it.stopping = stopping_;
     it.revision = keeper_.revision();
     it.leaving = leaving_.all();
-    it.versions = guard_.counts();
-    it.members = members_.peers();
+    for (const auto& counts : guard_.counts())
+        if (auto& sent = sent_counts_[counts.version]; whole || sent != counts)
+        {
+            it.versions.push_back(counts);
+            sent = counts;
+        }
+    if (whole)
+        it.members = members_.peers();
     for (const auto& address : members_.addresses())
         send(address, it);
 }
--- a/src/runlink/core/membership.cpp
+++ b/src/runlink/core/membership.cpp
@@ -15,8 +15,11 @@
 
 void membership::set_self_state(bool ready, bool stopping)
 {
+    if (ready == self_ready_ && stopping == self_stopping_)
+        return;
     self_ready_ = ready;
     self_stopping_ = stopping;
+    owners_.clear();
 }
 
 bool membership::on_heartbeat(time_point now, const member_info& sender, const heartbeat& it)
@@ -37,6 +40,8 @@
     auto& member = members_[sender.incarnation];
     const bool changed = is_new || member.last.ready != it.ready || member.last.stopping != it.stopping;
     member = {sender, it, now};
+    if (changed)
+        owners_.clear();
     for (const auto& e : it.members)
         add_address(e.address);
     add_address(sender.address);
@@ -59,6 +64,8 @@
                           dead.push_back(it.second.info);
                       return silent;
                   });
+    if (!dead.empty())
+        owners_.clear();
     return dead;
 }
 
@@ -95,6 +102,14 @@
 }
 
 std::optional<member_info> membership::owner_of(partition_id partition) const
+{
+    const auto found = owners_.find(partition);
+    if (found != owners_.end())
+        return found->second;
+    return owners_.emplace(partition, find_owner(partition)).first->second;
+}
+
+std::optional<member_info> membership::find_owner(partition_id partition) const
 {
     const auto key = "partition/" + std::to_string(partition.value());
     std::optional<member_info> best;
