--- a/bench/exposure.cpp
+++ b/bench/exposure.cpp
@@ -1,5 +1,6 @@
-// Exposure to bad versions: answers served until a bad version is stopped, and good versions stopped by mistake.
-// Drives the real guard on a paused clock against a fake rating service. Seven instances, evidence pooled every 500 ms.
+// Exposure to bad versions: answers served until a bad version is stopped, and good versions stopped by
+// mistake. Drives the real guard on a paused clock against a fake rating service. Seven instances, evidence
+// pooled every 500 ms.
 
 #include <algorithm>
 #include <functional>
@@ -52,8 +53,10 @@
                 if (a != b)
                     (*guards)[a]->on_peer(core::incarnation_id{std::to_string(b)}, (*guards)[b]->counts());
     };
-    it.stopped = [guards]
-    { return std::all_of(guards->begin(), guards->end(), [](const auto& e) { return e->is_stopped(version); }); };
+    it.stopped = [guards] {
+        return std::all_of(guards->begin(), guards->end(),
+                           [](const auto& e) { return e->is_stopped(version); });
+    };
     return it;
 }
 
@@ -95,15 +98,15 @@
 
 struct outcome
 {
-    int bad = 0;      ///< bad answers served
+    int bad = 0; ///< bad answers served
     int served = 0;
     double stopped_after_s = -1;
     double share_reached_s = -1; ///< time until nine of ten wanted requests are admitted
 };
 
 /// One roll-out. The version has `bad_rate` from `turns_bad` on, before that the accepted one.
-outcome roll_out(policy it, double bad_rate, core::seconds rating_lag, core::seconds turns_bad, core::seconds length,
-                 std::uint64_t seed)
+outcome roll_out(policy it, double bad_rate, core::seconds rating_lag, core::seconds turns_bad,
+                 core::seconds length, std::uint64_t seed)
 {
     struct rating
     {
@@ -152,7 +155,8 @@
         const bool bad = coin(random) < (now - begin >= turns_bad ? bad_rate : accepted_bad);
         ++out.served;
         out.bad += bad && now - begin >= turns_bad ? 1 : 0;
-        const auto late = core::duration{static_cast<core::duration::rep>(lag(random) * 1e6 * rating_lag.count())};
+        const auto late =
+            core::duration{static_cast<core::duration::rep>(lag(random) * 1e6 * rating_lag.count())};
         ratings.push({now + late, instance, !bad});
     }
     return out;
@@ -178,7 +182,8 @@
 
 void bad_versions(int seeds, const std::string& path)
 {
-    report out{{"version", "rating lag s", "policy", "bad served", "spread", "stopped after s", "never stopped"}};
+    report out{
+        {"version", "rating lag s", "policy", "bad served", "spread", "stopped after s", "never stopped"}};
     const struct
     {
         const char* name;
@@ -202,9 +207,10 @@
                         after.push_back(it.stopped_after_s);
                 }
                 const auto [low, high] = std::minmax_element(bad.begin(), bad.end());
-                out.add({v.name, lag, p.name, median(bad),
-                         std::to_string(static_cast<int>(*low)) + "-" + std::to_string(static_cast<int>(*high)),
-                         median(after), never});
+                out.add(
+                    {v.name, lag, p.name, median(bad),
+                     std::to_string(static_cast<int>(*low)) + "-" + std::to_string(static_cast<int>(*high)),
+                     median(after), never});
             }
     out.finish("bad from the start, one hour, " + std::to_string(seeds) + " seeds", path);
 }
@@ -220,8 +226,8 @@
             int never = 0;
             for (int s = 0; s < seeds; ++s)
             {
-                const auto it = roll_out(p.make(), rate, core::seconds{10}, core::seconds{1800}, core::seconds{3600},
-                                         static_cast<std::uint64_t>(s));
+                const auto it = roll_out(p.make(), rate, core::seconds{10}, core::seconds{1800},
+                                         core::seconds{3600}, static_cast<std::uint64_t>(s));
                 bad.push_back(it.bad);
                 if (it.stopped_after_s < 0)
                     ++never;
@@ -244,8 +250,8 @@
             std::vector<double> reached;
             for (int s = 0; s < seeds; ++s)
             {
-                const auto it = roll_out(p.make(), rate, core::seconds{10}, core::seconds{0}, core::seconds{6 * 3600},
-                                         1000 + static_cast<std::uint64_t>(s));
+                const auto it = roll_out(p.make(), rate, core::seconds{10}, core::seconds{0},
+                                         core::seconds{6 * 3600}, 1000 + static_cast<std::uint64_t>(s));
                 served += it.served;
                 stops += it.stopped_after_s >= 0 ? 1 : 0;
                 if (it.share_reached_s >= 0)
@@ -254,7 +260,8 @@
             constexpr double hours_a_month = 720;
             out.add({rate, p.name, served, stops, stops / (seeds * 6.0) * hours_a_month, median(reached)});
         }
-    out.finish("good versions, six hours each; 'a month' is for one version under this traffic all month", path);
+    out.finish("good versions, six hours each; 'a month' is for one version under this traffic all month",
+               path);
 }
 
 } // namespace
--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -1,4 +1,5 @@
-// Open-loop load on instances, and on an engine directly, in one run. Starts nothing: the addresses are given.
+// Open-loop load on instances, and on an engine directly, in one run. Starts nothing: the addresses are
+// given.
 
 #include <algorithm>
 #include <fstream>
@@ -83,7 +84,7 @@
     {
         if (clock_.elapsed() > options_.seconds * 1000)
             return;
-        due_ms_ += std::exponential_distribution<double>{options_.rate}(random_) * 1000;
+        due_ms_ += std::exponential_distribution<double>{options_.rate}(random_)*1000;
         const auto wait = std::max(0.0, due_ms_ - static_cast<double>(clock_.nsecsElapsed()) / 1e6);
         QTimer::singleShot(static_cast<int>(wait), Qt::PreciseTimer,
                            [this]
@@ -104,7 +105,8 @@
         call.path = "/v1/chat/completions";
         call.headers = {{"Authorization", "Bearer " + options_.key}, {"Content-Type", "application/json"}};
         if (std::uniform_real_distribution<double>{}(random_) < options_.keyed)
-            call.headers.emplace_back("Idempotency-Key", std::to_string(options_.seed) + "-" + std::to_string(n));
+            call.headers.emplace_back("Idempotency-Key",
+                                      std::to_string(options_.seed) + "-" + std::to_string(n));
         const json message{{"role", "user"}, {"content", "question " + std::to_string(n)}};
         call.body = json{{"model", model_},
                          {"stream", options_.stream},
@@ -206,8 +208,8 @@
     cli.add_option("--json", opt.path, "Append the results to this file");
     CLI11_PARSE(cli, argc, argv);
     QCoreApplication application{argc, argv};
-    report out{{"path", "sent", "whole", "first p50 ms", "first p95", "first p99", "total p50 ms", "total p95",
-                "total p99", "outcomes"}};
+    report out{{"path", "sent", "whole", "first p50 ms", "first p95", "first p99", "total p50 ms",
+                "total p95", "total p99", "outcomes"}};
     const auto before = processor_seconds(opt.pids);
     const auto routed = generator{opt, addresses(opt.targets), opt.model}.run();
     const auto used = processor_seconds(opt.pids) - before;
@@ -216,10 +218,12 @@
     {
         const auto direct = generator{opt, addresses(opt.direct), opt.direct_model}.run();
         add_row(out, "direct", direct);
-        const auto ratio = [&](auto member, double p) { return percentile(routed.*member, p) / percentile(direct.*member, p); };
-        out.add({"routed / direct", "", "", ratio(&measured::first_byte_ms, 0.5), ratio(&measured::first_byte_ms, 0.95),
-                 ratio(&measured::first_byte_ms, 0.99), ratio(&measured::total_ms, 0.5),
-                 ratio(&measured::total_ms, 0.95), ratio(&measured::total_ms, 0.99), ""});
+        const auto ratio = [&](auto member, double p)
+        { return percentile(routed.*member, p) / percentile(direct.*member, p); };
+        out.add({"routed / direct", "", "", ratio(&measured::first_byte_ms, 0.5),
+                 ratio(&measured::first_byte_ms, 0.95), ratio(&measured::first_byte_ms, 0.99),
+                 ratio(&measured::total_ms, 0.5), ratio(&measured::total_ms, 0.95),
+                 ratio(&measured::total_ms, 0.99), ""});
     }
     out.finish("open loop, " + std::to_string(opt.rate) + " requests/s", opt.path);
     if (!opt.pids.empty() && routed.sent > 0)
--- a/bench/report.hpp
+++ b/bench/report.hpp
@@ -40,7 +40,8 @@
         rows.insert(rows.end(), table_.begin(), table_.end());
         std::cout << title << "\n" << app::format_table(rows) << std::endl;
         if (!path.empty())
-            std::ofstream{path, std::ios::app} << nlohmann::json{{"title", title}, {"rows", json_}}.dump() << "\n";
+            std::ofstream{path, std::ios::app} << nlohmann::json{{"title", title}, {"rows", json_}}.dump()
+                                               << "\n";
     }
 
 private:
--- a/bench/selection.cpp
+++ b/bench/selection.cpp
@@ -1,5 +1,6 @@
-// Choice of an endpoint: time to the first token at several loads, with a slow endpoint and with a failure domain lost.
-// Drives the real selector of seven instances against fake endpoints, each with slots and a queue.
+// Choice of an endpoint: time to the first token at several loads, with a slow endpoint and with a failure
+// domain lost. Drives the real selector of seven instances against fake endpoints, each with slots and a
+// queue.
 
 #include <algorithm>
 #include <deque>
@@ -35,7 +36,7 @@
 {
     const char* name;
     double load;
-    int slow = 0;          ///< endpoints that are four times slower
+    int slow = 0;             ///< endpoints that are four times slower
     bool domain_lost = false; ///< a third of the endpoints refuses connections from the middle on
 };
 
@@ -142,7 +143,8 @@
     struct state
     {
         std::mt19937_64 random;
-        std::vector<std::vector<int>> in_flight = std::vector<std::vector<int>>(instances, std::vector<int>(endpoints));
+        std::vector<std::vector<int>> in_flight =
+            std::vector<std::vector<int>>(instances, std::vector<int>(endpoints));
     };
     auto s = std::make_shared<state>();
     s->random.seed(seed);
@@ -170,11 +172,13 @@
     std::vector<double> quick;
 };
 
-/// Open-loop arrivals at seven instances; whoever finds no endpoint waits at its instance, first come first served.
+/// Open-loop arrivals at seven instances; whoever finds no endpoint waits at its instance, first come first
+/// served.
 class simulation
 {
 public:
-    simulation(const scenario& s, chooser c, std::uint64_t seed) : scenario_{s}, chooser_{std::move(c)}, random_{seed}
+    simulation(const scenario& s, chooser c, std::uint64_t seed)
+        : scenario_{s}, chooser_{std::move(c)}, random_{seed}
     {
         for (int n = 0; n < s.slow; ++n)
             speed_[n] = 0.25;
@@ -203,9 +207,15 @@
         std::deque<job_ptr> queue;
     };
 
-    void schedule(double after, std::function<void()> action) { events_.emplace(now_ + after, std::move(action)); }
+    void schedule(double after, std::function<void()> action)
+    {
+        events_.emplace(now_ + after, std::move(action));
+    }
     double exponential(double mean) { return std::exponential_distribution<double>{1 / mean}(random_); }
-    bool is_lost(int e) const { return scenario_.domain_lost && e % 3 == 0 && now_ > (warm_up_s + length_s) / 2; }
+    bool is_lost(int e) const
+    {
+        return scenario_.domain_lost && e % 3 == 0 && now_ > (warm_up_s + length_s) / 2;
+    }
 
     void schedule_arrival(double rate)
     {
@@ -326,8 +336,12 @@
     cli.add_option("--json", path, "Append the results to this file");
     cli.add_option("--seeds", seeds, "Runs of each kind; the table shows their medians");
     CLI11_PARSE(cli, argc, argv);
-    const scenario scenarios[] = {{"50 %", 0.5},          {"80 %", 0.8},           {"95 %", 0.95},
-                                  {"120 %", 1.2},         {"60 %, two slow", 0.6, 2}, {"60 %, a third lost", 0.6, 0, true}};
+    const scenario scenarios[] = {{"50 %", 0.5},
+                                  {"80 %", 0.8},
+                                  {"95 %", 0.95},
+                                  {"120 %", 1.2},
+                                  {"60 %, two slow", 0.6, 2},
+                                  {"60 %, a third lost", 0.6, 0, true}};
     const struct
     {
         const char* name;
@@ -342,8 +356,10 @@
             std::vector<std::vector<double>> columns(6);
             for (int seed = 0; seed < seeds; ++seed)
             {
-                auto r = simulation{s, c.make(static_cast<std::uint64_t>(seed)), static_cast<std::uint64_t>(seed)}.run();
-                const double cells[] = {percentile(r.first_token, 0.5), percentile(r.first_token, 0.95),
+                auto r =
+                    simulation{s, c.make(static_cast<std::uint64_t>(seed)), static_cast<std::uint64_t>(seed)}
+                        .run();
+                const double cells[] = {percentile(r.first_token, 0.5),  percentile(r.first_token, 0.95),
                                         percentile(r.first_token, 0.99), percentile(r.quick, 0.5),
                                         percentile(r.quick, 0.95),       percentile(r.quick, 0.99)};
                 for (std::size_t n = 0; n < columns.size(); ++n)
@@ -356,5 +372,6 @@
                                 std::to_string(static_cast<int>(columns[5].back()));
             out.add({s.name, c.name, median(0), median(1), median(2), median(3), median(4), spread});
         }
-    out.finish("20 endpoints of 8 slots, 7 instances, reports 1-2 s old, " + std::to_string(seeds) + " seeds", path);
+    out.finish("20 endpoints of 8 slots, 7 instances, reports 1-2 s old, " + std::to_string(seeds) + " seeds",
+               path);
 }
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -67,7 +67,8 @@
 {
     const auto text = std::to_string(n);
     return {core::instance_id{"instance-" + text}, core::incarnation_id{"0123456789ab" + text},
-            core::failure_domain_id{"domain-" + std::to_string(n % 17)}, "10.0." + std::to_string(n / 250) + ".7:7100"};
+            core::failure_domain_id{"domain-" + std::to_string(n % 17)},
+            "10.0." + std::to_string(n / 250) + ".7:7100"};
 }
 
 core::heartbeat beat_of(int members, int versions)
@@ -79,7 +80,11 @@
         it.members.push_back(member(n));
     for (int n = 0; n < versions; ++n)
         it.versions.push_back({{core::model_id{"model-" + std::to_string(n)}, core::version_id{"version-1"}},
-                               100000, 90000, 1000, 10, false});
+                               100000,
+                               90000,
+                               1000,
+                               10,
+                               false});
     return it;
 }
 
@@ -119,7 +124,8 @@
         for (int k = 1; k < n; ++k)
             view.on_heartbeat({}, member(k), beat_of(n, 24));
         const auto it = beat_of(n, 24);
-        const double take = microseconds_of(100, [&](int k) { view.on_heartbeat({}, member(1 + k % (n - 1)), it); });
+        const double take =
+            microseconds_of(100, [&](int k) { view.on_heartbeat({}, member(1 + k % (n - 1)), it); });
         const double owner = microseconds_of(5,
                                              [&](int k)
                                              {
@@ -131,8 +137,8 @@
         micros.add(n, encode + decode + take);
         out.add({n, wire.size(), encode, decode, take, owner});
     }
-    out.finish("heartbeat with 24 versions, by members; slope " + std::to_string(bytes.slope()) + " bytes and " +
-                   std::to_string(micros.slope()) + " µs a member",
+    out.finish("heartbeat with 24 versions, by members; slope " + std::to_string(bytes.slope()) +
+                   " bytes and " + std::to_string(micros.slope()) + " µs a member",
                path);
 }
 
@@ -197,10 +203,9 @@
         for (const int n : {1000, 5000, 20000})
         {
             std::map<std::string, core::store_value> values;
-            core::ledger_hooks hooks{instant_store(values), proto::make_ledger_codec(),
-                                     [] { return core::wall_time{1}; },
-                                     [](const core::incarnation_id&) { return true; },
-                                     [] { return core::batch_id{"b"}; }};
+            core::ledger_hooks hooks{
+                instant_store(values), proto::make_ledger_codec(), [] { return core::wall_time{1}; },
+                [](const core::incarnation_id&) { return true; }, [] { return core::batch_id{"b"}; }};
             core::ledger_options options;
             options.writes_per_second = 1e9;
             options.write_burst = 1e9;
@@ -211,7 +216,8 @@
             const auto begin = steady::now();
             for (int k = 0; k < n; ++k)
                 it.submit({}, settlement(k, answer), [](const core::ledger_reply&) {});
-            const double micros = std::chrono::duration<double, std::micro>(steady::now() - begin).count() / n;
+            const double micros =
+                std::chrono::duration<double, std::micro>(steady::now() - begin).count() / n;
             core::ledger_segment segment;
             segment.entries = {settlement(1, answer)};
             const auto stored = hooks.codec.encode_segment(segment).size();
--- a/include/runlink/core/order_holder.hpp
+++ b/include/runlink/core/order_holder.hpp
@@ -1,6 +1,6 @@
 /// \file
-/// Orders to the endpoints of one pool: one holder at a time, towards endpoints that check fencing numbers and
-/// towards those that do not.
+/// Orders to the endpoints of one pool: one holder at a time, towards endpoints that check fencing numbers
+/// and towards those that do not.
 #pragma once
 
 #include <cstdint>
@@ -54,11 +54,12 @@
 
 /// Holds the pool's lease and turns the desired state into orders.
 ///
-/// The lease is a value in the store with the holder and a fencing number, which grows with each holder. A holder
-/// counts its lease from before it asked for it. A new holder waits until the former lease and the longest order
-/// behind it have run out on its own clock, counted from when it first saw the former value unchanged: it needs no
-/// clock of another instance. Endpoints that check the number are safe against a paused holder besides. Orders are
-/// made from what is observed, so that a half-done roll-out goes on, and repeating one does no harm.
+/// The lease is a value in the store with the holder and a fencing number, which grows with each holder. A
+/// holder counts its lease from before it asked for it. A new holder waits until the former lease and the
+/// longest order behind it have run out on its own clock, counted from when it first saw the former value
+/// unchanged: it needs no clock of another instance. Endpoints that check the number are safe against a
+/// paused holder besides. Orders are made from what is observed, so that a half-done roll-out goes on, and
+/// repeating one does no harm.
 class order_holder
 {
 public:
--- a/src/runlink/app/app_test.cpp
+++ b/src/runlink/app/app_test.cpp
@@ -1,5 +1,8 @@
 #include <catch2/catch.hpp>
 
+#include <filesystem>
+#include <fstream>
+
 #include "runlink/app/caller_request_reader.hpp"
 #include "runlink/app/error_answer.hpp"
 #include "runlink/app/metrics.hpp"
@@ -179,3 +182,24 @@
 {
     CHECK(format_table({{"A", "B"}, {"long", "x"}}) == "A     B\nlong  x\n");
 }
+
+TEST_CASE("the examples have no faults")
+{
+    int settings_files = 0;
+    for (const char* user : {"bonifici-padani", "thepcuon-trace"})
+    {
+        const std::filesystem::path directory = std::filesystem::path{RUNLINK_EXAMPLES_DIR} / user;
+        std::ifstream in{directory / "configuration.json"};
+        const std::string text{std::istreambuf_iterator<char>{in}, {}};
+        const auto configuration = core::parse_configuration(text);
+        CHECK(configuration);
+        for (int n = 1; n <= 7; ++n)
+        {
+            const auto it = load_settings(directory / ("settings-" + std::to_string(n) + ".json"));
+            REQUIRE(it);
+            CHECK(it.value().deployment == configuration.value().deployment);
+            ++settings_files;
+        }
+    }
+    CHECK(settings_files == 14);
+}
--- a/src/runlink/core/order_holder.cpp
+++ b/src/runlink/core/order_holder.cpp
@@ -71,7 +71,8 @@
     take(asked, fencing_number{fencing.value() + 1}, store_condition::match(found.revision), true);
 }
 
-void order_holder::take(time_point asked, fencing_number next, const store_condition& condition, bool wait_out)
+void order_holder::take(time_point asked, fencing_number next, const store_condition& condition,
+                        bool wait_out)
 {
     const auto on_written = [this, asked, next, wait_out](const result<std::uint64_t>& it)
     {
@@ -129,7 +130,8 @@
     {
         const auto found = desired_.find(endpoint);
         for (const auto& version : held)
-            if (found != desired_.end() && !found->second.contains(version) && !is_last_copy(observed, version))
+            if (found != desired_.end() && !found->second.contains(version) &&
+                !is_last_copy(observed, version))
                 return send({endpoint, version, false, {}});
     }
 }
--- a/src/runlink/core/order_holder_test.cpp
+++ b/src/runlink/core/order_holder_test.cpp
@@ -34,8 +34,9 @@
     {
         const int n = static_cast<int>(holders.size());
         order_hooks hooks;
-        const auto schedule = [this, n](duration after, std::function<void()> action)
-        { events.emplace(clock.now() + after, std::pair{n, std::move(action)}); };
+        const auto schedule = [this, n](duration after, std::function<void()> action) {
+            events.emplace(clock.now() + after, std::pair{n, std::move(action)});
+        };
         hooks.store = store.port(schedule);
         hooks.observe = [this, schedule](const std::function<void(const observed_versions&)>& handler)
         { schedule(milliseconds{1}, [handler, it = loaded] { handler(it); }); };
@@ -85,8 +86,8 @@
 
     int ordering() const
     {
-        return static_cast<int>(
-            std::count_if(holders.begin(), holders.end(), [&](const auto& it) { return it->may_order(clock.now()); }));
+        return static_cast<int>(std::count_if(holders.begin(), holders.end(),
+                                              [&](const auto& it) { return it->may_order(clock.now()); }));
     }
 };
 
@@ -116,7 +117,8 @@
     CHECK(taken[0].second == endpoint_order{e2, r2, true, fencing_number{1}});
 }
 
-TEST_CASE_METHOD(fixture, "one of several holders orders; another goes on with a half-done roll-out when it dies")
+TEST_CASE_METHOD(fixture,
+                 "one of several holders orders; another goes on with a half-done roll-out when it dies")
 {
     for (int n = 0; n < 3; ++n)
         add();
@@ -136,7 +138,8 @@
     CHECK(taken.back().second.fencing == fencing_number{2});
 }
 
-TEST_CASE_METHOD(fixture, "a holder that was paused past its lease sends nothing, also to endpoints that check nothing")
+TEST_CASE_METHOD(
+    fixture, "a holder that was paused past its lease sends nothing, also to endpoints that check nothing")
 {
     for (const bool with_check : {true, false})
     {
@@ -185,7 +188,8 @@
         advance(milliseconds{10 * (random() % 100)});
         int active = 0;
         for (int k = 0; k < 3; ++k)
-            active += !frozen.contains(k) && holders[static_cast<std::size_t>(k)]->may_order(clock.now()) ? 1 : 0;
+            active +=
+                !frozen.contains(k) && holders[static_cast<std::size_t>(k)]->may_order(clock.now()) ? 1 : 0;
         REQUIRE(active <= 1);
     }
     store.down = false;
--- a/tests/property_test.cpp
+++ b/tests/property_test.cpp
@@ -133,6 +133,16 @@
         world_.kill(name);
     }
 
+    /// No bill waits for the store anywhere: what was killed so far has taken nothing with it.
+    bool everything_is_flushed()
+    {
+        for (const auto& it : world_.names())
+            if (world_.is_up(it) &&
+                world_.at(it).ledger().pending_count() + world_.at(it).ledger().copy_count() > 0)
+                return false;
+        return !world_.store.down;
+    }
+
     void toggle_cut()
     {
         const auto a = any_instance();
@@ -202,6 +212,7 @@
     std::set<std::string> once_;
     int requests_ = 0;
     bool at_risk_lost_ = false;
+    int kills_before_flush_ = 0;
 };
 
 std::uint64_t seed_count()
--- a/tests/support/fake_world.cpp
+++ b/tests/support/fake_world.cpp
@@ -329,6 +329,13 @@
     return nullptr;
 }
 
+endpoint_call* fake_world::first_call_of(const core::request_id& id)
+{
+    const auto found =
+        std::find_if(calls_.begin(), calls_.end(), [&](const auto& it) { return it.start.request == id; });
+    return found == calls_.end() ? nullptr : &*found;
+}
+
 core::request_router* fake_world::router_of(const endpoint_call& it)
 {
     auto& life = lives_.at(it.instance);
--- a/tests/support/fake_world.hpp
+++ b/tests/support/fake_world.hpp
@@ -77,6 +77,8 @@
     /// Attempts that endpoints have open, oldest first.
     std::vector<endpoint_call*> open_calls();
     endpoint_call* open_call_of(const core::request_id& id);
+    /// The first attempt of a request, whether it was given up or not.
+    endpoint_call* first_call_of(const core::request_id& id);
     void endpoint_head(endpoint_call& it);
     void endpoint_bytes(endpoint_call& it, const std::string& text);
     void endpoint_answers(endpoint_call& it, const std::string& tail, int status = 200);
--- a/tests/support/session_script.cpp
+++ b/tests/support/session_script.cpp
@@ -136,10 +136,12 @@
 
     void endpoint(const script_line& it)
     {
-        auto* call = world_->open_call_of(request_id{it.word(2)});
+        const request_id id{it.word(2)};
+        const bool late = it.word(1).starts_with("late-");
+        auto* call = late ? world_->first_call_of(id) : world_->open_call_of(id);
         if (call == nullptr)
             return void(out_ << "no attempt is open\n");
-        const auto& what = it.word(1);
+        const auto what = late ? it.word(1).substr(5) : it.word(1);
         if (what == "head")
             return world_->endpoint_head(*call);
         if (what == "bytes")
