Choose by own requests in flight and share the endpoints' room; widen the guard's margin

Now: the fewest own requests, equal ones at random, no reports; and an instance takes at most 1.5 times its even share of an endpoint, one more for a quick request. Threshold 9 -> 12, window left after a bad rating 0.5 -> 0.8. Cause: false stops.

--- a/include/runlink/app/platform_client.hpp
+++ b/include/runlink/app/platform_client.hpp
@@ -1,7 +1,7 @@
 /// \file
 /// Client of the platform's instance list and rating service.
 ///
-/// `GET /v1/instances` answers `{"instances": [{"name", "state", "incarnation", "load"}]}`, where the state
+/// `GET /v1/instances` answers `{"instances": [{"name", "state", "incarnation"}]}`, where the state
 /// is `live` or `leaving`; the list lags. `POST /v1/ratings` with `{"request", "version", "answer"}` answers
 /// `{"good": bool}` when the answer has been rated.
 #pragma once
@@ -22,7 +22,6 @@
     core::endpoint_id id;
     core::endpoint_incarnation incarnation{};
     bool leaving = false;
-    std::uint32_t load = 0;
 };
 
 /// Asks the platform; an answer that is malformed counts as none.
--- a/include/runlink/core/endpoint_selector.hpp
+++ b/include/runlink/core/endpoint_selector.hpp
@@ -23,6 +23,8 @@
     milliseconds longest_ejection{30000};
     milliseconds refusal_pause{100}; ///< after an endpoint refused for want of room
     double reserved_share = 0.1;     ///< of the capacity, for quick requests
+    std::uint32_t instances = 1;     ///< that share the endpoints' capacity
+    double oversubscription = 1.5;   ///< of an instance's even share of an endpoint
     double affinity_bound = 1.25;    ///< load over the mean at which prefix affinity gives way
     double slow_factor = 3.0;        ///< first-token time over the median at which an endpoint counts as slow
 };
@@ -46,8 +48,9 @@
     const std::set<endpoint_id>* excluded = nullptr;
 };
 
-/// Chooses by own requests in flight, corrected by lagging load reports: the less loaded of two random
-/// candidates, or the candidate that holds the prompt's prefix while its load is within a bound of the mean.
+/// Chooses the endpoint with the fewest own requests in flight, or the one that holds the prompt's prefix while its load
+/// is within a bound of the mean. An instance takes at most its share of an endpoint: what is more waits here, where
+/// quick requests can go first. Load reports are not used: a second old, they send all instances to the same endpoints.
 /// Endpoints that fail in a row are put aside for a growing time and then tried with one request.
 class endpoint_selector
 {
@@ -67,9 +70,6 @@
     void started(const endpoint_id& id);
     void first_byte(const endpoint_id& id, duration after);
     void finished(time_point now, const endpoint_id& id, attempt_result it);
-    /// A load report: requests running and queued at the endpoint, from all instances.
-    void report(time_point now, const endpoint_id& id, std::uint32_t load);
-
     std::uint32_t in_flight(const endpoint_id& id) const;
     bool is_ejected(time_point now, const endpoint_id& id) const;
 
@@ -77,8 +77,6 @@
     struct load
     {
         std::uint32_t in_flight = 0;
-        std::uint32_t reported_others = 0; ///< last report less our own share then
-        time_point reported_at{};
         std::uint32_t failures = 0;
         std::uint32_t ejections = 0;
         time_point ejected_until{};
@@ -86,12 +84,15 @@
         double first_byte_ms = 0; ///< moving average; 0: not known
     };
 
+    const endpoint_settings* least_cost(const std::vector<const endpoint_settings*>& all);
     bool usable(time_point now, const endpoint_settings& it, const endpoint_demand& demand) const;
+    /// Requests that this instance may have at an endpoint at once.
+    std::uint32_t room(const endpoint_settings& it, bool quick) const;
     bool has_room(time_point now, const endpoint_settings& it, bool quick) const;
-    double relative_load(time_point now, const endpoint_settings& it) const;
-    double cost(time_point now, const endpoint_settings& it, double median_first_byte) const;
+    double relative_load(const endpoint_settings& it) const;
+    double cost(const endpoint_settings& it, double median_first_byte) const;
     std::vector<const endpoint_settings*> candidates(time_point now, const endpoint_demand& demand) const;
-    const endpoint_settings* by_prefix(time_point now, const endpoint_demand& demand,
+    const endpoint_settings* by_prefix(const endpoint_demand& demand,
                                        const std::vector<const endpoint_settings*>& all) const;
     double median_first_byte(const std::vector<const endpoint_settings*>& all) const;
     const load* find(const endpoint_id& id) const;
--- a/include/runlink/core/version_guard.hpp
+++ b/include/runlink/core/version_guard.hpp
@@ -22,11 +22,11 @@
     double first_window = 4; ///< unrated answers that a young version may have, in the whole deployment
     double widest_window = 512;
     double growth_per_good = 0.5; ///< window added by each good rating
-    double shrink_on_bad = 0.5;   ///< window left after a bad rating
+    double shrink_on_bad = 0.8;   ///< window left after a bad rating
     double accepted_bad = 0.05;   ///< rate of bad answers of a sound version
     /// Rates of bad answers that the test looks for, above the accepted one.
     std::array<double, 4> looked_for{0.08, 0.15, 0.35, 0.9};
-    double stop_threshold = 9.0;  ///< log-likelihood ratio at which a version is stopped
+    double stop_threshold = 12.0; ///< log-likelihood ratio at which a version is stopped
     seconds unrated_expires{600}; ///< an answer that nobody rated leaves the window then
 };
 
--- a/src/runlink/app/daemon.cpp
+++ b/src/runlink/app/daemon.cpp
@@ -139,10 +139,7 @@
         return;
     platform_->poll(
         [this](const listed_endpoint& it)
-        {
-            instance_->on_endpoint_state(clock_(), it.id, it.incarnation, it.leaving);
-            instance_->selector().report(clock_(), it.id, it.load);
-        });
+        { instance_->on_endpoint_state(clock_(), it.id, it.incarnation, it.leaving); });
 }
 
 void daemon::begin_stop()
--- a/src/runlink/app/platform_client.cpp
+++ b/src/runlink/app/platform_client.cpp
@@ -24,7 +24,6 @@
     out.id = core::endpoint_id{it["name"].get<std::string>()};
     out.incarnation = core::endpoint_incarnation{number("incarnation")};
     out.leaving = it.contains("state") && it["state"] == "leaving";
-    out.load = static_cast<std::uint32_t>(number("load"));
     return out;
 }
 
--- a/src/runlink/app/settings.cpp
+++ b/src/runlink/app/settings.cpp
@@ -175,6 +175,7 @@
     out.seed_addresses = it.seeds;
     out.client.partitions = it.ledger_partitions;
     out.ledger.writes_per_second = it.ledger_writes_per_second / static_cast<double>(it.ledger_partitions);
+    out.selector.instances = it.expected_instances;
     out.keeper.expected_instances = it.expected_instances;
     return out;
 }
--- a/src/runlink/core/endpoint_selector.cpp
+++ b/src/runlink/core/endpoint_selector.cpp
@@ -12,7 +12,6 @@
 {
 
 constexpr double first_byte_weight = 0.2;
-constexpr seconds report_lifetime{5};
 constexpr std::uint32_t longest_doubling = 8;
 
 } // namespace
@@ -76,9 +75,17 @@
     // An endpoint that was put aside is tried with one request at a time until it has answered.
     if (load->ejections > 0 && load->failures >= options_.failures_to_eject)
         return load->in_flight == 0;
-    const auto reserved =
-        quick ? 0U : static_cast<std::uint32_t>(static_cast<double>(it.capacity) * options_.reserved_share);
-    return load->in_flight < it.capacity - reserved;
+    return load->in_flight < room(it, quick);
+}
+
+std::uint32_t endpoint_selector::room(const endpoint_settings& it, bool quick) const
+{
+    const double share = it.capacity * options_.oversubscription / options_.instances;
+    const auto shared = std::clamp(static_cast<std::uint32_t>(std::ceil(share)), 1U, it.capacity);
+    if (quick)
+        return std::min(shared + 1, it.capacity);
+    const auto reserved = static_cast<std::uint32_t>(it.capacity * options_.reserved_share);
+    return std::min(shared, it.capacity - reserved);
 }
 
 std::vector<const endpoint_settings*> endpoint_selector::candidates(time_point now,
@@ -111,14 +118,10 @@
     return out;
 }
 
-double endpoint_selector::relative_load(time_point now, const endpoint_settings& it) const
+double endpoint_selector::relative_load(const endpoint_settings& it) const
 {
     const auto* load = find(it.id);
-    if (load == nullptr)
-        return 0;
-    const bool fresh = now - load->reported_at < report_lifetime;
-    const double total = load->in_flight + (fresh ? load->reported_others : 0U);
-    return total / it.capacity;
+    return load == nullptr ? 0 : static_cast<double>(load->in_flight) / it.capacity;
 }
 
 double endpoint_selector::median_first_byte(const std::vector<const endpoint_settings*>& all) const
@@ -134,16 +137,16 @@
     return *middle;
 }
 
-double endpoint_selector::cost(time_point now, const endpoint_settings& it, double median) const
+double endpoint_selector::cost(const endpoint_settings& it, double median) const
 {
     const auto* load = find(it.id);
     const double slowness =
         load == nullptr || median <= 0 || load->first_byte_ms <= 0 ? 1.0 : load->first_byte_ms / median;
     const double penalty = slowness > options_.slow_factor ? slowness : 1.0;
-    return (relative_load(now, it) + 1.0 / it.capacity) * penalty;
+    return (relative_load(it) + 1.0 / it.capacity) * penalty;
 }
 
-const endpoint_settings* endpoint_selector::by_prefix(time_point now, const endpoint_demand& demand,
+const endpoint_settings* endpoint_selector::by_prefix(const endpoint_demand& demand,
                                                       const std::vector<const endpoint_settings*>& all) const
 {
     if (demand.prefix_hash == 0)
@@ -154,10 +157,10 @@
                                          [&](const auto* a, const auto* b) { return score(a) < score(b); });
     double sum = 0;
     for (const auto* it : all)
-        sum += relative_load(now, *it);
+        sum += relative_load(*it);
     const double mean = sum / static_cast<double>(all.size());
     const double bound = std::max(mean * options_.affinity_bound, 1.0 / home->capacity);
-    return relative_load(now, *home) <= bound ? home : nullptr;
+    return relative_load(*home) <= bound ? home : nullptr;
 }
 
 const endpoint_settings* endpoint_selector::pick(time_point now, const endpoint_demand& demand)
@@ -167,14 +170,29 @@
         return nullptr;
     if (all.size() == 1)
         return all.front();
-    if (const auto* home = by_prefix(now, demand, all))
+    if (const auto* home = by_prefix(demand, all))
         return home;
-    const auto first = random_() % all.size();
-    const auto step = 1 + random_() % (all.size() - 1);
-    const auto* a = all[first];
-    const auto* b = all[(first + step) % all.size()];
+    return least_cost(all);
+}
+
+const endpoint_settings* endpoint_selector::least_cost(const std::vector<const endpoint_settings*>& all)
+{
     const double median = median_first_byte(all);
-    return cost(now, *b, median) < cost(now, *a, median) ? b : a;
+    const endpoint_settings* best = nullptr;
+    double best_cost = 0;
+    std::uint64_t ties = 0;
+    for (const auto* it : all)
+    {
+        const double c = cost(*it, median);
+        if (best != nullptr && c > best_cost)
+            continue;
+        ties = best != nullptr && c == best_cost ? ties + 1 : 1;
+        // Among equals each is as likely: otherwise all instances would load the same one.
+        if (random_() % ties == 0)
+            best = it;
+        best_cost = c;
+    }
+    return best;
 }
 
 void endpoint_selector::started(const endpoint_id& id)
@@ -209,13 +227,6 @@
     it.ejected_until = now + pause;
 }
 
-void endpoint_selector::report(time_point now, const endpoint_id& id, std::uint32_t load)
-{
-    auto& it = loads_[id];
-    it.reported_others = load > it.in_flight ? load - it.in_flight : 0;
-    it.reported_at = now;
-}
-
 std::uint32_t endpoint_selector::in_flight(const endpoint_id& id) const
 {
     const auto* it = find(id);
