Share the write budget among an instance's partitions, and divide it as the partitions are

Now one budget an instance, its part of the deployment's by the partitions it owns, and 64 partitions so that these spread evenly. Partitions are assigned when the members change, not on every tick.

--- a/bench/selection.cpp
+++ b/bench/selection.cpp
@@ -365,6 +365,5 @@
                                 std::to_string(static_cast<int>(columns[5].back()));
             out.add({s.name, c.name, median(0), median(1), median(2), median(3), median(4), spread});
         }
-    out.finish("20 endpoints of 8 slots, 7 instances, " + std::to_string(seeds) + " seeds",
-               path);
+    out.finish("20 endpoints of 8 slots, 7 instances, " + std::to_string(seeds) + " seeds", path);
 }
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -203,12 +203,13 @@
         for (const int n : {1000, 5000, 20000})
         {
             std::map<std::string, core::store_value> values;
-            core::ledger_hooks hooks{
-                instant_store(values), proto::make_ledger_codec(), [] { return core::wall_time{1}; },
-                [](const core::incarnation_id&) { return true; }, [] { return core::batch_id{"b"}; }};
+            core::ledger_hooks hooks{instant_store(values),
+                                     proto::make_ledger_codec(),
+                                     [] { return core::wall_time{1}; },
+                                     [](const core::incarnation_id&) { return true; },
+                                     [] { return core::batch_id{"b"}; },
+                                     [](core::time_point) { return true; }};
             core::ledger_options options;
-            options.writes_per_second = 1e9;
-            options.write_burst = 1e9;
             options.checkpoint_every = 1'000'000'000;
             core::ledger_partition it{core::partition_id{0}, core::incarnation_id{"a"}, options, hooks};
             it.acquire({});
--- a/include/runlink/core/endpoint_selector.hpp
+++ b/include/runlink/core/endpoint_selector.hpp
@@ -48,10 +48,11 @@
     const std::set<endpoint_id>* excluded = nullptr;
 };
 
-/// Chooses the endpoint with the fewest own requests in flight, or the one that holds the prompt's prefix while its load
-/// is within a bound of the mean. An instance takes at most its share of an endpoint: what is more waits here, where
-/// quick requests can go first. Load reports are not used: a second old, they send all instances to the same endpoints.
-/// Endpoints that fail in a row are put aside for a growing time and then tried with one request.
+/// Chooses the endpoint with the fewest own requests in flight, or the one that holds the prompt's prefix
+/// while its load is within a bound of the mean. An instance takes at most its share of an endpoint: what is
+/// more waits here, where quick requests can go first. Load reports are not used: a second old, they send all
+/// instances to the same endpoints. Endpoints that fail in a row are put aside for a growing time and then
+/// tried with one request.
 class endpoint_selector
 {
 public:
--- a/include/runlink/core/instance.hpp
+++ b/include/runlink/core/instance.hpp
@@ -14,6 +14,7 @@
 #include "runlink/core/leave_marks.hpp"
 #include "runlink/core/ledger_partition.hpp"
 #include "runlink/core/membership.hpp"
+#include "runlink/core/rate_limiter.hpp"
 #include "runlink/core/request_router.hpp"
 
 namespace runlink::core
@@ -30,6 +31,7 @@
     std::uint64_t random_seed = 1;
     membership_options members;
     ledger_options ledger;
+    double ledger_writes_per_second = 200; ///< of the whole deployment
     ledger_client_options client;
     router_options router;
     selector_options selector;
@@ -136,6 +138,8 @@
     ledger_client client_;
     configuration_keeper keeper_;
     std::vector<std::unique_ptr<ledger_partition>> partitions_;
+    rate_limiter ledger_rate_{0, 0};
+    std::uint64_t assigned_at_ = 0; ///< change of the members at which partitions were assigned last
     std::unique_ptr<request_router> router_;
     time_point next_heartbeat_{};
     std::uint64_t heartbeats_ = 0;
--- a/include/runlink/core/ledger_partition.hpp
+++ b/include/runlink/core/ledger_partition.hpp
@@ -12,7 +12,6 @@
 
 #include "runlink/core/ledger_checkpoints.hpp"
 #include "runlink/core/ledger_types.hpp"
-#include "runlink/core/rate_limiter.hpp"
 #include "runlink/core/store_port.hpp"
 
 namespace runlink::core
@@ -21,8 +20,6 @@
 /// Bounds of a partition.
 struct ledger_options
 {
-    double writes_per_second = 12.5; ///< of one partition
-    double write_burst = 4;
     std::size_t segment_bytes = 512 * 1024; ///< also of one part of a checkpoint
     std::uint64_t checkpoint_every = 64;    ///< segments
     milliseconds verified_for{1000};        ///< after a commit, how long memory is trusted without a read
@@ -39,6 +36,8 @@
     std::function<wall_time()> wall_clock;
     std::function<bool(const incarnation_id&)> is_alive;
     std::function<batch_id()> next_batch;
+    /// Takes one write from the budget that the partitions of this instance share.
+    std::function<bool(time_point)> may_write;
 };
 
 /// A log of segments in the store with a single writer at a time.
@@ -144,7 +143,6 @@
     std::deque<waiting> pending_;
     std::optional<batch> in_flight_;
     std::optional<batch> opening_;
-    rate_limiter write_rate_;
     ledger_checkpoints checkpoints_;
     std::function<void()> retry_;
     time_point retry_at_{};
--- a/include/runlink/core/membership.hpp
+++ b/include/runlink/core/membership.hpp
@@ -2,6 +2,7 @@
 /// Which instances are alive, and which of them owns a ledger partition.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -53,6 +54,9 @@
     /// Live peers to hold copies, in failure domains as different as there are.
     std::vector<member_info> copy_holders(std::size_t n) const;
 
+    /// Grows whenever a member comes, goes or changes its state.
+    std::uint64_t change_count() const { return changes_; }
+
     /// The last heartbeat of a live member.
     const heartbeat* last_heartbeat(const incarnation_id& it) const;
 
@@ -64,6 +68,7 @@
         time_point seen{};
     };
 
+    void changed();
     std::optional<member_info> find_owner(partition_id partition) const;
 
     member_info self_;
@@ -73,6 +78,7 @@
     std::map<incarnation_id, member> members_;
     std::set<incarnation_id> replaced_;
     std::set<std::string> addresses_;
+    std::uint64_t changes_ = 1;
     std::optional<time_point> last_tick_;
     mutable std::map<partition_id, std::optional<member_info>> owners_; ///< found since the last change
 };
--- a/src/runlink/app/daemon.cpp
+++ b/src/runlink/app/daemon.cpp
@@ -137,9 +137,8 @@
 {
     if (!platform_)
         return;
-    platform_->poll(
-        [this](const listed_endpoint& it)
-        { instance_->on_endpoint_state(clock_(), it.id, it.incarnation, it.leaving); });
+    platform_->poll([this](const listed_endpoint& it)
+                    { instance_->on_endpoint_state(clock_(), it.id, it.incarnation, it.leaving); });
 }
 
 void daemon::begin_stop()
--- a/src/runlink/app/settings.cpp
+++ b/src/runlink/app/settings.cpp
@@ -82,7 +82,7 @@
 void read_ledger(json_object_reader& in, settings& it)
 {
     it.ledger_partitions =
-        static_cast<std::uint64_t>(in.optional_integer("partitions", 16, 1, max_partitions));
+        static_cast<std::uint64_t>(in.optional_integer("partitions", 64, 1, max_partitions));
     it.ledger_writes_per_second = in.optional_number("writes_per_second", 200, 1, 100000);
 }
 
@@ -174,7 +174,7 @@
     out.expected_instances = it.expected_instances;
     out.seed_addresses = it.seeds;
     out.client.partitions = it.ledger_partitions;
-    out.ledger.writes_per_second = it.ledger_writes_per_second / static_cast<double>(it.ledger_partitions);
+    out.ledger_writes_per_second = it.ledger_writes_per_second;
     out.selector.instances = it.expected_instances;
     out.keeper.expected_instances = it.expected_instances;
     return out;
--- a/src/runlink/core/instance.cpp
+++ b/src/runlink/core/instance.cpp
@@ -11,6 +11,9 @@
 /// Heartbeats between two that hold all members and all counts.
 constexpr std::uint64_t whole_heartbeat_every = 10;
 
+constexpr double min_write_burst = 4;
+constexpr double write_burst_seconds = 0.2;
+
 const char* state_name(const heartbeat& it)
 {
     if (it.stopping)
@@ -58,6 +61,7 @@
     it.codec = edge_.codec;
     it.wall_clock = edge_.wall_clock;
     it.is_alive = [this](const incarnation_id& e) { return members_.is_alive(e); };
+    it.may_write = [this](time_point now) { return ledger_rate_.try_take(now); };
     it.next_batch = [this]
     { return batch_id{options_.self.incarnation.str() + "-" + std::to_string(++batches_)}; };
     return it;
@@ -124,16 +128,29 @@
 
 void instance::assign_partitions(time_point now)
 {
+    if (assigned_at_ == members_.change_count())
+        return;
+    std::size_t owned = 0;
+    bool complete = true;
     for (std::uint64_t n = 0; n < partitions_.size(); ++n)
     {
         auto& it = *partitions_[n];
         const auto owner = members_.owner_of(partition_id{n});
         const bool mine = owner && owner->incarnation == options_.self.incarnation;
+        owned += mine ? 1 : 0;
         if (mine)
             it.acquire(now);
         else if (owner && !it.has_pending())
             it.resign();
+        // What is under way is finished before the partition is given up.
+        complete = complete && (mine || it.current_state() == ledger_partition::state::idle);
     }
+    // The writes of the deployment are divided as the partitions are, and shared by those of one instance.
+    const double part = static_cast<double>(owned) / static_cast<double>(partitions_.size());
+    const double rate = options_.ledger_writes_per_second * part;
+    ledger_rate_.reconfigure(rate, std::max(min_write_burst, rate * write_burst_seconds));
+    if (complete)
+        assigned_at_ = members_.change_count();
 }
 
 void instance::send_heartbeats(time_point now)
--- a/src/runlink/core/ledger_partition.cpp
+++ b/src/runlink/core/ledger_partition.cpp
@@ -58,7 +58,6 @@
 ledger_partition::ledger_partition(partition_id id, incarnation_id self, ledger_options options,
                                    ledger_hooks hooks)
     : id_{id}, self_{std::move(self)}, options_{options}, hooks_{std::move(hooks)},
-      write_rate_{options.writes_per_second, options.write_burst},
       checkpoints_{"ledger/" + std::to_string(id.value()) + "/checkpoint", self_, options.segment_bytes,
                    hooks_.store, hooks_.codec}
 {
@@ -243,7 +242,7 @@
 {
     if (state_ != state::serving || in_flight_ || pending_.empty() || retry_)
         return;
-    if (!write_rate_.try_take(now))
+    if (!hooks_.may_write(now))
         return;
     in_flight_ = take_batch();
     write();
--- a/src/runlink/core/ledger_test.cpp
+++ b/src/runlink/core/ledger_test.cpp
@@ -29,6 +29,7 @@
         it.codec = runlink::proto::make_ledger_codec();
         it.wall_clock = [this] { return wall_time{wall_ms}; };
         it.is_alive = [](const incarnation_id&) { return true; };
+        it.may_write = [](time_point) { return true; };
         it.next_batch = [this] { return batch_id{std::to_string(++batches)}; };
         return it;
     }
--- a/src/runlink/core/membership.cpp
+++ b/src/runlink/core/membership.cpp
@@ -19,6 +19,12 @@
         return;
     self_ready_ = ready;
     self_stopping_ = stopping;
+    changed();
+}
+
+void membership::changed()
+{
+    ++changes_;
     owners_.clear();
 }
 
@@ -38,14 +44,14 @@
                           return old;
                       });
     auto& member = members_[sender.incarnation];
-    const bool changed = is_new || member.last.ready != it.ready || member.last.stopping != it.stopping;
+    const bool is_change = is_new || member.last.ready != it.ready || member.last.stopping != it.stopping;
     member = {sender, it, now};
-    if (changed)
-        owners_.clear();
+    if (is_change)
+        changed();
     for (const auto& e : it.members)
         add_address(e.address);
     add_address(sender.address);
-    return changed;
+    return is_change;
 }
 
 std::vector<member_info> membership::tick(time_point now)
@@ -65,7 +71,7 @@
                       return silent;
                   });
     if (!dead.empty())
-        owners_.clear();
+        changed();
     return dead;
 }
 
