One partition for an instance's requests without a key; budgets by instances, 16 partitions

Ruled out: the store. Now requests without a key share one partition of their instance, and the budget is divided by instances that own any.

--- a/include/runlink/app/settings.hpp
+++ b/include/runlink/app/settings.hpp
@@ -43,7 +43,7 @@
     std::vector<std::string> operator_key_hashes; ///< valid besides those of the configuration
     core::milliseconds balancer_wait{2000};
     core::milliseconds tick{10};
-    std::uint64_t ledger_partitions = 64;
+    std::uint64_t ledger_partitions = 16;
     double ledger_writes_per_second = 200; ///< of the whole deployment
     std::string log_level = "info";
     net::http_bounds bounds;
--- a/include/runlink/core/ledger_client.hpp
+++ b/include/runlink/core/ledger_client.hpp
@@ -19,7 +19,7 @@
 /// Times and counts of the ledger client.
 struct ledger_client_options
 {
-    std::uint64_t partitions = 64;
+    std::uint64_t partitions = 16;
     milliseconds resend_after{250};
     milliseconds claim_patience{1000}; ///< then the claim fails with `ledger_unavailable`
     milliseconds settle_patience{300}; ///< then copies are made in other failure domains
--- a/src/runlink/app/settings.cpp
+++ b/src/runlink/app/settings.cpp
@@ -82,7 +82,7 @@
 void read_ledger(json_object_reader& in, settings& it)
 {
     it.ledger_partitions =
-        static_cast<std::uint64_t>(in.optional_integer("partitions", 64, 1, max_partitions));
+        static_cast<std::uint64_t>(in.optional_integer("partitions", 16, 1, max_partitions));
     it.ledger_writes_per_second = in.optional_number("writes_per_second", 200, 1, 100000);
 }
 
--- a/src/runlink/core/instance.cpp
+++ b/src/runlink/core/instance.cpp
@@ -145,9 +145,9 @@
         // What is under way is finished before the partition is given up.
         complete = complete && (mine || it.current_state() == ledger_partition::state::idle);
     }
-    // The writes of the deployment are divided as the partitions are, and shared by those of one instance.
-    const double part = static_cast<double>(owned) / static_cast<double>(partitions_.size());
-    const double rate = options_.ledger_writes_per_second * part;
+    // There are at most as many owners as instances and as partitions, so that their rates never sum above the whole.
+    const auto owners = std::min<std::size_t>(members_.live_count(), partitions_.size());
+    const double rate = owned == 0 ? 0 : options_.ledger_writes_per_second / static_cast<double>(owners);
     ledger_rate_.reconfigure(rate, std::max(min_write_burst, rate * write_burst_seconds));
     if (complete)
         assigned_at_ = members_.change_count();
--- a/src/runlink/core/ledger_client.cpp
+++ b/src/runlink/core/ledger_client.cpp
@@ -26,9 +26,10 @@
     const auto home = stable_hash(entry.bill.str()) % options_.partitions;
     if (entry.keyed)
         return partition_id{home};
+    // All of an instance's requests without a key share one partition, so that they share its writes.
     for (std::uint64_t n = 0; n < options_.partitions; ++n)
     {
-        const partition_id it{(home + n) % options_.partitions};
+        const partition_id it{n};
         const auto owner = hooks_.owner_of(it);
         if (owner && owner->incarnation == self_.incarnation)
             return it;
