--- a/include/runlink/core/ledger_partition.hpp
+++ b/include/runlink/core/ledger_partition.hpp
@@ -24,8 +24,8 @@
     std::uint64_t checkpoint_every = 64;    ///< segments
     milliseconds verified_for{1000};        ///< after a commit, how long memory is trusted without a read
     milliseconds retry_delay{200};          ///< after a failed call on the store
-    std::uint64_t keyed_horizon_ms = 24ULL * 3600 * 1000;  ///< how long a key is remembered
-    std::uint64_t unkeyed_horizon_ms = 1ULL * 3600 * 1000; ///< how long a repeated settlement is recognised
+    std::uint64_t keyed_horizon_ms = 24ULL * 3600 * 1000; ///< how long a key is remembered
+    std::uint64_t unkeyed_horizon_ms = 600ULL * 1000;     ///< how long a repeated settlement is recognised
 };
 
 /// What a partition asks of its surroundings.
--- a/src/runlink/core/instance.cpp
+++ b/src/runlink/core/instance.cpp
@@ -145,7 +145,8 @@
         // What is under way is finished before the partition is given up.
         complete = complete && (mine || it.current_state() == ledger_partition::state::idle);
     }
-    // There are at most as many owners as instances and as partitions, so that their rates never sum above the whole.
+    // There are at most as many owners as instances and as partitions, so that their rates never sum above
+    // the whole.
     const auto owners = std::min<std::size_t>(members_.live_count(), partitions_.size());
     const double rate = owned == 0 ? 0 : options_.ledger_writes_per_second / static_cast<double>(owners);
     ledger_rate_.reconfigure(rate, std::max(min_write_burst, rate * write_burst_seconds));
