--- a/bench/exposure.cpp
+++ b/bench/exposure.cpp
@@ -105,7 +105,7 @@
 };
 
 /// One roll-out. The version has `bad_rate` from `turns_bad` on, before that the accepted one.
-outcome roll_out(policy it, double bad_rate, core::seconds rating_lag, core::seconds turns_bad,
+outcome roll_out(const policy& it, double bad_rate, core::seconds rating_lag, core::seconds turns_bad,
                  core::seconds length, std::uint64_t seed)
 {
     struct rating
@@ -155,8 +155,8 @@
         const bool bad = coin(random) < (now - begin >= turns_bad ? bad_rate : accepted_bad);
         ++out.served;
         out.bad += bad && now - begin >= turns_bad ? 1 : 0;
-        const auto late =
-            core::duration{static_cast<core::duration::rep>(lag(random) * 1e6 * rating_lag.count())};
+        const auto late = core::duration{
+            static_cast<core::duration::rep>(lag(random) * 1e6 * static_cast<double>(rating_lag.count()))};
         ratings.push({now + late, instance, !bad});
     }
     return out;
--- a/include/runlink/app/caller_api.hpp
+++ b/include/runlink/app/caller_api.hpp
@@ -54,8 +54,8 @@
     void list_models(net::http_exchange& exchange, const core::account_settings& account) const;
     void dispatch(const core::attempt_start& it);
     void begin(const core::request_id& id, const core::answer_head& head);
-    void forward(const core::request_id& id, std::string bytes);
-    void end(const core::request_id& id, std::string tail);
+    void forward(const core::request_id& id, const std::string& bytes);
+    void end(const core::request_id& id, const std::string& tail);
     void refuse(const core::request_id& id, const core::refusal& it);
     net::header_list headers_of(const open_request& it) const;
     void close(const core::request_id& id, core::run_outcome outcome);
--- a/include/runlink/core/configuration_keeper.hpp
+++ b/include/runlink/core/configuration_keeper.hpp
@@ -53,7 +53,7 @@
 
     /// Writes a plan's configuration if its base revision is still the one in the store. Fails with
     /// `plan_conflict`, `wrong_deployment` or `store_unavailable`. A lost reply is settled by reading back.
-    void confirm(time_point now, plan it, confirm_handler handler);
+    void confirm(time_point now, plan it, const confirm_handler& handler);
     /// Withdraws a version in the store, again and again until it is withdrawn.
     void withdraw(const version_ref& version);
 
@@ -74,9 +74,9 @@
     void on_watched(std::uint64_t serial, const result<store_value>& it);
     void take(const store_value& it);
     void apply(configuration it);
-    void write(plan it, std::uint64_t store_revision, confirm_handler handler);
+    void write(plan it, std::uint64_t store_revision, const confirm_handler& handler);
     void record(const configuration& it);
-    void settle(plan it, confirm_handler handler);
+    void settle(plan it, const confirm_handler& handler);
     void withdraw_next(time_point now);
 
     std::string deployment_;
--- a/include/runlink/core/ids.hpp
+++ b/include/runlink/core/ids.hpp
@@ -66,7 +66,7 @@
 using config_revision = strong_number<struct config_revision_tag>;
 using fencing_number = strong_number<struct fencing_number_tag>;
 using partition_id = strong_number<struct partition_tag>;
-using segment_sequence = strong_number<struct segment_sequence_tag>;
+using segment_sequence = strong_number<struct ledger_segment_sequence_tag>;
 
 /// A version of a model, written `model/version`.
 struct version_ref
--- a/include/runlink/core/instance.hpp
+++ b/include/runlink/core/instance.hpp
@@ -74,7 +74,7 @@
     void on_peer(time_point now, const peer_envelope& it);
 
     /// A request of an authenticated caller; refused while the instance is not ready.
-    void on_request(time_point now, caller_request request);
+    void on_request(time_point now, const caller_request& request);
     /// Starts a planned stop: not ready at once, no new work after the balancer has seen it.
     void begin_stop(time_point now, milliseconds balancer_wait);
     /// Whether everything under way has ended and every bill is safe.
@@ -103,7 +103,8 @@
 
     /// Makes a plan from an intent on top of the configuration in force.
     result<std::string> plan_intent(std::string_view intent, const std::string& operation_id) const;
-    void confirm_plan(time_point now, std::string_view plan, configuration_keeper::confirm_handler handler);
+    void confirm_plan(time_point now, std::string_view plan,
+                      const configuration_keeper::confirm_handler& handler);
     /// Which version and endpoint a request would get.
     result<version_ref> explain(time_point now, const caller_request& request);
 
--- a/include/runlink/core/request_router.hpp
+++ b/include/runlink/core/request_router.hpp
@@ -102,7 +102,7 @@
     /// No new request is admitted; those under way go on.
     void stop_admission() { stopping_ = true; }
 
-    void on_request(time_point now, caller_request request);
+    void on_request(time_point now, const caller_request& request);
     void on_caller_left(time_point now, const request_id& id);
     void on_head(time_point now, attempt_id attempt, int status, const std::string& content_type);
     void on_bytes(time_point now, attempt_id attempt, std::string bytes);
--- a/src/runlink/app/caller_api.cpp
+++ b/src/runlink/app/caller_api.cpp
@@ -30,8 +30,8 @@
     it.dispatch = [this](const core::attempt_start& e) { dispatch(e); };
     it.cancel = [this](core::attempt_id e) { runner_->cancel(e); };
     it.begin = [this](const core::request_id& id, const core::answer_head& head) { begin(id, head); };
-    it.forward = [this](const core::request_id& id, std::string bytes) { forward(id, std::move(bytes)); };
-    it.end = [this](const core::request_id& id, std::string tail) { end(id, std::move(tail)); };
+    it.forward = [this](const core::request_id& id, const std::string& bytes) { forward(id, bytes); };
+    it.end = [this](const core::request_id& id, const std::string& tail) { end(id, tail); };
     it.refuse = [this](const core::request_id& id, const core::refusal& e) { refuse(id, e); };
     it.answered =
         [this](const core::request_id& id, const core::version_ref& version, const std::string& answer)
@@ -178,7 +178,7 @@
         it.exchange->begin(head.status, headers_of(it));
 }
 
-void caller_api::forward(const core::request_id& id, std::string bytes)
+void caller_api::forward(const core::request_id& id, const std::string& bytes)
 {
     const auto found = open_.find(id);
     if (found == open_.end())
@@ -191,7 +191,7 @@
     it.exchange->chunk(bytes);
 }
 
-void caller_api::end(const core::request_id& id, std::string tail)
+void caller_api::end(const core::request_id& id, const std::string& tail)
 {
     const auto found = open_.find(id);
     if (found == open_.end())
--- a/src/runlink/app/tables.cpp
+++ b/src/runlink/app/tables.cpp
@@ -28,6 +28,7 @@
     for (const auto& it : list)
     {
         std::vector<std::string> row;
+        row.reserve(names.size());
         for (const auto* name : names)
             row.push_back(cell(it, name));
         out.push_back(std::move(row));
--- a/src/runlink/core/configuration_keeper.cpp
+++ b/src/runlink/core/configuration_keeper.cpp
@@ -84,7 +84,7 @@
         apply(std::move(parsed).value());
 }
 
-void configuration_keeper::confirm(time_point now, plan it, confirm_handler handler)
+void configuration_keeper::confirm(time_point now, plan it, const confirm_handler& handler)
 {
     now_ = now;
     if (it.next.deployment != deployment_)
@@ -113,7 +113,7 @@
     hooks_.store.get(key_of(deployment_), on_found);
 }
 
-void configuration_keeper::write(plan it, std::uint64_t store_revision, confirm_handler handler)
+void configuration_keeper::write(plan it, std::uint64_t store_revision, const confirm_handler& handler)
 {
     const auto condition =
         store_revision == 0 ? store_condition::create() : store_condition::match(store_revision);
@@ -137,7 +137,7 @@
                      store_condition::create(), [](const result<std::uint64_t>&) {});
 }
 
-void configuration_keeper::settle(plan it, confirm_handler handler)
+void configuration_keeper::settle(plan it, const confirm_handler& handler)
 {
     const auto on_found = [this, it = std::move(it), handler](const result<store_value>& found)
     {
--- a/src/runlink/core/instance.cpp
+++ b/src/runlink/core/instance.cpp
@@ -235,7 +235,7 @@
     client_.on_copy_release(it);
 }
 
-void instance::on_request(time_point now, caller_request request)
+void instance::on_request(time_point now, const caller_request& request)
 {
     now_ = now;
     const auto refuse = [&](errc code, const char* place) {
@@ -245,7 +245,7 @@
         return refuse(errc::cut_off, "instance");
     if (!keeper_.is_ready(now, members_))
         return refuse(errc::not_ready, "configuration");
-    router_->on_request(now, std::move(request));
+    router_->on_request(now, request);
 }
 
 void instance::begin_stop(time_point now, milliseconds balancer_wait)
@@ -314,12 +314,12 @@
 }
 
 void instance::confirm_plan(time_point now, std::string_view text,
-                            configuration_keeper::confirm_handler handler)
+                            const configuration_keeper::confirm_handler& handler)
 {
     auto it = parse_plan(text, options_.secrets.front(), edge_.mac);
     if (!it)
         return handler(it.error());
-    keeper_.confirm(now, std::move(it).value(), std::move(handler));
+    keeper_.confirm(now, std::move(it).value(), handler);
 }
 
 result<version_ref> instance::explain(time_point now, const caller_request& request)
--- a/src/runlink/core/plan.cpp
+++ b/src/runlink/core/plan.cpp
@@ -44,7 +44,12 @@
         return;
     }
     for (const auto& [name, value] : it.items())
-        flatten(value, path.empty() ? name : path + "." + name, out);
+    {
+        auto child = path;
+        child += child.empty() ? "" : ".";
+        child += name;
+        flatten(value, child, out);
+    }
 }
 
 std::map<std::string, std::string> leaves_of(const configuration& it)
--- a/src/runlink/core/request_router.cpp
+++ b/src/runlink/core/request_router.cpp
@@ -43,7 +43,7 @@
 
 // Arrival
 
-void request_router::on_request(time_point now, caller_request request)
+void request_router::on_request(time_point now, const caller_request& request)
 {
     now_ = now;
     const auto id = request.id;
