--- a/include/runlink/core/ledger_partition.hpp
+++ b/include/runlink/core/ledger_partition.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "runlink/core/ledger_checkpoints.hpp"
@@ -126,7 +127,14 @@
 
     /// Wraps a handler so that replies to an earlier tenure are dropped.
     template <class T>
-    std::function<void(result<T>)> in_tenure(std::function<void(const result<T>&)> handler);
+    std::function<void(result<T>)> in_tenure(std::function<void(const result<T>&)> handler)
+    {
+        return [this, tenure = tenure_, handler = std::move(handler)](const result<T>& it)
+        {
+            if (tenure == tenure_)
+                handler(it);
+        };
+    }
 
     partition_id id_;
     incarnation_id self_;
--- a/include/runlink/core/ledger_types.hpp
+++ b/include/runlink/core/ledger_types.hpp
@@ -98,6 +98,12 @@
     friend bool operator==(const ledger_record&, const ledger_record&) = default;
 };
 
+/// The number of the segment behind this one.
+inline segment_sequence next_of(segment_sequence it)
+{
+    return segment_sequence{it.value() + 1};
+}
+
 /// Points to the parts of a checkpoint: the live records of a partition before `next`.
 struct checkpoint_header
 {
