--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 packages=(
-    build-essential cmake ninja-build pkg-config python3
+    build-essential cmake ninja-build pkg-config python3 curl git
     qt6-base-dev qt6-httpserver-dev qt6-websockets-dev libgl-dev libopengl-dev libvulkan-dev
     libzmq3-dev cppzmq-dev libprotobuf-dev libboost-dev libboost-log-dev
     libcli11-dev catch2 libxxhash-dev nlohmann-json3-dev
