--- a/include/runlink/core/order_holder.hpp
+++ b/include/runlink/core/order_holder.hpp
@@ -87,7 +87,7 @@
     void contend(time_point now);
     void on_found(time_point asked, const result<store_value>& it);
     void take(time_point asked, fencing_number next, const store_condition& condition, bool wait_out);
-    void act(time_point now);
+    void act();
     void order_next(const observed_versions& observed);
     bool is_last_copy(const observed_versions& observed, const version_ref& version) const;
 
--- a/src/runlink/core/instance.cpp
+++ b/src/runlink/core/instance.cpp
@@ -273,13 +273,12 @@
 void instance::on_endpoint_state(time_point now, const endpoint_id& endpoint,
                                  endpoint_incarnation incarnation, bool leaving)
 {
-    (void)now;
     if (!leaving)
         return leaving_.seen_live(endpoint, incarnation);
     if (!leaving_.mark({endpoint, incarnation}))
         return;
     edge_.state_changed("endpoint " + endpoint.str() + " is leaving");
-    next_heartbeat_ = now_;
+    next_heartbeat_ = now;
 }
 
 std::uint64_t instance::ledger_writes() const
--- a/src/runlink/core/order_holder.cpp
+++ b/src/runlink/core/order_holder.cpp
@@ -38,7 +38,7 @@
     if (now >= next_contention_)
         contend(now);
     if (may_order(now))
-        act(now);
+        act();
 }
 
 bool order_holder::may_order(time_point now) const
@@ -89,9 +89,8 @@
     hooks_.store.put(key(), print_lease(next, self_), condition, on_written);
 }
 
-void order_holder::act(time_point now)
+void order_holder::act()
 {
-    (void)now;
     if (std::exchange(acting_, true))
         return;
     hooks_.observe([this](const observed_versions& it) { order_next(it); });
