--- a/include/runlink/app/caller_api.hpp
+++ b/include/runlink/app/caller_api.hpp
@@ -10,7 +10,7 @@
 
 #include "runlink/app/attempt_runner.hpp"
 #include "runlink/app/caller_request_reader.hpp"
-#include "runlink/app/metrics.hpp"
+#include "runlink/observe/metrics.hpp"
 #include "runlink/core/clock.hpp"
 #include "runlink/core/instance.hpp"
 #include "runlink/net/http_server.hpp"
@@ -22,7 +22,7 @@
 class caller_api
 {
 public:
-    caller_api(metrics& measured, core::clock_source clock, std::string incarnation);
+    caller_api(observe::metrics& measured, core::clock_source clock, std::string incarnation);
 
     /// Hooks for the router of the instance; `attach` must follow before any request.
     core::router_hooks router_hooks(std::function<core::wall_time()> wall_clock);
@@ -60,7 +60,7 @@
     net::header_list headers_of(const open_request& it) const;
     void close(const core::request_id& id, core::run_outcome outcome);
 
-    metrics& metrics_;
+    observe::metrics& metrics_;
     core::clock_source clock_;
     std::string incarnation_;
     core::instance* instance_ = nullptr;
--- a/include/runlink/app/daemon.hpp
+++ b/include/runlink/app/daemon.hpp
@@ -40,7 +40,7 @@
     settings settings_;
     core::clock_source clock_;
     core::incarnation_id incarnation_;
-    metrics metrics_;
+    observe::metrics metrics_;
     net::http_client client_;
     net::http_client store_client_;
     core::store_port store_;
--- a/include/runlink/app/operator_api.hpp
+++ b/include/runlink/app/operator_api.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "runlink/app/metrics.hpp"
+#include "runlink/observe/metrics.hpp"
 #include "runlink/app/settings.hpp"
 #include "runlink/core/clock.hpp"
 #include "runlink/core/instance.hpp"
@@ -23,7 +23,7 @@
 class operator_api
 {
 public:
-    operator_api(const settings& options, core::instance& instance, const metrics& measured,
+    operator_api(const settings& options, core::instance& instance, const observe::metrics& measured,
                  const net::peer_link& peers, core::store_port store, core::clock_source clock);
 
     void handle(const std::shared_ptr<net::http_exchange>& exchange);
@@ -39,11 +39,11 @@
     void configuration(net::http_exchange& exchange) const;
     void history(const std::shared_ptr<net::http_exchange>& exchange) const;
     void explain(net::http_exchange& exchange);
-    std::vector<plain_metric> plain_metrics() const;
+    std::vector<observe::plain_metric> plain_metrics() const;
 
     const settings& settings_;
     core::instance& instance_;
-    const metrics& metrics_;
+    const observe::metrics& metrics_;
     const net::peer_link& peers_;
     core::store_port store_;
     core::clock_source clock_;
--- /dev/null
+++ b/include/runlink/control/documents.hpp
@@ -0,0 +1,61 @@
+/// \file
+/// What the items of the store mean, as typed documents, and how they are read and written.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <variant>
+
+#include "runlink/control/kv_store.hpp"
+#include "runlink/core/failure.hpp"
+#include "runlink/routing/endpoint_directory.hpp"
+#include "runlink/routing/rollout_control.hpp"
+#include "runlink/routing/routing_table.hpp"
+
+namespace runlink::control
+{
+
+/// An item of the store, read. Items that do not concern this process are empty.
+using document = std::variant<std::monostate, routing::routing_table_ptr, routing::endpoint_entry,
+                              routing::rollout_order, routing::rollout_record>;
+
+/// What a key names whose item is gone.
+struct endpoint_key
+{
+    core::endpoint_id id;
+};
+struct order_key
+{
+    core::service_id service;
+};
+using document_key = std::variant<std::monostate, endpoint_key, order_key>;
+
+/// How a deployment spells its documents.
+struct document_codec
+{
+    std::string configuration_key;
+    std::function<core::result<document>(const kv_item&)> read;
+    std::function<document_key(const std::string& key)> name;
+    std::function<kv_item(const routing::rollout_record&)> write_record;
+};
+
+/// One call of the store over HTTP.
+struct http_call
+{
+    std::string method;
+    std::string target;
+    std::string body; ///< JSON, or empty
+};
+
+/// How a deployment's store is spoken to.
+struct kv_wire
+{
+    std::function<http_call(const std::string& after_key)> list;
+    std::function<http_call(std::uint64_t after, core::milliseconds wait)> watch;
+    std::function<http_call(const kv_transaction&)> commit;
+    std::function<kv_result<kv_page>(int status, const std::string& body)> read_page;
+    std::function<kv_result<kv_changes>(int status, const std::string& body)> read_changes;
+    std::function<kv_commit_result(int status, const std::string& body)> read_commit;
+};
+
+} // namespace runlink::control
--- /dev/null
+++ b/include/runlink/control/store_follower.hpp
@@ -0,0 +1,108 @@
+/// \file
+/// Follows the store: lists, watches, and proves again and again that the configuration is the newest.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "runlink/control/kv_store.hpp"
+
+namespace runlink::control
+{
+
+using core::duration;
+using core::milliseconds;
+using core::time_point;
+
+/// Parameters of the follower.
+struct follower_options
+{
+    std::string configuration_key;
+    milliseconds watch_wait{15000}; ///< a waiting watch; longer ones cost fewer calls
+    /// Changes are gathered for this long before the next watch: each call has a price, and what changes
+    /// must be in force within two seconds.
+    milliseconds gather{150};
+    milliseconds proof_interval{1500}; ///< three of them fit into the age that keys allow
+    milliseconds first_retry{150};
+    milliseconds longest_retry{700};
+};
+
+/// What the follower tells.
+struct follower_hooks
+{
+    std::function<void(time_point, std::vector<kv_item>)> listed; ///< all there is
+    std::function<void(time_point, const kv_event&)> changed;
+    /// A call sent at this time proved that the configuration is the one that was told last.
+    std::function<void(time_point sent_at)> proven;
+    std::function<void(time_point, kv_error)> lost;
+    std::function<void(time_point, duration away)> regained;
+};
+
+/// Counters of calls.
+struct follower_counters
+{
+    std::uint64_t lists = 0;
+    std::uint64_t watches = 0;
+    std::uint64_t proofs = 0;
+    std::uint64_t failures = 0;
+};
+
+/// Keeps a view of the store current. Nothing that it tells ever goes back to an older revision of a key.
+class store_follower
+{
+public:
+    store_follower(follower_options options, kv_store store, follower_hooks hooks);
+    store_follower(const store_follower&) = delete;
+    store_follower& operator=(const store_follower&) = delete;
+
+    void start(time_point now);
+    void tick(time_point now);
+    std::optional<time_point> next_due() const;
+    /// Told by whoever else calls the store.
+    void on_call_failed(time_point now, kv_error why) { note_failure(now, why); }
+
+    bool is_connected() const { return !lost_at_; }
+    const follower_counters& counters() const { return counters_; }
+
+private:
+    void list(time_point now);
+    void on_page(kv_result<kv_page> page);
+    void finish_list();
+    void watch(time_point now);
+    void on_changes(kv_result<kv_changes> changes);
+    void prove(time_point now);
+    void on_proof(time_point sent_at, const kv_commit_result& result);
+    void note_failure(time_point now, kv_error why);
+    void note_success(time_point now);
+    void remember(const kv_item& item, bool is_deleted);
+    milliseconds retry_delay() const;
+
+    follower_options options_;
+    kv_store store_;
+    follower_hooks hooks_;
+    time_point now_{};
+    std::vector<kv_item> pages_;
+    std::uint64_t revision_ = 0; ///< all changes up to here are known
+    std::uint64_t list_revision_ = 0;
+    std::uint64_t configuration_revision_ = 0;
+    bool is_listed_ = false;
+    bool is_listing_ = false;
+    bool is_watching_ = false;
+    bool is_proving_ = false;
+    std::uint32_t failures_ = 0; ///< in a row
+    std::optional<time_point> lost_at_;
+    std::optional<time_point> next_list_;
+    std::optional<time_point> next_watch_;
+    std::optional<time_point> next_proof_;
+    std::uint64_t watch_number_ = 0;
+    follower_counters counters_;
+
+public:
+    /// The time of events; set before handlers run.
+    std::function<time_point()> clock;
+};
+
+} // namespace runlink::control
--- /dev/null
+++ b/include/runlink/gateway/gateway_daemon.hpp
@@ -0,0 +1,96 @@
+/// \file
+/// One instance that forwards requests: the edge, the forwarder, and its view of the store.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <QTimer>
+
+#include "runlink/control/documents.hpp"
+#include "runlink/control/store_follower.hpp"
+#include "runlink/gateway/gateway.hpp"
+#include "runlink/gateway/gateway_settings.hpp"
+#include "runlink/gateway/kv_http_store.hpp"
+
+namespace runlink::gateway
+{
+
+/// How a deployment spells what goes over its wires.
+struct deployment_binding
+{
+    header_names headers;
+    control::document_codec documents;
+    control::kv_wire store;
+};
+
+/// Wires the parts together and runs them on the event loop of the thread.
+class gateway_daemon
+{
+public:
+    gateway_daemon(gateway_settings settings, deployment_binding binding);
+    ~gateway_daemon();
+    gateway_daemon(const gateway_daemon&) = delete;
+    gateway_daemon& operator=(const gateway_daemon&) = delete;
+
+    core::result<void> start();
+    /// Not ready from now on; goes on serving until nothing is under way or the grace is nearly over.
+    void begin_stop();
+    /// Settings that may change in a running process are taken over.
+    void reload(const core::result<gateway_settings>& it);
+    std::function<void()> on_stopped = [] {};
+
+    bool is_ready() const;
+    std::uint16_t callers_port() const { return callers_port_; }
+    std::uint16_t readiness_port() const { return readiness_port_; }
+
+private:
+    routing::forwarder_options forwarder_options() const;
+    control::follower_hooks follower_hooks();
+
+    void on_listed(core::time_point now, const std::vector<control::kv_item>& items);
+    void on_changed(core::time_point now, const control::kv_event& it);
+    void take(core::time_point now, const control::kv_item& item);
+    void take_table(core::time_point now, const routing::routing_table_ptr& it, std::uint64_t revision);
+    void take_endpoint(core::time_point now, const routing::endpoint_entry& it);
+    void forget(core::time_point now, const std::string& key);
+    void write_record(core::time_point now, const routing::rollout_record& it);
+
+    void on_readiness(const std::shared_ptr<net::caller_connection>& from);
+    void on_metrics(const std::shared_ptr<net::caller_connection>& from);
+    std::string metrics_text() const;
+    void rearm();
+    void on_timer();
+    void keep_house(core::time_point now);
+    void check_stop(core::time_point now);
+    void log_state(std::string_view event, std::string_view reason);
+
+    gateway_settings settings_;
+    deployment_binding binding_;
+    clock_source clock_;
+    observe::decision_log log_;
+    observe::metrics metrics_;
+    gateway edge_;
+    routing::request_forwarder forwarder_;
+    kv_http_store store_;
+    control::kv_store store_port_;
+    control::store_follower follower_;
+    net::http_listener readiness_;
+    net::http_listener metrics_listener_;
+    QTimer timer_;
+    std::optional<core::time_point> armed_;
+    core::time_point next_housekeeping_{};
+    std::uint64_t table_revision_ = 0;
+    bool table_is_readable_ = false;
+    bool was_ready_ = false;
+    std::optional<core::time_point> stop_began_;
+    bool stopped_ = false;
+    std::uint16_t callers_port_ = 0;
+    std::uint16_t readiness_port_ = 0;
+};
+
+} // namespace runlink::gateway
--- /dev/null
+++ b/include/runlink/gateway/gateway_settings.hpp
@@ -0,0 +1,42 @@
+/// \file
+/// The settings of an instance that forwards requests.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "runlink/core/failure.hpp"
+#include "runlink/core/ids.hpp"
+#include "runlink/core/units.hpp"
+#include "runlink/net/http_exchange.hpp"
+
+namespace runlink::gateway
+{
+
+/// What the settings file holds.
+struct gateway_settings
+{
+    core::instance_id id;
+    core::failure_domain_id failure_domain;
+    net::peer_address callers;
+    net::peer_address readiness;
+    std::uint16_t metrics_port = 0; ///< on the callers' address; 0: no metrics
+    net::peer_address store;
+    core::milliseconds stop_grace{8000};     ///< the process is killed this long after it was told to stop
+    core::milliseconds key_revocation{5000}; ///< a removed key admits nothing after this
+    core::milliseconds configuration_apply{2000}; ///< a change is in force everywhere after this
+    core::milliseconds session_ttl{5000};
+    core::milliseconds retry_window{10000};
+    double retry_ratio = 0.9;     ///< repeats for each request, of all instances
+    double exposure_share = 0.15; ///< of requests that a bad version may get
+    std::uint32_t log_lines_per_second = 400;
+
+    friend bool operator==(const gateway_settings&, const gateway_settings&) = default;
+};
+
+/// Reads settings strictly. Fails with `settings_invalid`; the detail holds every fault with its path.
+core::result<gateway_settings> parse_gateway_settings(std::string_view json);
+core::result<gateway_settings> load_gateway_settings(const std::string& path);
+
+} // namespace runlink::gateway
--- a/include/runlink/app/metrics.hpp
+++ b/include/runlink/observe/metrics.hpp
@@ -12,7 +12,7 @@
 #include "runlink/core/ids.hpp"
 #include "runlink/core/units.hpp"
 
-namespace runlink::app
+namespace runlink::observe
 {
 
 /// A counter or gauge of the whole instance.
@@ -49,4 +49,4 @@
     std::unique_ptr<tick_statistics> ticks_;
 };
 
-} // namespace runlink::app
+} // namespace runlink::observe
--- /dev/null
+++ b/include/runlink/routing/endpoint_chooser.hpp
@@ -0,0 +1,94 @@
+/// \file
+/// Which endpoint runs an attempt: kept prompts, own requests in flight, and recent failures.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "runlink/routing/endpoint_directory.hpp"
+#include "runlink/routing/messages.hpp"
+#include "runlink/routing/rollout_control.hpp"
+
+namespace runlink::routing
+{
+
+/// Parameters of the choice.
+struct chooser_options
+{
+    milliseconds refusal_pause{150};  ///< after an endpoint refused for want of room
+    milliseconds first_ejection{800}; ///< after a connection did not come up, or answers broke in a row
+    milliseconds longest_ejection{6000};
+    std::uint32_t failures_to_eject = 2; ///< broken answers in a row
+    /// Prompt tokens that this instance may have waiting at the endpoint that keeps the prompt's parts before
+    /// another one is taken.
+    std::uint32_t affinity_tokens = 9000;
+    /// Requests in flight at an endpoint of the own failure domain, over the least loaded one, that are
+    /// accepted for the shorter way.
+    std::uint32_t near_bonus = 1;
+};
+
+/// What an attempt needs.
+struct endpoint_need
+{
+    service_id service;
+    bool runs_models = false;
+    model_id model;
+    std::uint64_t affinity = 0; ///< hash of the shared prompt parts; 0: none
+    std::uint32_t prompt_tokens = 0;
+    rollout_control::choice versions;
+    const std::set<endpoint_id>* tried = nullptr;
+};
+
+/// Chooses endpoints. Endpoints that fail are put aside for a growing time.
+class endpoint_chooser
+{
+public:
+    endpoint_chooser(chooser_options options, failure_domain_id own_domain)
+        : options_{options}, own_domain_{std::move(own_domain)}
+    {
+    }
+
+    /// An endpoint, or null if none may be used.
+    const endpoint_entry* choose(time_point now, const endpoint_directory& from, const endpoint_need& need);
+
+    void started(const endpoint_id& id, std::uint32_t prompt_tokens);
+    /// The first byte of an answer came: the prompt is read.
+    void prompt_read(const endpoint_id& id, std::uint32_t prompt_tokens);
+    void finished(const endpoint_id& id);
+    void answered(const endpoint_id& id);
+    void refused(time_point now, const endpoint_id& id);
+    void not_reached(time_point now, const endpoint_id& id);
+    void broke(time_point now, const endpoint_id& id);
+    /// Forgets what is known of endpoints that the directory has dropped.
+    void keep_only(const endpoint_directory& directory);
+
+    std::uint32_t in_flight(const endpoint_id& id) const;
+
+private:
+    struct load
+    {
+        std::uint32_t in_flight = 0;
+        std::uint32_t waiting_tokens = 0; ///< of prompts that are not read yet
+        std::uint32_t failures = 0;       ///< in a row
+        time_point aside_until = time_point::min();
+    };
+    using candidates = std::vector<const endpoint_entry*>;
+
+    const load& at(const endpoint_id& id) const;
+    void eject(time_point now, load& it);
+    candidates allowed(time_point now, const endpoint_directory& from, const endpoint_need& need) const;
+    candidates sound(time_point now, const candidates& from) const;
+    const endpoint_entry* by_affinity(const candidates& from, const endpoint_need& need) const;
+    const endpoint_entry* least_loaded(const candidates& from);
+
+    chooser_options options_;
+    failure_domain_id own_domain_;
+    std::map<endpoint_id, load> loads_;
+    std::uint64_t turn_ = 0;
+};
+
+} // namespace runlink::routing
--- /dev/null
+++ b/include/runlink/routing/endpoint_directory.hpp
@@ -0,0 +1,99 @@
+/// \file
+/// The endpoints that the store lists, and which of them are leaving.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "runlink/core/ids.hpp"
+#include "runlink/core/units.hpp"
+
+namespace runlink::routing
+{
+
+using core::duration;
+using core::endpoint_id;
+using core::failure_domain_id;
+using core::milliseconds;
+using core::service_id;
+using core::time_point;
+using core::version_id;
+
+/// One life of an endpoint: its id is new after each start.
+struct endpoint_entry
+{
+    endpoint_id id;
+    service_id service;
+    std::string host; ///< an IP number
+    std::uint16_t port = 0;
+    failure_domain_id failure_domain;
+    version_id version; ///< of its software or weights
+    std::uint32_t slots = 1;
+    bool leaving = false;
+
+    friend bool operator==(const endpoint_entry&, const endpoint_entry&) = default;
+};
+
+/// Bounds of the directory.
+struct directory_options
+{
+    /// How long an entry that vanished around an outage of the store is still used: endpoints that live
+    /// write theirs again within about two seconds of the store's return.
+    milliseconds vanished_grace{1700};
+    /// An entry that vanishes this soon after the store was back counts as lost with the outage.
+    milliseconds outage_shadow{2500};
+};
+
+/// Takes what the store says and answers which endpoints may get new work. A leaving mark is never taken
+/// back, because an id is one life.
+class endpoint_directory
+{
+public:
+    explicit endpoint_directory(directory_options options = {}) : options_{options} {}
+
+    /// What became of an entry.
+    enum class change
+    {
+        none,
+        added,
+        updated,
+        leaving,
+        removed,
+    };
+
+    change put(const endpoint_entry& it);
+    /// The entry is gone from the store.
+    change remove(time_point now, const endpoint_id& id);
+    /// The whole list as it stands now; what it lacks is gone.
+    void replace(time_point now, const std::vector<endpoint_entry>& all);
+    /// The store was away until now.
+    void store_returned(time_point now) { store_returned_at_ = now; }
+
+    /// Endpoints of a service that may get new work.
+    std::vector<const endpoint_entry*> usable(time_point now, const service_id& service) const;
+    const endpoint_entry* find(const endpoint_id& id) const;
+    bool may_get_work(time_point now, const endpoint_id& id) const;
+    std::size_t size() const { return records_.size(); }
+    /// Forgets entries whose grace is over.
+    void forget_vanished(time_point now);
+
+private:
+    struct record
+    {
+        endpoint_entry entry;
+        time_point usable_until = time_point::max();
+    };
+
+    static bool is_usable(time_point now, const record& it)
+    {
+        return !it.entry.leaving && now < it.usable_until;
+    }
+
+    directory_options options_;
+    std::map<endpoint_id, record> records_;
+    time_point store_returned_at_ = time_point::min();
+};
+
+} // namespace runlink::routing
--- /dev/null
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -0,0 +1,241 @@
+/// \file
+/// The life of each forwarded request, from its arrival to its final word.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "runlink/routing/cascade_policy.hpp"
+#include "runlink/routing/endpoint_chooser.hpp"
+#include "runlink/routing/messages.hpp"
+#include "runlink/routing/retry_allowance.hpp"
+#include "runlink/routing/rollout_control.hpp"
+#include "runlink/routing/routing_table.hpp"
+#include "runlink/routing/session_pins.hpp"
+
+namespace runlink::routing
+{
+
+/// Parameters of the forwarder.
+struct forwarder_options
+{
+    /// Oldest proof of the configuration with which a request with a key is dispatched.
+    milliseconds max_key_age{4500};
+    /// Oldest proof with which an unknown route or key is refused for good.
+    milliseconds max_denial_age{1900};
+    milliseconds session_ttl{5000};
+    /// Sends of one request, those that endpoints refused included.
+    std::uint32_t max_sends = 4;
+    /// Time left below which nothing is sent again.
+    milliseconds least_time{20};
+    /// Part of the target latency after which a safe request is sent to a second endpoint as well.
+    double hedge_after = 0.5;
+    /// Part of the target latency that a stream may take to its first event before it is moved.
+    double move_after = 0.6;
+    /// Part of the target gap without an event after which a stream is resumed elsewhere.
+    double stall_after = 0.7;
+    milliseconds retry_after{300}; ///< told to callers where nothing better is known
+    retry_options retries;
+    rollout_options rollouts;
+    chooser_options chooser;
+    cascade_options cascade;
+};
+
+/// What happened, for the log. Empty and negative members are left out.
+struct decision
+{
+    std::string_view event;
+    std::string_view request;
+    std::string_view reason;
+    std::string route;
+    std::string account;
+    std::string endpoint;
+    std::string version;
+    std::string model;
+    int status = -1;
+    int confidence = -1;
+    std::int64_t attempt = -1;
+    std::int64_t elapsed_ms = -1;
+    std::int64_t time_left_ms = -1;
+    std::int64_t proof_age_ms = -1;
+    std::int64_t table_version = -1;
+};
+
+/// What the forwarder tells the edge. For each request: one `forward_answer`, or `forward_head`, any
+/// `forward_bytes` and then `forward_end` or `break_off`, or one `refuse`.
+struct forwarder_hooks
+{
+    std::function<void(const attempt_order&)> start;
+    std::function<void(attempt_id)> cancel;
+    std::function<void(flow_id, attempt_id)> forward_answer;
+    std::function<void(flow_id, attempt_id)> forward_head;
+    std::function<void(flow_id, std::string_view)> forward_bytes;
+    std::function<void(flow_id)> forward_end;
+    std::function<void(flow_id)> break_off;
+    std::function<void(flow_id, const refusal&)> refuse;
+    std::function<void(const decision&)> log;
+    /// A request has ended: its account, route and time, for the metrics.
+    std::function<void(const decision&, core::duration)> ended;
+};
+
+/// Counters by what happened.
+struct forwarder_counters
+{
+    std::uint64_t requests = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0; ///< ended without an answer though it may have run
+    std::uint64_t broken = 0; ///< streams that were cut
+    std::uint64_t callers_left = 0;
+    std::uint64_t attempts = 0;
+    std::uint64_t repeats = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t resumed = 0;
+    std::uint64_t escalated = 0;
+    std::uint64_t endpoint_refusals = 0;
+    std::uint64_t attempts_lost = 0;
+};
+
+/// Takes requests and what becomes of their attempts, and decides.
+///
+/// A refusal says `not_run` only while no attempt may have run. A request that is not idempotent has one
+/// attempt that may have run at most. A stream goes on at another endpoint only behind its last whole event,
+/// after the attempt before it was cancelled.
+class request_forwarder
+{
+public:
+    request_forwarder(forwarder_options options, failure_domain_id own_domain, std::uint64_t instance_seed,
+                      forwarder_hooks hooks);
+    request_forwarder(const request_forwarder&) = delete;
+    request_forwarder& operator=(const request_forwarder&) = delete;
+
+    void apply(routing_table_ptr table);
+    const routing_table_ptr& table() const { return table_; }
+    /// A call that was sent at this time proved the table to be the newest.
+    void proven_current(time_point sent_at);
+    /// Age of the proof, if there is one.
+    std::optional<core::duration> proof_age(time_point now) const;
+
+    endpoint_directory& endpoints() { return endpoints_; }
+    const endpoint_directory& endpoints() const { return endpoints_; }
+    rollout_control& rollouts() { return rollouts_; }
+
+    void on_request(time_point now, flow_id id, inbound_request request);
+    void on_caller_left(time_point now, flow_id id);
+
+    /// Bytes of the attempt may have left.
+    void on_sent(time_point now, attempt_id id);
+    /// A whole answer that is not a stream. The edge keeps it.
+    void on_answer(time_point now, attempt_id id, const attempt_head& head);
+    void on_stream_head(time_point now, attempt_id id, const attempt_head& head);
+    /// One whole event.
+    void on_stream_event(time_point now, attempt_id id, std::string_view event,
+                         std::optional<std::uint64_t> event_id);
+    void on_stream_end(time_point now, attempt_id id);
+    void on_lost(time_point now, attempt_id id, attempt_loss loss);
+
+    /// Does what is due.
+    void tick(time_point now);
+    /// Forgets what nobody asks for any more; about once a second.
+    void keep_house(time_point now);
+    std::optional<time_point> next_due() const;
+
+    std::size_t active_count() const { return flows_.size(); }
+    const forwarder_counters& counters() const { return counters_; }
+
+private:
+    struct flow
+    {
+        flow_id id{};
+        inbound_request request;
+        routing_table_ptr table;
+        const route* via = nullptr;
+        service_id service;
+        account_id account;
+        int priority = 0;
+        std::uint64_t spread = 0;   ///< hash of the session or request
+        std::uint64_t affinity = 0; ///< hash of the shared prompt parts
+        time_point arrived{};
+        time_point deadline{};
+        std::set<attempt_id> attempts;
+        std::set<endpoint_id> tried;
+        std::size_t size = 0; ///< index of the model
+        std::uint32_t sends = 0;
+        std::uint32_t runs = 0; ///< attempts that may have run
+        bool head_forwarded = false;
+        bool hedged = false;
+        std::optional<std::uint64_t> last_event;
+        time_point last_progress{};
+        time_point check_at{};
+    };
+    struct attempt
+    {
+        flow_id flow{};
+        endpoint_id endpoint;
+        version_id version;
+        model_id model;
+        std::uint32_t number = 0;
+        bool may_have_run = false;
+        bool prompt_read = false;
+        time_point started{};
+        std::optional<time_point> first_event;
+        std::uint32_t events = 0;
+    };
+
+    // Arrival
+    std::optional<refusal> admit(time_point now, flow& it);
+    std::optional<refusal> check_key(time_point now, flow& it);
+    void place(flow& it) const;
+    bool is_fresh(time_point now, milliseconds max_age) const;
+
+    // Attempts
+    /// Whether the key of a request still holds, by a table that is known to be new enough.
+    bool may_still_run(time_point now, const flow& it) const;
+    bool dispatch(time_point now, flow& it);
+    endpoint_need need_of(const flow& it) const;
+    bool may_send_again(time_point now, const flow& it) const;
+    /// Sends the request again, or ends it for the reason.
+    void again_or_end(time_point now, flow& it, core::errc why, bool costs_budget);
+    std::optional<attempt> take_attempt(attempt_id id);
+    void cancel_attempts(time_point now, flow& it);
+    void sample(time_point now, const flow& it, const attempt& from, bool is_bad);
+    void escalate(time_point now, flow& it, attempt_id from, int confidence);
+
+    // Endings
+    void end_without_answer(time_point now, flow& it, core::errc why);
+    void finish(time_point now, flow& it, std::string_view outcome, int status);
+    flow* find(attempt_id id);
+
+    // Timers
+    void arm(flow& it, time_point at);
+    time_point next_check(const flow& it) const;
+    void check(time_point now, flow& it);
+    void hedge(time_point now, flow& it);
+    void move(time_point now, flow& it);
+
+    decision describe(time_point now, const flow& it, std::string_view event) const;
+
+    forwarder_options options_;
+    forwarder_hooks hooks_;
+    routing_table_ptr table_;
+    std::optional<time_point> proven_at_;
+    endpoint_directory endpoints_;
+    endpoint_chooser chooser_;
+    rollout_control rollouts_;
+    session_pins pins_;
+    cascade_policy cascade_;
+    std::map<service_id, retry_allowance> retries_;
+    std::map<flow_id, flow> flows_;
+    std::map<attempt_id, attempt> attempts_;
+    std::set<std::pair<time_point, flow_id>> timers_;
+    std::uint64_t next_attempt_ = 1;
+    forwarder_counters counters_;
+};
+
+} // namespace runlink::routing
--- /dev/null
+++ b/include/runlink/routing/rollout_control.hpp
@@ -0,0 +1,177 @@
+/// \file
+/// Moves a service's requests to a new version, step by step, and takes a bad version out.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "runlink/core/ids.hpp"
+#include "runlink/core/units.hpp"
+
+namespace runlink::routing
+{
+
+using core::duration;
+using core::endpoint_id;
+using core::milliseconds;
+using core::service_id;
+using core::time_point;
+using core::version_id;
+
+/// An operator's order to move a service to a version.
+struct rollout_order
+{
+    service_id service;
+    version_id target;
+    milliseconds allowed{};     ///< the roll-out is to be done by then
+    std::uint64_t revision = 0; ///< of the order in the store
+};
+
+/// How a roll-out stands.
+enum class rollout_state
+{
+    running,
+    succeeded,
+    rolled_back,
+};
+
+std::string_view to_string(rollout_state it);
+
+/// What instances share of a roll-out: written by one, followed by all.
+struct rollout_record
+{
+    service_id service;
+    version_id target;
+    rollout_state state = rollout_state::running;
+    std::uint32_t share_percent = 0; ///< of the requests that the new version gets
+    std::uint64_t revision = 0;      ///< of the record in the store; 0: not there yet
+};
+
+/// How one answer of an endpoint counts.
+struct version_sample
+{
+    service_id service;
+    version_id version;
+    endpoint_id endpoint;
+    std::string route;
+    bool is_bad = false;
+    /// Time between events over what this model takes elsewhere is compared; 0 where not measured.
+    duration pace{};
+    core::model_id model;
+};
+
+/// Parameters of roll-outs.
+struct rollout_options
+{
+    /// Share of the first half: below the exposure that operators accept of a bad version.
+    std::uint32_t first_share_percent = 8;
+    /// Sessions must not be moved in the first half of a roll-out; the share grows after this part.
+    double hold_until = 0.52;
+    std::vector<std::uint32_t> steps_percent{25, 50, 100};
+    milliseconds step_time{1300};
+    /// A good version is declared this long before the end, so that work on old endpoints may finish.
+    milliseconds reserve{2500};
+    /// Instances wait between nothing and this long before they write, so that mostly one does.
+    milliseconds write_spread{500};
+    milliseconds rewrite_after{1500}; ///< a write that was not seen by then is tried again
+    std::uint32_t bad_to_stop = 3;    ///< bad answers, from two endpoints or more
+    double bad_rate_to_stop = 0.12;
+    double bad_rate_over_old = 3.0;
+    double slow_over_old = 3.0; ///< mean time between events, over the old version's, that counts as bad
+    std::uint32_t slow_samples = 5;
+};
+
+/// Decides which version a request may get, and when the roll-out goes on or back.
+///
+/// Every instance stops sending to a version that it finds bad at once, by itself. The share and the verdict
+/// are in the store, written under a condition, so that all instances follow one line.
+class rollout_control
+{
+public:
+    rollout_control(rollout_options options, std::uint64_t instance_seed)
+        : options_{std::move(options)}, seed_{instance_seed}
+    {
+    }
+
+    void on_order(time_point now, const rollout_order& order);
+    void on_order_removed(const service_id& service);
+    void on_record(time_point now, const rollout_record& record);
+    void on_sample(time_point now, const version_sample& sample);
+
+    /// Which versions a request may run on.
+    struct choice
+    {
+        std::optional<version_id> only;     ///< this one, if an endpoint is there
+        std::optional<version_id> excluded; ///< never this one
+        bool is_strict = false;             ///< `only` admits no other version
+    };
+
+    /// `spread` is a hash of the session or request; `pinned` the version its session ran on last.
+    choice choose(const service_id& service, std::uint64_t spread,
+                  const std::optional<version_id>& pinned) const;
+
+    /// A record that this instance should write now.
+    std::vector<rollout_record> due(time_point now);
+    /// When `due` should be asked next.
+    std::optional<time_point> next_due() const;
+    /// Whether the write took place; otherwise the record in the store is another one.
+    void on_write_failed(time_point now, const service_id& service);
+
+    /// A roll-out that is not finished, or null. For logs and metrics.
+    const rollout_record* find(const service_id& service) const;
+    std::function<void(const service_id&, const std::string& why)> on_verdict = [](const auto&, const auto&) {
+    };
+
+private:
+    struct counts
+    {
+        std::uint32_t all = 0;
+        std::uint32_t bad = 0;
+        std::set<endpoint_id> bad_endpoints;
+
+        double bad_rate() const { return all == 0 ? 0 : static_cast<double>(bad) / all; }
+    };
+    struct pace_sum
+    {
+        double total_us = 0;
+        std::uint32_t count = 0;
+
+        double mean() const { return count == 0 ? 0 : total_us / count; }
+    };
+    struct side
+    {
+        counts total;
+        std::map<std::string, counts> by_route;
+        std::map<core::model_id, pace_sum> pace;
+    };
+    struct rollout
+    {
+        rollout_order order;
+        rollout_record record;
+        time_point seen{};
+        time_point step_began{};
+        time_point next_write{};
+        bool is_bad = false; ///< this instance found it so
+        side old_version;
+        side new_version;
+    };
+
+    static bool is_running(const rollout& it) { return it.record.state == rollout_state::running; }
+    std::optional<rollout_record> next_record(const rollout& it, time_point now) const;
+    std::optional<time_point> next_change(const rollout& it) const;
+    std::string fault_of(const rollout& it) const;
+    bool counts_as_bad(const counts& fresh, const counts& old) const;
+    milliseconds delay() const;
+
+    rollout_options options_;
+    std::uint64_t seed_;
+    std::map<service_id, rollout> rollouts_;
+};
+
+} // namespace runlink::routing
--- /dev/null
+++ b/include/runlink/routing/session_pins.hpp
@@ -0,0 +1,37 @@
+/// \file
+/// Which version each session ran on last.
+#pragma once
+
+#include <map>
+#include <optional>
+
+#include "runlink/core/ids.hpp"
+#include "runlink/core/units.hpp"
+
+namespace runlink::routing
+{
+
+/// Remembers the version of a session for a time after its last request.
+class session_pins
+{
+public:
+    explicit session_pins(core::milliseconds ttl) : ttl_{ttl} {}
+
+    void ran(core::time_point now, const core::session_id& session, const core::version_id& version);
+    std::optional<core::version_id> find(core::time_point now, const core::session_id& session) const;
+    /// Forgets sessions that rested for too long.
+    void expire(core::time_point now);
+    std::size_t size() const { return pins_.size(); }
+
+private:
+    struct pin
+    {
+        core::version_id version;
+        core::time_point last{};
+    };
+
+    core::milliseconds ttl_;
+    std::map<core::session_id, pin> pins_;
+};
+
+} // namespace runlink::routing
--- a/src/runlink/app/app_test.cpp
+++ b/src/runlink/app/app_test.cpp
@@ -5,7 +5,7 @@
 
 #include "runlink/app/caller_request_reader.hpp"
 #include "runlink/app/error_answer.hpp"
-#include "runlink/app/metrics.hpp"
+#include "runlink/observe/metrics.hpp"
 #include "runlink/app/operator_client.hpp"
 #include "runlink/app/settings.hpp"
 #include "runlink/app/sse_splitter.hpp"
@@ -160,7 +160,7 @@
 
 TEST_CASE("histograms are kept per client account and class")
 {
-    metrics it;
+    observe::metrics it;
     it.first_byte(core::account_id{"a"}, core::request_class{"quick"}, core::milliseconds{3});
     it.ended(core::account_id{"a"}, core::request_class{"quick"}, core::milliseconds{40},
              core::run_outcome::ran);
--- a/src/runlink/app/caller_api.cpp
+++ b/src/runlink/app/caller_api.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-caller_api::caller_api(metrics& measured, core::clock_source clock, std::string incarnation)
+caller_api::caller_api(observe::metrics& measured, core::clock_source clock, std::string incarnation)
     : metrics_{measured}, clock_{std::move(clock)}, incarnation_{std::move(incarnation)}
 {
 }
--- a/src/runlink/app/operator_api.cpp
+++ b/src/runlink/app/operator_api.cpp
@@ -79,7 +79,7 @@
 
 } // namespace
 
-operator_api::operator_api(const settings& options, core::instance& instance, const metrics& measured,
+operator_api::operator_api(const settings& options, core::instance& instance, const observe::metrics& measured,
                            const net::peer_link& peers, core::store_port store, core::clock_source clock)
     : settings_{options}, instance_{instance}, metrics_{measured}, peers_{peers}, store_{std::move(store)},
       clock_{std::move(clock)}
@@ -132,7 +132,7 @@
     exchange.send(it ? ok : unavailable, json_type, json{{"ready", it}}.dump() + "\n");
 }
 
-std::vector<plain_metric> operator_api::plain_metrics() const
+std::vector<observe::plain_metric> operator_api::plain_metrics() const
 {
     const auto& c = instance_.router().counters();
     const auto n = [](auto it) { return static_cast<double>(it); };
--- a/src/runlink/app/programs/runlinkd.cpp
+++ b/src/runlink/app/programs/runlinkd.cpp
@@ -1,5 +1,6 @@
 // The daemon: one entry instance.
 
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -8,7 +9,7 @@
 
 #include "runlink/app/daemon.hpp"
 #include "runlink/app/logging.hpp"
-#include "runlink/app/signal_watcher.hpp"
+#include "runlink/gateway/signal_watcher.hpp"
 
 namespace
 {
@@ -46,7 +47,8 @@
     app::start_logging(settings.log_level);
     app::daemon daemon{settings, secrets};
     daemon.on_stopped = [] { QCoreApplication::quit(); };
-    const app::signal_watcher signals{[&] { daemon.begin_stop(); }};
+    const auto stop = [&] { daemon.begin_stop(); };
+    const gateway::signal_watcher signals{{{SIGTERM, stop}, {SIGINT, stop}}};
     if (const auto started = daemon.start(); !started)
         return fail(started.error());
     return QCoreApplication::exec();
--- /dev/null
+++ b/src/runlink/control/store_follower.cpp
@@ -0,0 +1,227 @@
+#include "runlink/control/store_follower.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace runlink::control
+{
+namespace
+{
+
+/// Doublings of a retry's delay before the longest one holds anyway.
+constexpr std::uint32_t max_doublings = 5;
+
+} // namespace
+
+std::string_view to_string(kv_error it)
+{
+    switch (it)
+    {
+    case kv_error::unavailable: return "unavailable";
+    case kv_error::refused: return "refused";
+    case kv_error::history_gone: return "history_gone";
+    case kv_error::malformed: return "malformed";
+    }
+    return "unknown";
+}
+
+store_follower::store_follower(follower_options options, kv_store store, follower_hooks hooks)
+    : options_{std::move(options)}, store_{std::move(store)}, hooks_{std::move(hooks)}
+{
+}
+
+void store_follower::start(time_point now)
+{
+    list(now);
+}
+
+void store_follower::tick(time_point now)
+{
+    const auto is_due = [&](std::optional<time_point>& at)
+    {
+        if (!at || now < *at)
+            return false;
+        at.reset();
+        return true;
+    };
+    if (is_due(next_list_))
+        list(now);
+    if (is_due(next_watch_))
+        watch(now);
+    if (is_due(next_proof_))
+        prove(now);
+}
+
+std::optional<time_point> store_follower::next_due() const
+{
+    std::optional<time_point> out;
+    for (const auto& it : {next_list_, next_watch_, next_proof_})
+        if (it)
+            out = out ? std::min(*out, *it) : it;
+    return out;
+}
+
+milliseconds store_follower::retry_delay() const
+{
+    const auto doublings = std::min(failures_, max_doublings);
+    return std::min(options_.first_retry * (1U << doublings), options_.longest_retry);
+}
+
+void store_follower::note_failure(time_point now, kv_error why)
+{
+    ++failures_;
+    ++counters_.failures;
+    if (lost_at_)
+        return;
+    lost_at_ = now;
+    hooks_.lost(now, why);
+}
+
+void store_follower::note_success(time_point now)
+{
+    failures_ = 0;
+    if (!lost_at_)
+        return;
+    const auto away = now - *lost_at_;
+    lost_at_.reset();
+    hooks_.regained(now, away);
+}
+
+// List
+
+void store_follower::list(time_point now)
+{
+    if (is_listing_)
+        return;
+    is_listing_ = true;
+    ++watch_number_; // what a watch under way still tells is older than the list
+    if (std::exchange(is_watching_, false))
+        store_.cancel_watch();
+    next_watch_.reset();
+    pages_.clear();
+    list_revision_ = 0;
+    ++counters_.lists;
+    (void)now;
+    store_.list({}, [this](kv_result<kv_page> it) { on_page(std::move(it)); });
+}
+
+void store_follower::on_page(kv_result<kv_page> page)
+{
+    const auto now = clock();
+    if (const auto* why = std::get_if<kv_error>(&page))
+    {
+        is_listing_ = false;
+        note_failure(now, *why);
+        next_list_ = now + retry_delay();
+        return;
+    }
+    auto& it = std::get<kv_page>(page);
+    // Pages are no snapshot: changes are watched from the first page on.
+    if (list_revision_ == 0)
+        list_revision_ = it.store_revision;
+    std::move(it.items.begin(), it.items.end(), std::back_inserter(pages_));
+    if (!it.has_more || pages_.empty())
+        return finish_list();
+    ++counters_.lists;
+    store_.list(pages_.back().key, [this](kv_result<kv_page> e) { on_page(std::move(e)); });
+}
+
+void store_follower::finish_list()
+{
+    const auto now = clock();
+    is_listing_ = false;
+    is_listed_ = true;
+    note_success(now);
+    revision_ = list_revision_;
+    for (const auto& it : pages_)
+        remember(it, false);
+    hooks_.listed(now, std::exchange(pages_, {}));
+    watch(now);
+    if (!is_proving_)
+        prove(now);
+}
+
+void store_follower::remember(const kv_item& item, bool is_deleted)
+{
+    if (item.key != options_.configuration_key)
+        return;
+    configuration_revision_ = is_deleted ? 0 : std::max(configuration_revision_, item.revision);
+}
+
+// Watch
+
+void store_follower::watch(time_point now)
+{
+    (void)now;
+    if (is_watching_ || is_listing_ || !is_listed_)
+        return;
+    is_watching_ = true;
+    ++counters_.watches;
+    const auto number = ++watch_number_;
+    store_.watch(revision_, options_.watch_wait,
+                 [this, number](kv_result<kv_changes> it)
+                 {
+                     if (number == watch_number_)
+                         on_changes(std::move(it));
+                 });
+}
+
+void store_follower::on_changes(kv_result<kv_changes> changes)
+{
+    const auto now = clock();
+    is_watching_ = false;
+    if (const auto* why = std::get_if<kv_error>(&changes))
+    {
+        if (*why == kv_error::history_gone)
+            return list(now);
+        note_failure(now, *why);
+        next_watch_ = now + retry_delay();
+        return;
+    }
+    const auto& it = std::get<kv_changes>(changes);
+    note_success(now);
+    revision_ = std::max(revision_, it.store_revision);
+    for (const auto& e : it.events)
+    {
+        remember(e.item, e.is_deleted);
+        hooks_.changed(now, e);
+    }
+    next_watch_ = it.events.empty() ? now : now + options_.gather;
+}
+
+// Proof
+
+void store_follower::prove(time_point now)
+{
+    if (is_proving_ || !is_listed_)
+        return;
+    is_proving_ = true;
+    next_proof_.reset();
+    ++counters_.proofs;
+    kv_transaction check;
+    check.conditions.push_back({options_.configuration_key, configuration_revision_});
+    store_.commit(check, [this, now](const kv_commit_result& it) { on_proof(now, it); });
+}
+
+void store_follower::on_proof(time_point sent_at, const kv_commit_result& result)
+{
+    const auto now = clock();
+    is_proving_ = false;
+    if (const auto* why = std::get_if<kv_error>(&result))
+    {
+        note_failure(now, *why);
+        next_proof_ = now + retry_delay();
+        return;
+    }
+    note_success(now);
+    if (const auto* conflict = std::get_if<kv_conflict>(&result))
+        for (const auto& it : conflict->items)
+        {
+            remember(it, false);
+            hooks_.changed(now, {it, false});
+        }
+    hooks_.proven(sent_at);
+    next_proof_ = sent_at + std::max(options_.proof_interval, milliseconds{1});
+}
+
+} // namespace runlink::control
--- /dev/null
+++ b/src/runlink/gateway/gateway.cpp
@@ -0,0 +1,284 @@
+#include "runlink/gateway/gateway.hpp"
+
+#include <utility>
+
+namespace runlink::gateway
+{
+namespace
+{
+
+constexpr int status_bad_request = 400;
+constexpr int status_body_too_large = 413;
+constexpr int status_header_too_large = 431;
+constexpr int status_failed = 500;
+
+} // namespace
+
+gateway::gateway(gateway_options options, header_names names, observe::decision_log& log,
+                 observe::metrics& metrics, clock_source clock)
+    : options_{options}, names_{std::move(names)}, log_{log}, metrics_{metrics}, clock_{std::move(clock)},
+      listener_{[this](const connection_ptr& from, const net::http_request_head& head, std::string body)
+                { on_request(from, head, std::move(body)); },
+                [this](const connection_ptr& from, net::codec_error ec) { on_bad_request(from, ec); }}
+{
+}
+
+core::result<std::uint16_t> gateway::listen(const std::string& host, std::uint16_t port)
+{
+    return listener_.listen(host, port);
+}
+
+routing::forwarder_hooks gateway::hooks()
+{
+    routing::forwarder_hooks out;
+    out.start = [this](const routing::attempt_order& it) { start(it); };
+    out.cancel = [this](core::attempt_id id) { cancel(id); };
+    out.forward_answer = [this](routing::flow_id flow, core::attempt_id id) { forward_answer(flow, id); };
+    out.forward_head = [this](routing::flow_id flow, core::attempt_id id) { forward_head(flow, id); };
+    out.forward_bytes = [this](routing::flow_id flow, std::string_view it) { forward_bytes(flow, it); };
+    out.forward_end = [this](routing::flow_id flow) { forward_end(flow); };
+    out.break_off = [this](routing::flow_id flow)
+    {
+        if (const auto it = take_call(flow))
+            it->connection->reset();
+    };
+    out.refuse = [this](routing::flow_id flow, const routing::refusal& why)
+    {
+        if (const auto it = take_call(flow))
+            refuse(it->connection, why, it->request_id);
+    };
+    out.log = [this](const routing::decision& it) { log(it); };
+    out.ended = [this](const routing::decision& it, core::duration after) { on_ended(it, after); };
+    return out;
+}
+
+// Callers
+
+void gateway::on_request(const connection_ptr& from, const net::http_request_head& head, std::string body)
+{
+    auto request = read_request(names_, head);
+    if (!request)
+        return refuse(from, {status_bad_request, true, request.error()}, {});
+    const routing::flow_id flow{next_flow_++};
+    const auto& id = request.value().id.str();
+    calls_.emplace(flow, call{from, head, std::move(body), id});
+    from->on_left = [this, flow]
+    {
+        calls_.erase(flow);
+        forwarder_->on_caller_left(clock_(), flow);
+        on_activity();
+    };
+    forwarder_->on_request(clock_(), flow, std::move(request).value());
+    on_activity();
+}
+
+void gateway::on_bad_request(const connection_ptr& from, net::codec_error ec)
+{
+    routing::refusal why{status_bad_request, true, {core::errc::malformed_request, "bytes"}};
+    if (ec == net::codec_error::header_too_large)
+        why = {status_header_too_large, true, {core::errc::malformed_request, "header"}};
+    if (ec == net::codec_error::body_too_large)
+        why = {status_body_too_large, true, {core::errc::body_too_large, "body"}};
+    from->write(write_refusal(why, {}, true));
+    from->finish(true);
+    log_.write(
+        clock_(),
+        observe::log_line{"refused"}.text("reason", to_string(why.why.code)).number("status", why.status),
+        observe::log_rank::notable);
+}
+
+void gateway::refuse(const connection_ptr& to, const routing::refusal& why, const std::string& request)
+{
+    const bool close = stopping_ || to->wants_close();
+    to->write(write_refusal(why, request, close));
+    to->finish(close);
+}
+
+std::optional<gateway::call> gateway::take_call(routing::flow_id flow)
+{
+    auto found = calls_.extract(flow);
+    return found.empty() ? std::nullopt : std::optional{std::move(found.mapped())};
+}
+
+// Endpoints
+
+void gateway::start(const routing::attempt_order& order)
+{
+    const auto flow = order.flow;
+    const auto& from = calls_.at(flow);
+    auto it = std::make_shared<attempt>();
+    it->id = order.id;
+    it->flow = flow;
+    attempts_.emplace(order.id, it);
+    net::exchange_options options;
+    options.connect_timeout = options_.connect_timeout;
+    options.max_rest = order.fresh_connection ? core::milliseconds{0} : options_.max_rest;
+    const net::peer_address peer{order.endpoint.host, order.endpoint.port};
+    it->exchange = pool_.send(peer, write_attempt(names_, from.head, from.body, order), options,
+                              exchange_hooks(it, order.request));
+}
+
+net::exchange_hooks gateway::exchange_hooks(const attempt_ptr& it, const core::request_id& request)
+{
+    net::exchange_hooks out;
+    out.sent = [this, it]
+    {
+        forwarder_->on_sent(clock_(), it->id);
+        on_activity();
+    };
+    out.head = [this, it](const net::http_response_head& head) { on_head(it, head); };
+    out.body = [this, it](std::string_view bytes) { on_body(it, bytes); };
+    out.end = [this, it] { on_end(it); };
+    out.failed = [this, it](net::exchange_failure why) { on_failed(it, why); };
+    out.is_due = [this, request](const net::http_response_head& head)
+    { return is_answer_to(names_, head, request); };
+    return out;
+}
+
+void gateway::on_head(const attempt_ptr& it, const net::http_response_head& head)
+{
+    it->head = head;
+    it->typed = read_attempt_head(names_, head);
+    if (!it->typed.is_event_stream)
+        return;
+    it->events = std::make_unique<net::event_reader>(
+        [this, it = it.get()](std::string_view event, std::optional<std::uint64_t> id)
+        { forwarder_->on_stream_event(clock_(), it->id, event, id); });
+    forwarder_->on_stream_head(clock_(), it->id, it->typed);
+    on_activity();
+}
+
+void gateway::on_body(const attempt_ptr& it, std::string_view bytes)
+{
+    if (!it->events)
+    {
+        it->body.append(bytes);
+        return;
+    }
+    if (!it->events->feed(bytes))
+    {
+        cancel(it->id);
+        forwarder_->on_lost(clock_(), it->id, routing::attempt_loss::broken);
+    }
+    on_activity();
+}
+
+void gateway::on_end(const attempt_ptr& it)
+{
+    const auto now = clock_();
+    if (!it->events)
+        forwarder_->on_answer(now, it->id, it->typed);
+    else if (!it->events->rest().empty())
+        forwarder_->on_lost(now, it->id, routing::attempt_loss::broken);
+    else
+        forwarder_->on_stream_end(now, it->id);
+    attempts_.erase(it->id);
+    on_activity();
+}
+
+void gateway::on_failed(const attempt_ptr& it, net::exchange_failure why)
+{
+    attempts_.erase(it->id);
+    const auto loss = why == net::exchange_failure::not_connected ? routing::attempt_loss::not_sent
+                                                                  : routing::attempt_loss::broken;
+    forwarder_->on_lost(clock_(), it->id, loss);
+    on_activity();
+}
+
+void gateway::cancel(core::attempt_id id)
+{
+    const auto found = attempts_.extract(id);
+    if (found.empty())
+        return;
+    if (const auto it = found.mapped()->exchange.lock())
+        it->abandon();
+}
+
+// Answers
+
+void gateway::forward_answer(routing::flow_id flow, core::attempt_id id)
+{
+    const auto to = take_call(flow);
+    if (!to)
+        return;
+    const auto& from = *attempts_.at(id);
+    auto fields = forwarded_fields(from.head);
+    const bool close = stopping_ || to->connection->wants_close();
+    if (close)
+        fields.add("Connection", "close");
+    fields.add("Content-Length", std::to_string(from.body.size()));
+    to->connection->write(net::write_response_head(from.head.status, from.head.reason, fields) + from.body);
+    to->connection->finish(close);
+}
+
+void gateway::forward_head(routing::flow_id flow, core::attempt_id id)
+{
+    auto& to = calls_.at(flow);
+    const auto& from = *attempts_.at(id);
+    auto fields = forwarded_fields(from.head);
+    if (stopping_ || to.connection->wants_close())
+        fields.add("Connection", "close");
+    fields.add("Transfer-Encoding", "chunked");
+    to.connection->write(net::write_response_head(from.head.status, from.head.reason, fields));
+}
+
+void gateway::forward_bytes(routing::flow_id flow, std::string_view bytes)
+{
+    const auto found = calls_.find(flow);
+    if (found != calls_.end())
+        found->second.connection->write(net::write_chunk(bytes));
+}
+
+void gateway::forward_end(routing::flow_id flow)
+{
+    const auto to = take_call(flow);
+    if (!to)
+        return;
+    to->connection->write(net::write_chunk({}));
+    to->connection->finish(stopping_ || to->connection->wants_close());
+}
+
+// Log
+
+void gateway::log(const routing::decision& it)
+{
+    observe::log_line line{it.event};
+    const auto text = [&](std::string_view name, std::string_view value)
+    {
+        if (!value.empty())
+            line.text(name, value);
+    };
+    const auto number = [&](std::string_view name, std::int64_t value)
+    {
+        if (value >= 0)
+            line.number(name, value);
+    };
+    text("request", it.request);
+    text("reason", it.reason);
+    text("route", it.route);
+    text("account", it.account);
+    text("endpoint", it.endpoint);
+    text("version", it.version);
+    text("model", it.model);
+    number("status", it.status);
+    number("confidence", it.confidence);
+    number("attempt", it.attempt);
+    number("elapsed_ms", it.elapsed_ms);
+    number("time_left_ms", it.time_left_ms);
+    number("proof_age_ms", it.proof_age_ms);
+    number("table", it.table_version);
+    const bool is_routine = it.event == "dispatched" || it.event == "stream_began" ||
+                            it.event == "endpoint_answered" ||
+                            (it.event == "ended" && it.reason == "answered");
+    log_.write(clock_(), line, is_routine ? observe::log_rank::routine : observe::log_rank::notable);
+}
+
+void gateway::on_ended(const routing::decision& it, core::duration after)
+{
+    const auto outcome = it.status >= 0 && it.status < status_failed ? core::run_outcome::ran
+                         : it.status < 0                             ? core::run_outcome::unknown
+                                                                     : core::run_outcome::not_run;
+    metrics_.ended(core::account_id{it.account}, core::request_class{it.route}, after, outcome);
+}
+
+} // namespace runlink::gateway
--- /dev/null
+++ b/src/runlink/gateway/gateway_settings.cpp
@@ -0,0 +1,115 @@
+#include "runlink/gateway/gateway_settings.hpp"
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+#include "runlink/core/json_reader.hpp"
+
+namespace runlink::gateway
+{
+namespace
+{
+
+using core::json_object_reader;
+
+constexpr std::int64_t max_port = 65535;
+constexpr std::int64_t max_ms = 600'000;
+constexpr double max_s = 3600;
+constexpr std::int64_t max_lines = 1'000'000;
+
+net::peer_address read_address(json_object_reader& in, const std::string& name)
+{
+    const auto text = in.required_string(name);
+    net::peer_address out;
+    const auto colon = text.rfind(':');
+    bool good = colon != std::string::npos && colon > 0 && text.find_first_not_of("0123456789.") == colon;
+    if (good)
+    {
+        out.host = text.substr(0, colon);
+        const auto* last = text.data() + text.size();
+        const auto parsed = std::from_chars(text.data() + colon + 1, last, out.port);
+        good = parsed.ec == std::errc{} && parsed.ptr == last;
+    }
+    if (!text.empty() && !good)
+        in.fault(name, "must be an IP number and a port, such as 10.0.0.1:7100");
+    return out;
+}
+
+core::milliseconds read_ms(json_object_reader& in, const std::string& name, core::milliseconds fallback)
+{
+    return core::milliseconds{in.optional_integer(name, fallback.count(), 0, max_ms)};
+}
+
+core::milliseconds read_s(json_object_reader& in, const std::string& name, core::milliseconds fallback)
+{
+    constexpr double ms_per_s = 1000;
+    const auto s = in.optional_number(name, static_cast<double>(fallback.count()) / ms_per_s, 0, max_s);
+    return core::milliseconds{static_cast<core::milliseconds::rep>(s * ms_per_s)};
+}
+
+void read_bounds(json_object_reader& in, gateway_settings& out)
+{
+    out.stop_grace = read_s(in, "stop_grace_s", out.stop_grace);
+    out.key_revocation = read_ms(in, "key_revocation_ms", out.key_revocation);
+    out.configuration_apply = read_ms(in, "configuration_apply_ms", out.configuration_apply);
+    out.session_ttl = read_s(in, "session_ttl_s", out.session_ttl);
+    out.retry_window = read_s(in, "retry_window_s", out.retry_window);
+    out.retry_ratio = in.optional_number("retry_ratio", out.retry_ratio, 0, 10);
+    out.exposure_share = in.optional_number("exposure_share", out.exposure_share, 0, 1);
+}
+
+void read_all(json_object_reader& in, gateway_settings& out)
+{
+    const auto required = [&](const char* name, const std::function<void(json_object_reader&)>& read)
+    {
+        if (!in.object(name, read))
+            in.fault(name, "is missing");
+    };
+    required("instance",
+             [&](auto& e)
+             {
+                 out.id = core::instance_id{e.required_string("id")};
+                 out.failure_domain = core::failure_domain_id{e.required_string("failure_domain")};
+             });
+    required("listen",
+             [&](auto& e)
+             {
+                 out.callers = read_address(e, "callers");
+                 out.readiness = read_address(e, "readiness");
+                 out.metrics_port =
+                     static_cast<std::uint16_t>(e.optional_integer("metrics_port", 0, 0, max_port));
+             });
+    out.store = read_address(in, "store");
+    in.object("bounds", [&](auto& e) { read_bounds(e, out); });
+    out.log_lines_per_second = static_cast<std::uint32_t>(
+        in.optional_integer("log_lines_per_second", out.log_lines_per_second, 1, max_lines));
+}
+
+} // namespace
+
+core::result<gateway_settings> parse_gateway_settings(std::string_view json)
+{
+    gateway_settings out;
+    core::json_faults faults;
+    if (const auto value = core::parse_json(json, faults))
+    {
+        json_object_reader in{*value, "$", faults};
+        read_all(in, out);
+    }
+    if (!faults.empty())
+        return core::failure{core::errc::settings_invalid, faults.str()};
+    return out;
+}
+
+core::result<gateway_settings> load_gateway_settings(const std::string& path)
+{
+    std::ifstream in{path};
+    if (!in)
+        return core::failure{core::errc::settings_invalid, path + ": cannot be read"};
+    std::ostringstream text;
+    text << in.rdbuf();
+    return parse_gateway_settings(text.str());
+}
+
+} // namespace runlink::gateway
--- /dev/null
+++ b/src/runlink/gateway/kv_http_store.cpp
@@ -0,0 +1,102 @@
+#include "runlink/gateway/kv_http_store.hpp"
+
+#include <utility>
+
+namespace runlink::gateway
+{
+namespace
+{
+
+/// Told to handlers when no answer came.
+constexpr int no_status = 0;
+/// Calls are a second or two apart; the store keeps idle connections for longer.
+constexpr core::milliseconds max_rest{10000};
+
+} // namespace
+
+kv_http_store::kv_http_store(kv_http_options options, net::peer_address address, control::kv_wire wire)
+    : options_{options}, address_{std::move(address)}, wire_{std::move(wire)}
+{
+}
+
+control::kv_store kv_http_store::port()
+{
+    control::kv_store out;
+    out.list =
+        [this](const std::string& after, const std::function<void(control::kv_result<control::kv_page>)>& to)
+    {
+        send(wire_.list(after), options_.call_timeout,
+             [this, to](int status, const std::string& body) { to(wire_.read_page(status, body)); });
+    };
+    out.watch = [this](std::uint64_t after, core::milliseconds wait,
+                       const std::function<void(control::kv_result<control::kv_changes>)>& to)
+    {
+        watch_ =
+            send(wire_.watch(after, wait), wait + options_.watch_slack,
+                 [this, to](int status, const std::string& body) { to(wire_.read_changes(status, body)); });
+    };
+    out.commit =
+        [this](const control::kv_transaction& it, const std::function<void(control::kv_commit_result)>& to)
+    {
+        send(wire_.commit(it), options_.call_timeout,
+             [this, to](int status, const std::string& body) { to(wire_.read_commit(status, body)); });
+    };
+    out.cancel_watch = [this]
+    {
+        const auto it = watch_.lock();
+        if (!it)
+            return;
+        it->handler = nullptr;
+        it->timer.stop();
+        if (const auto exchange = it->exchange.lock())
+            exchange->abandon();
+    };
+    return out;
+}
+
+kv_http_store::call_ptr kv_http_store::send(const control::http_call& request, core::milliseconds timeout,
+                                            answer_handler handler)
+{
+    auto it = std::make_shared<call>();
+    it->handler = std::move(handler);
+    it->timer.setSingleShot(true);
+    QObject::connect(&it->timer, &QTimer::timeout, &it->timer,
+                     [this, weak = std::weak_ptr{it}]
+                     {
+                         const auto e = weak.lock();
+                         if (!e)
+                             return;
+                         const auto exchange = e->exchange.lock();
+                         finish(e, no_status);
+                         if (exchange)
+                             exchange->abandon();
+                     });
+    net::http_request_head head;
+    head.method = request.method;
+    head.target = request.target;
+    head.fields.add("Host", address_.str());
+    if (!request.body.empty())
+        head.fields.add("Content-Type", "application/json");
+    net::exchange_hooks hooks;
+    hooks.sent = [] {};
+    hooks.head = [it](const net::http_response_head& e) { it->status = e.status; };
+    hooks.body = [it](std::string_view e) { it->body.append(e); };
+    hooks.end = [this, it] { finish(it, it->status); };
+    hooks.failed = [this, it](net::exchange_failure) { finish(it, no_status); };
+    net::exchange_options options;
+    options.connect_timeout = options_.connect_timeout;
+    options.max_rest = max_rest;
+    it->timer.start(timeout);
+    it->exchange = pool_.send(address_, net::write_request(head, request.body), options, std::move(hooks));
+    return it;
+}
+
+void kv_http_store::finish(const call_ptr& it, int status)
+{
+    it->timer.stop();
+    const auto handler = std::exchange(it->handler, nullptr);
+    if (handler)
+        handler(status, it->body);
+}
+
+} // namespace runlink::gateway
--- a/src/runlink/app/metrics.cpp
+++ b/src/runlink/observe/metrics.cpp
@@ -1,4 +1,4 @@
-#include "runlink/app/metrics.hpp"
+#include "runlink/observe/metrics.hpp"
 
 #include <array>
 #include <sstream>
@@ -11,7 +11,7 @@
 #include <boost/accumulators/statistics/sum.hpp>
 #include <boost/histogram.hpp>
 
-namespace runlink::app
+namespace runlink::observe
 {
 namespace
 {
@@ -135,4 +135,4 @@
     return os.str();
 }
 
-} // namespace runlink::app
+} // namespace runlink::observe
--- /dev/null
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -0,0 +1,343 @@
+// What becomes of attempts: answers, streams, losses, and the final word.
+
+#include <algorithm>
+#include <utility>
+
+#include "runlink/routing/request_forwarder.hpp"
+
+namespace runlink::routing
+{
+namespace
+{
+
+constexpr int first_success = 200;
+constexpr int first_redirect = 300;
+constexpr int first_server_error = 500;
+constexpr int status_misdirected = 421;
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_gateway_timeout = 504;
+
+bool is_success(int status)
+{
+    return status >= first_success && status < first_redirect;
+}
+
+} // namespace
+
+// Answers
+
+void request_forwarder::on_answer(time_point now, attempt_id id, const attempt_head& head)
+{
+    auto* it = find(id);
+    if (it == nullptr)
+        return;
+    const auto from = take_attempt(id);
+    const bool refused = head.not_run || head.status == status_misdirected;
+    auto line = describe(now, *it, refused ? "endpoint_refused" : "endpoint_answered");
+    line.endpoint = from->endpoint.str();
+    line.version = from->version.str();
+    line.status = head.status;
+    line.attempt = from->number;
+    hooks_.log(line);
+    if (refused)
+    {
+        ++counters_.endpoint_refusals;
+        if (from->may_have_run)
+            --it->runs;
+        chooser_.refused(now, from->endpoint);
+        return again_or_end(now, *it, core::errc::endpoint_refused, true);
+    }
+    const bool is_invalid = is_success(head.status) && !head.is_sealed;
+    const bool is_bad = is_invalid || head.status >= first_server_error;
+    sample(now, *it, *from, is_bad);
+    if (!is_bad)
+        chooser_.answered(from->endpoint);
+    if (is_invalid)
+    {
+        chooser_.broke(now, from->endpoint);
+        return again_or_end(now, *it, core::errc::endpoint_answer_invalid, true);
+    }
+    if (is_bad && !it->attempts.empty())
+        return; // another attempt is under way
+    if (is_bad && it->via->is_idempotent() && !it->head_forwarded && may_send_again(now, *it) &&
+        retries_.at(it->service).try_take(now))
+    {
+        ++counters_.repeats;
+        if (dispatch(now, *it))
+            return arm(*it, next_check(*it));
+    }
+    if (it->head_forwarded)
+        return end_without_answer(now, *it, core::errc::endpoint_answer_invalid);
+    cancel_attempts(now, *it);
+    ++counters_.answered;
+    hooks_.forward_answer(it->id, id);
+    finish(now, *it, "answered", head.status);
+}
+
+// Streams
+
+void request_forwarder::on_stream_head(time_point now, attempt_id id, const attempt_head& head)
+{
+    auto* it = find(id);
+    if (it == nullptr)
+        return;
+    auto& from = attempts_.at(id);
+    if (!head.is_sealed)
+    {
+        chooser_.broke(now, from.endpoint);
+        take_attempt(id);
+        hooks_.cancel(id);
+        return again_or_end(now, *it, core::errc::endpoint_answer_invalid, true);
+    }
+    chooser_.prompt_read(from.endpoint, it->request.prompt_tokens);
+    from.prompt_read = true;
+    it->last_progress = now;
+    if (it->head_forwarded)
+        return; // a resumed stream keeps the head of its first endpoint
+    if (head.confidence && !it->via->model_sizes.empty() && it->request.model.empty())
+    {
+        cascade_input in;
+        in.size = it->size;
+        in.sizes = it->via->model_sizes.size();
+        in.confidence = *head.confidence;
+        in.elapsed = now - it->arrived;
+        in.target_latency = it->via->target_latency;
+        in.may_retry = may_send_again(now, *it) && retries_.at(it->service).left(now) >= 1;
+        if (!cascade_.accepts(in))
+            return escalate(now, *it, id, *head.confidence);
+    }
+    auto line = describe(now, *it, "stream_began");
+    line.endpoint = from.endpoint.str();
+    line.version = from.version.str();
+    line.model = from.model.str();
+    line.confidence = head.confidence.value_or(-1);
+    hooks_.log(line);
+    it->head_forwarded = true;
+    hooks_.forward_head(it->id, id);
+}
+
+void request_forwarder::escalate(time_point now, flow& it, attempt_id from, int confidence)
+{
+    auto line = describe(now, it, "escalated");
+    line.confidence = confidence;
+    line.endpoint = attempts_.at(from).endpoint.str();
+    hooks_.log(line);
+    ++counters_.escalated;
+    take_attempt(from);
+    hooks_.cancel(from);
+    cascade_input in;
+    in.sizes = it.via->model_sizes.size();
+    it.size = cascade_policy::next_size(in);
+    it.tried.clear(); // another model may be kept at the same endpoint
+    again_or_end(now, it, core::errc::endpoint_answer_invalid, true);
+}
+
+void request_forwarder::on_stream_event(time_point now, attempt_id id, std::string_view event,
+                                        std::optional<std::uint64_t> event_id)
+{
+    auto* it = find(id);
+    if (it == nullptr)
+        return;
+    auto& from = attempts_.at(id);
+    if (!from.first_event)
+        from.first_event = now;
+    ++from.events;
+    it->last_progress = now;
+    if (event_id && it->last_event && *event_id <= *it->last_event)
+        return; // the caller has it
+    if (event_id)
+        it->last_event = event_id;
+    hooks_.forward_bytes(it->id, event);
+}
+
+void request_forwarder::on_stream_end(time_point now, attempt_id id)
+{
+    auto* it = find(id);
+    if (it == nullptr)
+        return;
+    const auto from = take_attempt(id);
+    sample(now, *it, *from, false);
+    chooser_.answered(from->endpoint);
+    ++counters_.answered;
+    hooks_.forward_end(it->id);
+    finish(now, *it, "answered", first_success);
+}
+
+// Losses
+
+void request_forwarder::on_lost(time_point now, attempt_id id, attempt_loss loss)
+{
+    auto* it = find(id);
+    if (it == nullptr)
+        return;
+    const auto from = take_attempt(id);
+    ++counters_.attempts_lost;
+    auto line = describe(now, *it, "attempt_lost");
+    line.endpoint = from->endpoint.str();
+    line.reason = loss == attempt_loss::not_sent ? "not_sent" : "broken";
+    line.attempt = from->number;
+    hooks_.log(line);
+    if (loss == attempt_loss::not_sent)
+        chooser_.not_reached(now, from->endpoint);
+    else
+        chooser_.broke(now, from->endpoint);
+    again_or_end(now, *it, core::errc::endpoint_lost, loss != attempt_loss::not_sent);
+}
+
+bool request_forwarder::may_send_again(time_point now, const flow& it) const
+{
+    const bool may_repeat = it.via->is_idempotent() || it.runs == 0;
+    return may_repeat && it.sends < options_.max_sends && it.runs < std::max(it.via->max_attempts, 1U) &&
+           it.deadline - now > options_.least_time;
+}
+
+void request_forwarder::again_or_end(time_point now, flow& it, core::errc why, bool costs_budget)
+{
+    if (!it.attempts.empty())
+        return;
+    if (!may_send_again(now, it))
+        return end_without_answer(now, it, why);
+    if (costs_budget && !retries_.at(it.service).try_take(now))
+        return end_without_answer(now, it, core::errc::overloaded);
+    ++counters_.repeats;
+    if (it.head_forwarded)
+        ++counters_.resumed;
+    if (!dispatch(now, it))
+        return end_without_answer(now, it, why);
+    arm(it, next_check(it));
+}
+
+// Endings
+
+void request_forwarder::end_without_answer(time_point now, flow& it, core::errc why)
+{
+    cancel_attempts(now, it);
+    if (it.head_forwarded)
+    {
+        ++counters_.broken;
+        hooks_.break_off(it.id);
+        return finish(now, it, to_string(why), -1);
+    }
+    refusal out;
+    out.not_run = it.runs == 0;
+    out.why = {why, it.service.str(), options_.retry_after};
+    if (out.not_run)
+        ++counters_.refused;
+    else
+        ++counters_.failed;
+    out.status = out.not_run                            ? status_unavailable
+                 : why == core::errc::deadline_exceeded ? status_gateway_timeout
+                                                        : status_bad_gateway;
+    hooks_.refuse(it.id, out);
+    finish(now, it, to_string(why), out.status);
+}
+
+void request_forwarder::finish(time_point now, flow& it, std::string_view outcome, int status)
+{
+    auto line = describe(now, it, "ended");
+    line.reason = outcome;
+    line.status = status;
+    line.attempt = it.sends;
+    hooks_.log(line);
+    hooks_.ended(line, now - it.arrived);
+    timers_.erase({it.check_at, it.id});
+    flows_.erase(it.id);
+}
+
+// Timers
+
+void request_forwarder::arm(flow& it, time_point at)
+{
+    timers_.erase({it.check_at, it.id});
+    it.check_at = at;
+    timers_.insert({at, it.id});
+}
+
+time_point request_forwarder::next_check(const flow& it) const
+{
+    const auto part = [](milliseconds of, double share)
+    { return std::chrono::duration_cast<core::duration>(of * share); };
+    auto out = it.deadline;
+    if (it.via->kind == route_kind::safe && !it.hedged)
+        out = std::min(out, it.arrived + part(it.via->target_latency, options_.hedge_after));
+    if (it.via->kind != route_kind::streaming || !it.via->resumable)
+        return out;
+    const auto patience = it.head_forwarded ? part(it.via->target_gap, options_.stall_after)
+                                            : part(it.via->target_latency, options_.move_after);
+    return std::min(out, it.last_progress + patience);
+}
+
+void request_forwarder::check(time_point now, flow& it)
+{
+    if (now >= it.deadline)
+        return end_without_answer(now, it, core::errc::deadline_exceeded);
+    const auto next = next_check(it);
+    if (now < next)
+        return arm(it, next);
+    if (it.via->kind == route_kind::safe)
+        return hedge(now, it);
+    move(now, it);
+}
+
+void request_forwarder::hedge(time_point now, flow& it)
+{
+    it.hedged = true;
+    if (may_send_again(now, it) && retries_.at(it.service).try_take(now) && dispatch(now, it))
+        ++counters_.hedges;
+    arm(it, next_check(it));
+}
+
+void request_forwarder::move(time_point now, flow& it)
+{
+    // Only where another endpoint may take it; otherwise the one that has it is the best there is.
+    const bool can_move = may_send_again(now, it) && retries_.at(it.service).left(now) >= 1 &&
+                          chooser_.choose(now, endpoints_, need_of(it)) != nullptr;
+    if (!can_move)
+    {
+        it.last_progress = now;
+        return arm(it, next_check(it));
+    }
+    auto line = describe(now, it, "moved");
+    line.reason = "no_progress";
+    hooks_.log(line);
+    const auto attempts = it.attempts;
+    for (const auto id : attempts)
+        chooser_.broke(now, attempts_.at(id).endpoint);
+    cancel_attempts(now, it);
+    again_or_end(now, it, core::errc::endpoint_lost, true);
+}
+
+void request_forwarder::tick(time_point now)
+{
+    while (!timers_.empty() && timers_.begin()->first <= now)
+    {
+        const auto id = timers_.begin()->second;
+        timers_.erase(timers_.begin());
+        const auto found = flows_.find(id);
+        if (found != flows_.end())
+            check(now, found->second);
+    }
+}
+
+std::optional<time_point> request_forwarder::next_due() const
+{
+    return timers_.empty() ? std::nullopt : std::optional{timers_.begin()->first};
+}
+
+decision request_forwarder::describe(time_point now, const flow& it, std::string_view event) const
+{
+    decision out;
+    out.event = event;
+    out.request = it.request.id.str();
+    out.account = it.account.str();
+    out.route = it.via == nullptr ? std::string{} : it.via->name;
+    out.elapsed_ms = std::chrono::floor<milliseconds>(now - it.arrived).count();
+    if (proven_at_)
+        out.proof_age_ms = std::chrono::floor<milliseconds>(now - *proven_at_).count();
+    if (it.table)
+        out.table_version = static_cast<std::int64_t>(it.table->version());
+    return out;
+}
+
+} // namespace runlink::routing
--- /dev/null
+++ b/src/runlink/routing/rollout_control.cpp
@@ -0,0 +1,260 @@
+#include "runlink/routing/rollout_control.hpp"
+
+#include <algorithm>
+
+namespace runlink::routing
+{
+namespace
+{
+
+constexpr std::uint64_t whole_percent = 100;
+
+} // namespace
+
+std::string_view to_string(rollout_state it)
+{
+    switch (it)
+    {
+    case rollout_state::running: return "running";
+    case rollout_state::succeeded: return "succeeded";
+    case rollout_state::rolled_back: return "rolled_back";
+    }
+    return "unknown";
+}
+
+milliseconds rollout_control::delay() const
+{
+    return milliseconds{
+        static_cast<milliseconds::rep>(seed_ % static_cast<std::uint64_t>(options_.write_spread.count()))};
+}
+
+void rollout_control::on_order(time_point now, const rollout_order& order)
+{
+    auto& it = rollouts_[order.service];
+    if (it.order.revision == order.revision)
+        return;
+    const auto record = it.record;
+    it = {};
+    it.order = order;
+    it.seen = now;
+    it.step_began = now;
+    it.next_write = now + delay();
+    it.record.service = order.service;
+    it.record.target = order.target;
+    it.record.revision = record.revision;
+    // A record that is younger than the order belongs to it: this process has started since.
+    if (record.revision > order.revision && record.target == order.target)
+        it.record = record;
+}
+
+void rollout_control::on_order_removed(const service_id& service)
+{
+    rollouts_.erase(service);
+}
+
+void rollout_control::on_record(time_point now, const rollout_record& record)
+{
+    auto& it = rollouts_[record.service];
+    if (record.revision <= it.record.revision)
+        return;
+    const bool belongs =
+        it.order.revision != 0 && record.revision > it.order.revision && record.target == it.order.target;
+    if (!belongs)
+    {
+        it.record.revision = record.revision;
+        if (it.order.revision == 0)
+            it.record = record;
+        return;
+    }
+    it.record = record;
+    it.step_began = now;
+    it.next_write = now + delay();
+}
+
+void rollout_control::on_write_failed(time_point now, const service_id& service)
+{
+    const auto found = rollouts_.find(service);
+    if (found != rollouts_.end())
+        found->second.next_write = now + options_.write_spread + delay();
+}
+
+// Evidence
+
+void rollout_control::on_sample(time_point, const version_sample& sample)
+{
+    const auto found = rollouts_.find(sample.service);
+    if (found == rollouts_.end() || found->second.order.revision == 0 || !is_running(found->second))
+        return;
+    auto& it = found->second;
+    auto& to = sample.version == it.order.target ? it.new_version : it.old_version;
+    for (auto* n : {&to.total, &to.by_route[sample.route]})
+    {
+        ++n->all;
+        if (!sample.is_bad)
+            continue;
+        ++n->bad;
+        n->bad_endpoints.insert(sample.endpoint);
+    }
+    if (sample.pace.count() > 0)
+    {
+        auto& pace = to.pace[sample.model];
+        pace.total_us += static_cast<double>(sample.pace.count());
+        ++pace.count;
+    }
+    if (it.is_bad || sample.version != it.order.target)
+        return;
+    const auto why = fault_of(it);
+    if (why.empty())
+        return;
+    it.is_bad = true;
+    on_verdict(sample.service, why);
+}
+
+bool rollout_control::counts_as_bad(const counts& fresh, const counts& old) const
+{
+    return fresh.bad >= options_.bad_to_stop && fresh.bad_endpoints.size() > 1 &&
+           fresh.bad_rate() >= options_.bad_rate_to_stop &&
+           fresh.bad_rate() >= options_.bad_rate_over_old * old.bad_rate();
+}
+
+std::string rollout_control::fault_of(const rollout& it) const
+{
+    if (counts_as_bad(it.new_version.total, it.old_version.total))
+        return "bad answers: " + std::to_string(it.new_version.total.bad) + " of " +
+               std::to_string(it.new_version.total.all);
+    for (const auto& [route, fresh] : it.new_version.by_route)
+    {
+        const auto old = it.old_version.by_route.find(route);
+        if (counts_as_bad(fresh, old == it.old_version.by_route.end() ? counts{} : old->second))
+            return "bad answers on route " + route + ": " + std::to_string(fresh.bad) + " of " +
+                   std::to_string(fresh.all);
+    }
+    for (const auto& [model, fresh] : it.new_version.pace)
+    {
+        const auto old = it.old_version.pace.find(model);
+        if (old == it.old_version.pace.end() || old->second.count < options_.slow_samples ||
+            fresh.count < options_.slow_samples)
+            continue;
+        if (fresh.mean() > options_.slow_over_old * old->second.mean())
+            return "slow: " + std::to_string(static_cast<long>(fresh.mean())) + " us an event, " +
+                   std::to_string(static_cast<long>(old->second.mean())) + " before";
+    }
+    return {};
+}
+
+// Choice
+
+rollout_control::choice rollout_control::choose(const service_id& service, std::uint64_t spread,
+                                                const std::optional<version_id>& pinned) const
+{
+    choice out;
+    const auto found = rollouts_.find(service);
+    if (found == rollouts_.end() || found->second.order.revision == 0)
+        return out;
+    const auto& it = found->second;
+    const auto& target = it.order.target;
+    if (it.is_bad || it.record.state == rollout_state::rolled_back)
+    {
+        out.excluded = target;
+        return out;
+    }
+    if (it.record.state == rollout_state::succeeded)
+    {
+        out.only = target;
+        return out;
+    }
+    const auto share = it.record.share_percent;
+    if (share >= whole_percent)
+    {
+        out.only = target;
+        return out;
+    }
+    const bool in_share = spread % whole_percent < share;
+    const bool in_first_half = share <= options_.first_share_percent;
+    const bool ran_on_target = pinned && *pinned == target;
+    const bool ran_on_old = pinned && *pinned != target;
+    if (share > 0 && (ran_on_target || (in_share && !(ran_on_old && in_first_half))))
+        out.only = target;
+    else
+        out.excluded = target;
+    return out;
+}
+
+// Steps
+
+std::optional<rollout_record> rollout_control::next_record(const rollout& it, time_point now) const
+{
+    auto out = it.record;
+    if (it.is_bad)
+    {
+        out.state = rollout_state::rolled_back;
+        out.share_percent = 0;
+        return out;
+    }
+    const auto change = next_change(it);
+    if (!change || now < *change)
+        return std::nullopt;
+    if (out.share_percent == 0)
+    {
+        out.share_percent = options_.first_share_percent;
+        return out;
+    }
+    const auto step =
+        std::upper_bound(options_.steps_percent.begin(), options_.steps_percent.end(), out.share_percent);
+    if (step != options_.steps_percent.end())
+        out.share_percent = *step;
+    else
+        out.state = rollout_state::succeeded;
+    return out;
+}
+
+std::optional<time_point> rollout_control::next_change(const rollout& it) const
+{
+    const auto share = it.record.share_percent;
+    if (it.is_bad || share == 0)
+        return it.seen;
+    const auto hold = std::chrono::duration_cast<duration>(it.order.allowed * options_.hold_until);
+    if (share <= options_.first_share_percent)
+        return it.seen + hold;
+    if (share < options_.steps_percent.back())
+        return it.step_began + options_.step_time;
+    return std::max(it.seen + it.order.allowed - options_.reserve, it.step_began + options_.step_time);
+}
+
+std::vector<rollout_record> rollout_control::due(time_point now)
+{
+    std::vector<rollout_record> out;
+    for (auto& [service, it] : rollouts_)
+    {
+        if (it.order.revision == 0 || !is_running(it) || now < it.next_write)
+            continue;
+        auto next = next_record(it, now);
+        if (!next)
+            continue;
+        it.next_write = now + options_.rewrite_after + delay();
+        out.push_back(std::move(*next));
+    }
+    return out;
+}
+
+std::optional<time_point> rollout_control::next_due() const
+{
+    std::optional<time_point> out;
+    for (const auto& [service, it] : rollouts_)
+    {
+        if (it.order.revision == 0 || !is_running(it))
+            continue;
+        const auto change = next_change(it);
+        const auto at = std::max(it.next_write, change.value_or(it.next_write));
+        out = out ? std::min(*out, at) : at;
+    }
+    return out;
+}
+
+const rollout_record* rollout_control::find(const service_id& service) const
+{
+    const auto found = rollouts_.find(service);
+    return found == rollouts_.end() || found->second.order.revision == 0 ? nullptr : &found->second.record;
+}
+
+} // namespace runlink::routing
--- /dev/null
+++ b/src/runlink/routing/session_pins.cpp
@@ -0,0 +1,26 @@
+#include "runlink/routing/session_pins.hpp"
+
+namespace runlink::routing
+{
+
+void session_pins::ran(core::time_point now, const core::session_id& session, const core::version_id& version)
+{
+    if (!session.empty())
+        pins_[session] = {version, now};
+}
+
+std::optional<core::version_id> session_pins::find(core::time_point now,
+                                                   const core::session_id& session) const
+{
+    const auto found = pins_.find(session);
+    if (found == pins_.end() || now - found->second.last > ttl_)
+        return std::nullopt;
+    return found->second.version;
+}
+
+void session_pins::expire(core::time_point now)
+{
+    std::erase_if(pins_, [&](const auto& it) { return now - it.second.last > ttl_; });
+}
+
+} // namespace runlink::routing
