Smallest model first: keep its answer at confidence 70 and above, else ask the largest

The confidence in the head of an answer comes before any byte goes to the caller. Moving a stream that has not begun after 0.6 of its target made 2401 moves and endpoints refuse; now after 1.5 of it.

--- a/include/runlink/gateway/gateway_settings.hpp
+++ b/include/runlink/gateway/gateway_settings.hpp
@@ -10,10 +10,25 @@
 #include "runlink/core/ids.hpp"
 #include "runlink/core/units.hpp"
 #include "runlink/net/http_exchange.hpp"
+#include "runlink/routing/request_forwarder.hpp"
 
 namespace runlink::gateway
 {
 
+/// Parameters of the decisions that operators may set; the defaults are the forwarder's own.
+struct forwarding_tuning
+{
+    bool start_small = routing::cascade_options{}.start_small;
+    int accept_confidence = routing::cascade_options{}.accept_confidence;
+    double latest_escalation = routing::cascade_options{}.latest_escalation;
+    std::uint32_t affinity_tokens = routing::chooser_options{}.affinity_tokens;
+    double hedge_after = routing::forwarder_options{}.hedge_after;
+    double move_after = routing::forwarder_options{}.move_after;
+    double stall_after = routing::forwarder_options{}.stall_after;
+
+    friend bool operator==(const forwarding_tuning&, const forwarding_tuning&) = default;
+};
+
 /// What the settings file holds.
 struct gateway_settings
 {
@@ -31,6 +46,7 @@
     double retry_ratio = 0.9;     ///< repeats for each request, of all instances
     double exposure_share = 0.15; ///< of requests that a bad version may get
     std::uint32_t log_lines_per_second = 400;
+    forwarding_tuning tuning;
 
     friend bool operator==(const gateway_settings&, const gateway_settings&) = default;
 };
--- a/include/runlink/routing/cascade_policy.hpp
+++ b/include/runlink/routing/cascade_policy.hpp
@@ -14,12 +14,12 @@
 struct cascade_options
 {
     /// Opinion of its own answer, 0 to 100, at which a smaller model's answer is kept.
-    int accept_confidence = 85;
+    int accept_confidence = 70;
     /// Part of the target latency that may be gone when a larger model is still tried.
     double latest_escalation = 0.5;
     /// Prompt tokens below which the largest model answers at once.
     std::uint32_t small_prompt_tokens = 0;
-    bool start_small = false;
+    bool start_small = true;
 };
 
 /// What the policy looks at when the head of an answer is there.
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -37,7 +37,7 @@
     /// Part of the target latency after which a safe request is sent to a second endpoint as well.
     double hedge_after = 0.5;
     /// Part of the target latency that a stream may take to its first event before it is moved.
-    double move_after = 0.6;
+    double move_after = 1.5;
     /// Part of the target gap without an event after which a stream is resumed elsewhere.
     double stall_after = 0.7;
     milliseconds retry_after{300}; ///< told to callers where nothing better is known
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -75,6 +75,14 @@
     out.session_ttl = settings_.session_ttl;
     out.retries.window = std::chrono::duration_cast<core::seconds>(settings_.retry_window);
     out.retries.ratio = settings_.retry_ratio * retry_part;
+    const auto& tuning = settings_.tuning;
+    out.cascade.start_small = tuning.start_small;
+    out.cascade.accept_confidence = tuning.accept_confidence;
+    out.cascade.latest_escalation = tuning.latest_escalation;
+    out.chooser.affinity_tokens = tuning.affinity_tokens;
+    out.hedge_after = tuning.hedge_after;
+    out.move_after = tuning.move_after;
+    out.stall_after = tuning.stall_after;
     constexpr double percent = 100;
     out.rollouts.first_share_percent =
         static_cast<std::uint32_t>(settings_.exposure_share * first_exposure_part * percent);
--- a/src/runlink/gateway/gateway_settings.cpp
+++ b/src/runlink/gateway/gateway_settings.cpp
@@ -59,6 +59,21 @@
     out.exposure_share = in.optional_number("exposure_share", out.exposure_share, 0, 1);
 }
 
+void read_tuning(json_object_reader& in, forwarding_tuning& out)
+{
+    constexpr double most_of_target = 20;
+    out.start_small = in.optional_bool("start_small", out.start_small);
+    out.accept_confidence =
+        static_cast<int>(in.optional_integer("accept_confidence", out.accept_confidence, 0, 101));
+    out.latest_escalation =
+        in.optional_number("latest_escalation", out.latest_escalation, 0, most_of_target);
+    out.affinity_tokens = static_cast<std::uint32_t>(
+        in.optional_integer("affinity_tokens", out.affinity_tokens, 0, 1'000'000'000));
+    out.hedge_after = in.optional_number("hedge_after", out.hedge_after, 0, most_of_target);
+    out.move_after = in.optional_number("move_after", out.move_after, 0, most_of_target);
+    out.stall_after = in.optional_number("stall_after", out.stall_after, 0, most_of_target);
+}
+
 void read_all(json_object_reader& in, gateway_settings& out)
 {
     const auto required = [&](const char* name, const std::function<void(json_object_reader&)>& read)
@@ -82,6 +97,7 @@
              });
     out.store = read_address(in, "store");
     in.object("bounds", [&](auto& e) { read_bounds(e, out); });
+    in.object("tuning", [&](auto& e) { read_tuning(e, out.tuning); });
     out.log_lines_per_second = static_cast<std::uint32_t>(
         in.optional_integer("log_lines_per_second", out.log_lines_per_second, 1, max_lines));
 }
