Refuse what would outlast a planned stop

Ruled out: a late end (the process ended 450 ms before the kill). Change: from 2.7 s after SIGTERM on, a request whose deadline is behind the end of the process is refused as not run; others are taken until the end, which is now 300 ms before the kill.

--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -126,6 +126,9 @@
     const endpoint_directory& endpoints() const { return endpoints_; }
     rollout_control& rollouts() { return rollouts_; }
 
+    /// The process ends at `end`. From `closed_from` on only requests are taken that are over by then.
+    void begin_stop(time_point closed_from, time_point end) { stop_ = stop_times{closed_from, end}; }
+
     void on_request(time_point now, flow_id id, inbound_request request);
     void on_caller_left(time_point now, flow_id id);
 
@@ -225,6 +228,12 @@
     forwarder_hooks hooks_;
     routing_table_ptr table_;
     std::optional<time_point> proven_at_;
+    struct stop_times
+    {
+        time_point closed_from{};
+        time_point end{};
+    };
+    std::optional<stop_times> stop_;
     endpoint_directory endpoints_;
     endpoint_chooser chooser_;
     rollout_control rollouts_;
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -25,8 +25,8 @@
 constexpr double first_exposure_part = 0.55;
 /// After this long the balancer has taken an instance out that is not ready: two questions, a second apart.
 constexpr core::milliseconds balancer_wait{2700};
-/// Before the process is killed.
-constexpr core::milliseconds stop_reserve{450};
+/// The process ends this long before it would be killed.
+constexpr core::milliseconds stop_reserve{300};
 
 core::time_point steady_now()
 {
@@ -334,6 +334,8 @@
 void gateway_daemon::rearm()
 {
     auto due = next_housekeeping_;
+    if (stop_began_)
+        due = std::min(due, *stop_began_ + settings_.stop_grace - stop_reserve);
     for (const auto& it : {forwarder_.next_due(), follower_.next_due(), forwarder_.rollouts().next_due()})
         if (it)
             due = std::min(due, *it);
@@ -355,6 +357,9 @@
         write_record(now, it);
     if (now >= next_housekeeping_)
         keep_house(now);
+    check_stop(now);
+    if (stopped_)
+        return;
     rearm();
 }
 
@@ -366,7 +371,6 @@
     metrics_listener_.check_timeouts();
     forwarder_.keep_house(now);
     log_.flush();
-    check_stop(now);
 }
 
 // Stop and reload
@@ -377,8 +381,10 @@
         return;
     stop_began_ = clock_();
     edge_.begin_stop();
+    forwarder_.begin_stop(*stop_began_ + balancer_wait, *stop_began_ + settings_.stop_grace - stop_reserve);
     log_state("stop_began", "");
     log_.flush();
+    rearm();
 }
 
 void gateway_daemon::check_stop(core::time_point now)
@@ -386,7 +392,7 @@
     if (!stop_began_ || stopped_)
         return;
     const auto since = now - *stop_began_;
-    const bool must_end = since >= settings_.stop_grace - stop_reserve - housekeeping_interval / 2;
+    const bool must_end = since >= settings_.stop_grace - stop_reserve;
     if (since >= balancer_wait)
         edge_.listener().close_idle();
     const bool is_done =
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -102,6 +102,8 @@
     it.deadline = now + time;
     if (time <= options_.least_time)
         return unavailable(core::errc::deadline_exceeded, "arrival");
+    if (stop_ && now >= stop_->closed_from && it.deadline > stop_->end)
+        return unavailable(core::errc::stopping, "instance");
     place(it);
     return std::nullopt;
 }
