Tell resets from closes; write a roll-out's step from one instance; keep sessions pinned until after their end

Ruled out: the parser (put_eof is asked only after a close). (2) All seven instances wrote each step of a roll-out at once: the spread was counted from the step before. (3) A session's pin ran out while its stream was still running; the version of the last roll-out goes before entries that have not lapsed.

--- a/include/runlink/net/http_exchange.hpp
+++ b/include/runlink/net/http_exchange.hpp
@@ -10,12 +10,11 @@
 #include <string>
 #include <vector>
 
-#include <QHostAddress>
-#include <QTcpSocket>
 #include <QTimer>
 
 #include "runlink/core/units.hpp"
 #include "runlink/net/http_codec.hpp"
+#include "runlink/net/tcp_stream.hpp"
 
 namespace runlink::net
 {
@@ -69,7 +68,6 @@
 {
 public:
     explicit client_connection(peer_address peer);
-    ~client_connection();
     client_connection(const client_connection&) = delete;
     client_connection& operator=(const client_connection&) = delete;
 
@@ -89,15 +87,15 @@
 
 private:
     void on_connected();
-    void on_readable();
-    void on_disconnected();
+    void on_bytes(std::string_view bytes);
+    void on_ended(stream_end how);
+    void finish();
     void on_head(const http_response_head& it);
     void on_end();
     void fail(exchange_failure why);
-    void set_socket_options(core::milliseconds unacknowledged_timeout);
 
     peer_address peer_;
-    QTcpSocket socket_;
+    tcp_stream stream_;
     QTimer connect_timer_;
     http_response_reader reader_;
     std::unique_ptr<exchange_hooks> hooks_;
@@ -106,8 +104,6 @@
     core::milliseconds unacknowledged_timeout_{};
     std::chrono::steady_clock::time_point rested_since_{};
     core::milliseconds keep_alive_{}; ///< what the peer allows an idle connection
-    bool starting_ = false;
-    bool open_ = false;
     bool reusable_ = true;
     bool skipping_ = false; ///< the answer under way is not the one that is due
     bool ended_ = false;    ///< the answer that is due is whole
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -55,6 +55,7 @@
     std::string_view reason;
     std::string route;
     std::string account;
+    std::string session;
     std::string endpoint;
     std::string version;
     std::string model;
--- a/include/runlink/routing/rollout_control.hpp
+++ b/include/runlink/routing/rollout_control.hpp
@@ -154,6 +154,7 @@
     {
         rollout_order order;
         rollout_record record;
+        std::optional<version_id> settled; ///< the version that the last roll-out brought in
         time_point seen{};
         time_point step_began{};
         time_point next_write{};
@@ -164,7 +165,7 @@
 
     static bool is_running(const rollout& it) { return it.record.state == rollout_state::running; }
     std::optional<rollout_record> next_record(const rollout& it, time_point now) const;
-    std::optional<time_point> next_change(const rollout& it) const;
+    time_point next_change(const rollout& it) const;
     std::string fault_of(const rollout& it) const;
     bool counts_as_bad(const counts& fresh, const counts& old) const;
     milliseconds delay() const;
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -257,6 +257,7 @@
     text("reason", it.reason);
     text("route", it.route);
     text("account", it.account);
+    text("session", it.session);
     text("endpoint", it.endpoint);
     text("version", it.version);
     text("model", it.model);
--- a/src/runlink/net/http_exchange.cpp
+++ b/src/runlink/net/http_exchange.cpp
@@ -4,12 +4,6 @@
 #include <charconv>
 #include <utility>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
-#include <QNetworkProxy>
-
 namespace runlink::net
 {
 namespace
@@ -19,7 +13,6 @@
 constexpr core::milliseconds default_keep_alive{4000};
 /// The part of a peer's keep-alive time in which a connection is used; the rest covers delay on the way.
 constexpr int usable_part = 2;
-constexpr qint64 read_buffer_bytes = 256 * 1024;
 
 core::milliseconds keep_alive_of(const http_response_head& head)
 {
@@ -51,39 +44,21 @@
 }
 
 client_connection::client_connection(peer_address peer)
-    : peer_{std::move(peer)}, reader_{{[this](const http_response_head& it) { on_head(it); },
-                                       [this](std::string_view it)
-                                       {
-                                           if (hooks_ && !skipping_ && !ended_)
-                                               hooks_->body(it);
-                                       },
-                                       [this] { on_end(); }}}
+    : peer_{std::move(peer)}, stream_{{[this] { on_connected(); },
+                                       [this](std::string_view it) { on_bytes(it); },
+                                       [this](stream_end it) { on_ended(it); }}},
+      reader_{{[this](const http_response_head& it) { on_head(it); },
+               [this](std::string_view it)
+               {
+                   if (hooks_ && !skipping_ && !ended_)
+                       hooks_->body(it);
+               },
+               [this] { on_end(); }}}
 {
-    socket_.setProxy(QNetworkProxy::NoProxy);
-    socket_.setReadBufferSize(read_buffer_bytes);
     connect_timer_.setSingleShot(true);
     connect_timer_.setTimerType(Qt::PreciseTimer);
-    QObject::connect(&connect_timer_, &QTimer::timeout, &socket_,
+    QObject::connect(&connect_timer_, &QTimer::timeout, &connect_timer_,
                      [this] { fail(exchange_failure::not_connected); });
-    QObject::connect(&socket_, &QTcpSocket::connected, &socket_, [this] { on_connected(); });
-    QObject::connect(&socket_, &QTcpSocket::readyRead, &socket_, [this] { on_readable(); });
-    QObject::connect(&socket_, &QTcpSocket::disconnected, &socket_, [this] { on_disconnected(); });
-    QObject::connect(&socket_, &QTcpSocket::errorOccurred, &socket_,
-                     [this](QAbstractSocket::SocketError it)
-                     {
-                         if (starting_) // `start` has not returned: told from the event loop
-                             return connect_timer_.start(0);
-                         if (!open_)
-                             return fail(exchange_failure::not_connected);
-                         if (it != QAbstractSocket::RemoteHostClosedError)
-                             fail(exchange_failure::reset);
-                     });
-}
-
-client_connection::~client_connection()
-{
-    QObject::disconnect(&socket_, nullptr, &socket_, nullptr);
-    QObject::disconnect(&connect_timer_, nullptr, &socket_, nullptr);
 }
 
 void client_connection::start(std::string request, const exchange_options& options, exchange_hooks hooks)
@@ -91,46 +66,32 @@
     hooks_ = std::make_unique<exchange_hooks>(std::move(hooks));
     skipping_ = false;
     ended_ = false;
-    unacknowledged_timeout_ = options.unacknowledged_timeout;
-    if (open_)
+    if (stream_.is_open())
     {
-        socket_.write(request.data(), static_cast<qint64>(request.size()));
+        stream_.write(request);
         hooks_->sent();
         return;
     }
     request_ = std::move(request);
-    connect_timer_.start(options.connect_timeout);
-    starting_ = true;
-    socket_.connectToHost(QHostAddress{QString::fromStdString(peer_.host)}, peer_.port);
-    starting_ = false;
-}
-
-void client_connection::set_socket_options(core::milliseconds unacknowledged_timeout)
-{
-    socket_.setSocketOption(QAbstractSocket::LowDelayOption, 1);
-    const auto timeout = static_cast<unsigned>(unacknowledged_timeout.count());
-    const auto fd = static_cast<int>(socket_.socketDescriptor());
-    // A peer that fell silent is given up by the kernel; without the option only later, by timeouts above.
-    (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+    unacknowledged_timeout_ = options.unacknowledged_timeout;
+    const bool began = stream_.connect(peer_.host, peer_.port);
+    connect_timer_.start(began ? options.connect_timeout : core::milliseconds{0});
 }
 
 void client_connection::on_connected()
 {
     connect_timer_.stop();
-    open_ = true;
-    set_socket_options(unacknowledged_timeout_);
+    stream_.set_unacknowledged_timeout(unacknowledged_timeout_);
     if (!hooks_)
         return;
     const auto guard = shared_from_this();
-    socket_.write(request_.data(), static_cast<qint64>(request_.size()));
-    request_ = {};
+    stream_.write(std::exchange(request_, {}));
     hooks_->sent();
 }
 
-void client_connection::on_readable()
+void client_connection::on_bytes(std::string_view bytes)
 {
     const auto guard = shared_from_this();
-    const auto bytes = socket_.readAll();
     if (!hooks_)
     {
         // Bytes that answer no request: the connection is out of step.
@@ -138,17 +99,21 @@
         on_idle_lost();
         return;
     }
-    const auto ec = reader_.feed({bytes.data(), static_cast<std::size_t>(bytes.size())});
-    if (ec != codec_error::none && hooks_)
-        return fail(exchange_failure::malformed);
-    if (!ended_)
+    const auto ec = reader_.feed(bytes);
+    if (!hooks_)
         return;
+    if (ec != codec_error::none && !ended_)
+        return fail(exchange_failure::malformed);
     // Anything behind the answer that was due makes the connection useless.
-    if (reader_.in_message())
-        reusable_ = false;
+    if (ec != codec_error::none || reader_.in_message())
+        reusable_ = reusable_ && !ended_;
+    if (ended_)
+        finish();
+}
+
+void client_connection::finish()
+{
     const auto hooks = std::exchange(hooks_, nullptr);
-    if (!hooks)
-        return;
     rested_since_ = std::chrono::steady_clock::now();
     on_free();
     hooks->end();
@@ -177,26 +142,21 @@
     skipping_ = false;
 }
 
-void client_connection::on_disconnected()
+void client_connection::on_ended(stream_end how)
 {
     const auto guard = shared_from_this();
+    reusable_ = false;
     if (!hooks_)
-    {
-        open_ = false;
-        reusable_ = false;
         return on_idle_lost();
-    }
-    if (socket_.bytesAvailable() > 0)
-        on_readable();
+    if (how == stream_end::not_connected)
+        return fail(exchange_failure::not_connected);
+    if (how == stream_end::closed)
+        reader_.finish_input();
     if (!hooks_)
         return;
-    reusable_ = false;
-    reader_.finish_input();
-    if (!ended_)
-        return fail(exchange_failure::closed);
-    const auto hooks = std::exchange(hooks_, nullptr);
-    on_free();
-    hooks->end();
+    if (ended_)
+        return finish();
+    fail(how == stream_end::closed ? exchange_failure::closed : exchange_failure::reset);
 }
 
 void client_connection::fail(exchange_failure why)
@@ -204,10 +164,7 @@
     const auto guard = shared_from_this();
     const auto hooks = std::exchange(hooks_, nullptr);
     reusable_ = false;
-    connect_timer_.stop();
-    QObject::disconnect(&socket_, nullptr, &socket_, nullptr);
-    socket_.abort();
-    open_ = false;
+    detach();
     on_free();
     if (hooks)
         hooks->failed(why);
@@ -223,17 +180,13 @@
                                     core::milliseconds max_rest) const
 {
     const auto rested = now - rested_since_;
-    return reusable_ && open_ && socket_.state() == QAbstractSocket::ConnectedState &&
-           rested < std::min(max_rest, keep_alive_ / usable_part);
+    return reusable_ && stream_.is_open() && rested < std::min(max_rest, keep_alive_ / usable_part);
 }
 
 void client_connection::detach()
 {
-    QObject::disconnect(&socket_, nullptr, &socket_, nullptr);
     connect_timer_.stop();
-    if (socket_.state() != QAbstractSocket::UnconnectedState)
-        socket_.abort();
-    open_ = false;
+    stream_.abort();
 }
 
 // Pool
--- /dev/null
+++ b/src/runlink/net/tcp_stream.cpp
@@ -0,0 +1,139 @@
+#include "runlink/net/tcp_stream.hpp"
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace runlink::net
+{
+namespace
+{
+
+constexpr std::size_t read_bytes = 64 * 1024;
+
+bool would_block(int error)
+{
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
+} // namespace
+
+bool tcp_stream::connect(const std::string& host, std::uint16_t port)
+{
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(port);
+    if (inet_pton(AF_INET, host.c_str(), &to.sin_addr) != 1)
+        return false;
+    fd_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd_ < 0)
+        return false;
+    const int on = 1;
+    // Without the option small requests may wait for acknowledgements; they still arrive.
+    (void)setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    const auto* address = reinterpret_cast<const sockaddr*>(&to);
+    if (::connect(fd_, address, sizeof to) != 0 && errno != EINPROGRESS)
+    {
+        close(std::exchange(fd_, -1));
+        return false;
+    }
+    readable_ = std::make_unique<QSocketNotifier>(fd_, QSocketNotifier::Read);
+    readable_->setEnabled(false);
+    writable_ = std::make_unique<QSocketNotifier>(fd_, QSocketNotifier::Write);
+    QObject::connect(readable_.get(), &QSocketNotifier::activated, readable_.get(),
+                     [this] { on_readable(); });
+    QObject::connect(writable_.get(), &QSocketNotifier::activated, writable_.get(),
+                     [this] { on_writable(); });
+    return true;
+}
+
+void tcp_stream::set_unacknowledged_timeout(core::milliseconds it)
+{
+    const auto ms = static_cast<unsigned>(it.count());
+    // Without the option a silent peer is noticed by the caller's own timeouts.
+    (void)setsockopt(fd_, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
+}
+
+void tcp_stream::on_writable()
+{
+    if (connected_)
+        return flush();
+    int error = 0;
+    socklen_t size = sizeof error;
+    getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0)
+        return end(stream_end::not_connected);
+    connected_ = true;
+    writable_->setEnabled(false);
+    readable_->setEnabled(true);
+    const auto gone = gone_;
+    handlers_.connected();
+    if (!*gone && !unsent_.empty())
+        flush();
+}
+
+void tcp_stream::write(std::string_view bytes)
+{
+    if (fd_ < 0)
+        return;
+    const bool was_empty = unsent_.empty();
+    unsent_.append(bytes);
+    if (connected_ && was_empty)
+        flush();
+}
+
+void tcp_stream::flush()
+{
+    while (!unsent_.empty())
+    {
+        const auto n = send(fd_, unsent_.data(), unsent_.size(), MSG_NOSIGNAL);
+        if (n < 0)
+            break; // a broken connection is told by the read side
+        unsent_.erase(0, static_cast<std::size_t>(n));
+    }
+    writable_->setEnabled(!unsent_.empty() && would_block(errno));
+}
+
+void tcp_stream::on_readable()
+{
+    std::array<char, read_bytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init): filled by recv
+    const auto n = recv(fd_, buf.data(), buf.size(), 0);
+    if (n > 0)
+        return handlers_.bytes({buf.data(), static_cast<std::size_t>(n)});
+    if (n == 0)
+        return end(stream_end::closed);
+    if (!would_block(errno))
+        end(stream_end::reset);
+}
+
+void tcp_stream::end(stream_end how)
+{
+    abort();
+    handlers_.ended(how);
+}
+
+void tcp_stream::abort()
+{
+    *gone_ = true;
+    gone_ = std::make_shared<bool>(false);
+    if (fd_ < 0)
+        return;
+    // A notifier may be calling us: it is destroyed by the event loop.
+    for (auto* it : {&readable_, &writable_})
+    {
+        (*it)->setEnabled(false);
+        QObject::disconnect(it->get(), nullptr, it->get(), nullptr);
+        it->release()->deleteLater();
+    }
+    close(std::exchange(fd_, -1));
+    connected_ = false;
+    unsent_.clear();
+}
+
+} // namespace runlink::net
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -229,6 +229,7 @@
     line.endpoint = endpoint->id.str();
     line.version = endpoint->version.str();
     line.model = order.model.str();
+    line.session = it.request.session.str();
     line.attempt = it.sends;
     line.time_left_ms = order.time_left.count();
     hooks_.log(line);
--- a/src/runlink/routing/rollout_control.cpp
+++ b/src/runlink/routing/rollout_control.cpp
@@ -34,17 +34,21 @@
     if (it.order.revision == order.revision)
         return;
     const auto record = it.record;
+    auto settled = std::move(it.settled);
     it = {};
+    it.settled = std::move(settled);
     it.order = order;
     it.seen = now;
     it.step_began = now;
-    it.next_write = now + delay();
+    it.next_write = now;
     it.record.service = order.service;
     it.record.target = order.target;
     it.record.revision = record.revision;
     // A record that is younger than the order belongs to it: this process has started since.
     if (record.revision > order.revision && record.target == order.target)
         it.record = record;
+    if (it.record.state == rollout_state::succeeded)
+        it.settled = it.record.target;
 }
 
 void rollout_control::on_order_removed(const service_id& service)
@@ -68,7 +72,9 @@
     }
     it.record = record;
     it.step_began = now;
-    it.next_write = now + delay();
+    it.next_write = now;
+    if (record.state == rollout_state::succeeded)
+        it.settled = record.target;
 }
 
 void rollout_control::on_write_failed(time_point now, const service_id& service)
@@ -153,11 +159,14 @@
         return out;
     const auto& it = found->second;
     const auto& target = it.order.target;
-    if (it.is_bad || it.record.state == rollout_state::rolled_back)
+    const auto old_version = [&]
     {
         out.excluded = target;
+        out.only = it.settled; // entries of versions before that one may not have lapsed yet
         return out;
-    }
+    };
+    if (it.is_bad || it.record.state == rollout_state::rolled_back)
+        return old_version();
     if (it.record.state == rollout_state::succeeded)
     {
         out.only = target;
@@ -176,7 +185,7 @@
     if (share > 0 && (ran_on_target || (in_share && !(ran_on_old && in_first_half))))
         out.only = target;
     else
-        out.excluded = target;
+        return old_version();
     return out;
 }
 
@@ -191,8 +200,7 @@
         out.share_percent = 0;
         return out;
     }
-    const auto change = next_change(it);
-    if (!change || now < *change)
+    if (now < next_change(it) + delay())
         return std::nullopt;
     if (out.share_percent == 0)
     {
@@ -208,7 +216,7 @@
     return out;
 }
 
-std::optional<time_point> rollout_control::next_change(const rollout& it) const
+time_point rollout_control::next_change(const rollout& it) const
 {
     const auto share = it.record.share_percent;
     if (it.is_bad || share == 0)
@@ -244,8 +252,7 @@
     {
         if (it.order.revision == 0 || !is_running(it))
             continue;
-        const auto change = next_change(it);
-        const auto at = std::max(it.next_write, change.value_or(it.next_write));
+        const auto at = std::max(it.next_write, it.is_bad ? it.next_write : next_change(it) + delay());
         out = out ? std::min(*out, at) : at;
     }
     return out;
