Instances tell each other which sessions ran while a roll-out is in its first half, and pool their evidence

Ruled out: pins that run out too early. Change: each instance keeps an entry with a lease in the store and sends datagrams to the others during roll-outs: sessions that may get the new version and ran, and counts of answers. The first share is given once what ran before the order is at rest.

--- a/include/runlink/control/documents.hpp
+++ b/include/runlink/control/documents.hpp
@@ -15,9 +15,17 @@
 namespace runlink::control
 {
 
+/// Another instance, and where it takes datagrams.
+struct peer_entry
+{
+    core::instance_id id;
+    std::string host;
+    std::uint16_t port = 0;
+};
+
 /// An item of the store, read. Items that do not concern this process are empty.
 using document = std::variant<std::monostate, routing::routing_table_ptr, routing::endpoint_entry,
-                              routing::rollout_order, routing::rollout_record>;
+                              routing::rollout_order, routing::rollout_record, peer_entry>;
 
 /// What a key names whose item is gone.
 struct endpoint_key
@@ -28,7 +36,11 @@
 {
     core::service_id service;
 };
-using document_key = std::variant<std::monostate, endpoint_key, order_key>;
+struct peer_key
+{
+    core::instance_id id;
+};
+using document_key = std::variant<std::monostate, endpoint_key, order_key, peer_key>;
 
 /// How a deployment spells its documents.
 struct document_codec
@@ -37,6 +49,7 @@
     std::function<core::result<document>(const kv_item&)> read;
     std::function<document_key(const std::string& key)> name;
     std::function<kv_item(const routing::rollout_record&)> write_record;
+    std::function<kv_item(const peer_entry&)> write_peer;
 };
 
 /// One call of the store over HTTP.
@@ -53,9 +66,12 @@
     std::function<http_call(const std::string& after_key)> list;
     std::function<http_call(std::uint64_t after, core::milliseconds wait)> watch;
     std::function<http_call(const kv_transaction&)> commit;
+    std::function<http_call(core::milliseconds ttl)> grant;
+    std::function<http_call(std::uint64_t lease)> renew;
     std::function<kv_result<kv_page>(int status, const std::string& body)> read_page;
     std::function<kv_result<kv_changes>(int status, const std::string& body)> read_changes;
     std::function<kv_commit_result(int status, const std::string& body)> read_commit;
+    std::function<kv_result<kv_lease>(int status, const std::string& body)> read_lease;
 };
 
 } // namespace runlink::control
--- a/include/runlink/gateway/gateway.hpp
+++ b/include/runlink/gateway/gateway.hpp
@@ -50,6 +50,8 @@
     void begin_stop() { stopping_ = true; }
     /// Called after each event that may have changed when the forwarder is due.
     std::function<void()> on_activity = [] {};
+    /// Called for sessions whose runs other instances are to know.
+    std::function<void(const routing::session_run&)> on_session_ran = [](const auto&) {};
 
 private:
     using connection_ptr = std::shared_ptr<net::caller_connection>;
--- a/include/runlink/gateway/gateway_daemon.hpp
+++ b/include/runlink/gateway/gateway_daemon.hpp
@@ -12,9 +12,11 @@
 #include <QTimer>
 
 #include "runlink/control/documents.hpp"
+#include "runlink/control/presence.hpp"
 #include "runlink/control/store_follower.hpp"
 #include "runlink/gateway/gateway.hpp"
 #include "runlink/gateway/gateway_settings.hpp"
+#include "runlink/gateway/gossip_link.hpp"
 #include "runlink/gateway/kv_http_store.hpp"
 
 namespace runlink::gateway
@@ -57,6 +59,8 @@
     void take(core::time_point now, const control::kv_item& item);
     void take_table(core::time_point now, const routing::routing_table_ptr& it, std::uint64_t revision);
     void take_endpoint(core::time_point now, const routing::endpoint_entry& it);
+    void on_gossip(const routing::gossip_message& it);
+    void start_presence(core::time_point now, std::uint16_t port);
     void forget(core::time_point now, const std::string& key);
     void write_record(core::time_point now, const routing::rollout_record& it);
 
@@ -79,6 +83,8 @@
     kv_http_store store_;
     control::kv_store store_port_;
     control::store_follower follower_;
+    std::optional<control::presence> presence_;
+    gossip_link gossip_;
     net::http_listener readiness_;
     net::http_listener metrics_listener_;
     QTimer timer_;
--- a/include/runlink/gateway/gateway_settings.hpp
+++ b/include/runlink/gateway/gateway_settings.hpp
@@ -36,6 +36,7 @@
     core::failure_domain_id failure_domain;
     net::peer_address callers;
     net::peer_address readiness;
+    net::peer_address peers;        ///< datagrams from other instances
     std::uint16_t metrics_port = 0; ///< on the callers' address; 0: no metrics
     net::peer_address store;
     core::milliseconds stop_grace{8000};     ///< the process is killed this long after it was told to stop
--- /dev/null
+++ b/include/runlink/gateway/gossip_link.hpp
@@ -0,0 +1,58 @@
+/// \file
+/// Datagrams between forwarding instances.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+#include <QHostAddress>
+#include <QTimer>
+#include <QUdpSocket>
+
+#include "runlink/core/failure.hpp"
+#include "runlink/routing/gossip_messages.hpp"
+
+namespace runlink::gateway
+{
+
+/// Gathers what is to be told for a moment and sends it to all peers. Datagrams may be lost: what they carry
+/// only makes decisions better.
+class gossip_link
+{
+public:
+    using handler = std::function<void(const routing::gossip_message&)>;
+
+    gossip_link(core::instance_id self, handler on_message);
+    gossip_link(const gossip_link&) = delete;
+    gossip_link& operator=(const gossip_link&) = delete;
+
+    core::result<std::uint16_t> bind(const std::string& host, std::uint16_t port);
+    void put_peer(const core::instance_id& id, const std::string& host, std::uint16_t port);
+    void remove_peer(const core::instance_id& id) { peers_.erase(id); }
+    std::size_t peer_count() const { return peers_.size(); }
+
+    void tell(const routing::session_run& it);
+    /// What is counted now; asked for with each message.
+    std::function<std::vector<routing::version_evidence>()> evidence;
+
+private:
+    struct peer
+    {
+        QHostAddress host;
+        std::uint16_t port = 0;
+    };
+
+    void send();
+    void receive();
+
+    core::instance_id self_;
+    handler on_message_;
+    QUdpSocket socket_;
+    QTimer timer_;
+    std::map<core::instance_id, peer> peers_;
+    std::vector<routing::session_run> pending_;
+};
+
+} // namespace runlink::gateway
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -80,6 +80,8 @@
     std::function<void(flow_id)> forward_end;
     std::function<void(flow_id)> break_off;
     std::function<void(flow_id, const refusal&)> refuse;
+    /// A session of the first part of a roll-out ran: other instances are to know.
+    std::function<void(const session_run&)> session_ran;
     std::function<void(const decision&)> log;
     /// A request has ended: its account, route and time, for the metrics.
     std::function<void(const decision&, core::duration)> ended;
@@ -144,6 +146,9 @@
     void on_stream_end(time_point now, attempt_id id);
     void on_lost(time_point now, attempt_id id, attempt_loss loss);
 
+    /// A session ran at another instance.
+    void on_peer_run(time_point now, const session_run& it) { pins_.ran(now, it.session, it.version); }
+
     /// Does what is due.
     void tick(time_point now);
     /// Forgets what nobody asks for any more; about once a second.
@@ -163,7 +168,7 @@
         service_id service;
         account_id account;
         int priority = 0;
-        std::uint64_t spread = 0;   ///< hash of the session or request
+        session_hash session;       ///< or hash of the request without one
         std::uint64_t affinity = 0; ///< hash of the shared prompt parts
         time_point arrived{};
         time_point deadline{};
@@ -208,6 +213,8 @@
     void again_or_end(time_point now, flow& it, core::errc why, bool costs_budget);
     std::optional<attempt> take_attempt(attempt_id id);
     void cancel_attempts(time_point now, flow& it);
+    /// Notes the version of a session's latest run.
+    void pin(time_point now, const flow& it, const version_id& version);
     void sample(time_point now, const flow& it, const attempt& from, bool is_bad);
     void escalate(time_point now, flow& it, attempt_id from, int confidence);
 
--- a/include/runlink/routing/rollout_control.hpp
+++ b/include/runlink/routing/rollout_control.hpp
@@ -13,6 +13,7 @@
 
 #include "runlink/core/ids.hpp"
 #include "runlink/core/units.hpp"
+#include "runlink/routing/gossip_messages.hpp"
 
 namespace runlink::routing
 {
@@ -75,6 +76,8 @@
     double hold_until = 0.52;
     std::vector<std::uint32_t> steps_percent{25, 50, 100};
     milliseconds step_time{1300};
+    /// Before the first share is given: what ran before the order is at rest by then.
+    milliseconds settle_time{5300};
     /// A good version is declared this long before the end, so that work on old endpoints may finish.
     milliseconds reserve{2500};
     /// Instances wait between nothing and this long before they write, so that mostly one does.
@@ -112,10 +115,18 @@
         bool is_strict = false;             ///< `only` admits no other version
     };
 
-    /// `spread` is a hash of the session or request; `pinned` the version its session ran on last.
-    choice choose(const service_id& service, std::uint64_t spread,
+    /// `pinned` is the version that the session ran on last.
+    choice choose(const service_id& service, session_hash session,
                   const std::optional<version_id>& pinned) const;
 
+    /// Whether other instances are to know of this session's runs: only sessions that may get the new version
+    /// in the first half, which must not be moved to it while they are active.
+    bool spreads_runs(const service_id& service, session_hash session) const;
+    /// What this instance has counted of versions that are rolled out.
+    std::vector<version_evidence> evidence() const;
+    /// What another one has; it replaces what that one said before.
+    void on_peer_evidence(const core::instance_id& peer, const std::vector<version_evidence>& it);
+
     /// A record that this instance should write now.
     std::vector<rollout_record> due(time_point now);
     /// When `due` should be asked next.
@@ -133,7 +144,9 @@
     {
         std::uint32_t all = 0;
         std::uint32_t bad = 0;
-        std::set<endpoint_id> bad_endpoints;
+        std::set<std::uint64_t> bad_endpoints; ///< hashes of their ids
+
+        void add(const counts& it);
 
         double bad_rate() const { return all == 0 ? 0 : static_cast<double>(bad) / all; }
     };
@@ -161,11 +174,14 @@
         bool is_bad = false; ///< this instance found it so
         side old_version;
         side new_version;
+        std::map<core::instance_id, std::vector<version_evidence>> peers;
     };
 
     static bool is_running(const rollout& it) { return it.record.state == rollout_state::running; }
     std::optional<rollout_record> next_record(const rollout& it, time_point now) const;
     time_point next_change(const rollout& it) const;
+    counts pooled(const rollout& it, const version_id& version, const std::string& route) const;
+    void judge(rollout& it);
     std::string fault_of(const rollout& it) const;
     bool counts_as_bad(const counts& fresh, const counts& old) const;
     milliseconds delay() const;
--- a/include/runlink/routing/session_pins.hpp
+++ b/include/runlink/routing/session_pins.hpp
@@ -7,6 +7,7 @@
 
 #include "runlink/core/ids.hpp"
 #include "runlink/core/units.hpp"
+#include "runlink/routing/gossip_messages.hpp"
 
 namespace runlink::routing
 {
@@ -17,8 +18,8 @@
 public:
     explicit session_pins(core::milliseconds ttl) : ttl_{ttl} {}
 
-    void ran(core::time_point now, const core::session_id& session, const core::version_id& version);
-    std::optional<core::version_id> find(core::time_point now, const core::session_id& session) const;
+    void ran(core::time_point now, session_hash session, const core::version_id& version);
+    std::optional<core::version_id> find(core::time_point now, session_hash session) const;
     /// Forgets sessions that rested for too long.
     void expire(core::time_point now);
     std::size_t size() const { return pins_.size(); }
@@ -31,7 +32,7 @@
     };
 
     core::milliseconds ttl_;
-    std::map<core::session_id, pin> pins_;
+    std::map<session_hash, pin> pins_;
 };
 
 } // namespace runlink::routing
--- a/src/runlink/control/store_follower.cpp
+++ b/src/runlink/control/store_follower.cpp
@@ -20,6 +20,7 @@
     case kv_error::unavailable: return "unavailable";
     case kv_error::refused: return "refused";
     case kv_error::history_gone: return "history_gone";
+    case kv_error::lease_gone: return "lease_gone";
     case kv_error::malformed: return "malformed";
     }
     return "unknown";
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -47,6 +47,7 @@
         if (const auto it = take_call(flow))
             refuse(it->connection, why, it->request_id);
     };
+    out.session_ran = [this](const routing::session_run& it) { on_session_ran(it); };
     out.log = [this](const routing::decision& it) { log(it); };
     out.ended = [this](const routing::decision& it, core::duration after) { on_ended(it, after); };
     return out;
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -50,6 +50,7 @@
                                                                       edge_.hooks()},
       store_{{}, settings_.store, binding_.store}, store_port_{store_.port()},
       follower_{{binding_.documents.configuration_key}, store_port_, follower_hooks()},
+      gossip_{settings_.id, [this](const routing::gossip_message& it) { on_gossip(it); }},
       readiness_{[this](const auto& from, const auto&, const std::string&) { on_readiness(from); },
                  [](const auto& from, net::codec_error) { from->reset(); }},
       metrics_listener_{[this](const auto& from, const auto&, const std::string&) { on_metrics(from); },
@@ -57,6 +58,8 @@
 {
     edge_.attach(forwarder_);
     edge_.on_activity = [this] { rearm(); };
+    edge_.on_session_ran = [this](const routing::session_run& it) { gossip_.tell(it); };
+    gossip_.evidence = [this] { return forwarder_.rollouts().evidence(); };
     follower_.clock = clock_;
     forwarder_.rollouts().on_verdict = [this](const core::service_id& service, const std::string& why)
     { log_state("version_found_bad", service.str() + ": " + why); };
@@ -120,14 +123,35 @@
     if (settings_.metrics_port != 0)
     {
         BOOST_OUTCOME_TRYV(metrics_listener_.listen(settings_.callers.host, settings_.metrics_port));
-    log_state("started", settings_.failure_domain.str());
     }
+    BOOST_OUTCOME_TRY(peers, gossip_.bind(settings_.peers.host, settings_.peers.port));
+    log_state("started", settings_.failure_domain.str());
     next_housekeeping_ = now + housekeeping_interval;
     follower_.start(now);
+    start_presence(now, peers);
     rearm();
     return boost::outcome_v2::success();
 }
 
+void gateway_daemon::start_presence(core::time_point now, std::uint16_t port)
+{
+    const auto entry = binding_.documents.write_peer({settings_.id, settings_.peers.host, port});
+    presence_.emplace(control::presence_options{}, store_port_, entry);
+    presence_->clock = clock_;
+    presence_->on_failure = [this](core::time_point at, control::kv_error why)
+    { follower_.on_call_failed(at, why); };
+    presence_->start(now);
+}
+
+void gateway_daemon::on_gossip(const routing::gossip_message& it)
+{
+    const auto now = clock_();
+    for (const auto& e : it.runs)
+        forwarder_.on_peer_run(now, e);
+    forwarder_.rollouts().on_peer_evidence(it.sender, it.evidence);
+    rearm();
+}
+
 bool gateway_daemon::is_ready() const
 {
     if (stop_began_ || !forwarder_.table() || forwarder_.endpoints().size() == 0)
@@ -182,6 +206,8 @@
         forwarder_.rollouts().on_order(now, *order);
         log_state("rollout_ordered", order->service.str() + " to " + order->target.str());
     }
+    else if (const auto* peer = std::get_if<control::peer_entry>(&it))
+        gossip_.put_peer(peer->id, peer->host, peer->port);
     else if (const auto* record = std::get_if<routing::rollout_record>(&it))
     {
         forwarder_.rollouts().on_record(now, *record);
@@ -231,6 +257,8 @@
         forwarder_.endpoints().remove(now, endpoint->id);
         log_state("endpoint_gone", endpoint->id.str());
     }
+    if (const auto* peer = std::get_if<control::peer_key>(&name))
+        gossip_.remove_peer(peer->id);
     if (const auto* order = std::get_if<control::order_key>(&name))
         forwarder_.rollouts().on_order_removed(order->service);
 }
@@ -336,7 +364,9 @@
     auto due = next_housekeeping_;
     if (stop_began_)
         due = std::min(due, *stop_began_ + settings_.stop_grace - stop_reserve);
-    for (const auto& it : {forwarder_.next_due(), follower_.next_due(), forwarder_.rollouts().next_due()})
+    const auto presence_due = presence_ ? presence_->next_due() : std::nullopt;
+    for (const auto& it :
+         {forwarder_.next_due(), follower_.next_due(), forwarder_.rollouts().next_due(), presence_due})
         if (it)
             due = std::min(due, *it);
     // An earlier timer fires without harm; a change that is not earlier needs no new one.
@@ -353,6 +383,8 @@
     const auto now = clock_();
     forwarder_.tick(now);
     follower_.tick(now);
+    if (presence_)
+        presence_->tick(now);
     for (const auto& it : forwarder_.rollouts().due(now))
         write_record(now, it);
     if (now >= next_housekeeping_)
--- a/src/runlink/gateway/gateway_settings.cpp
+++ b/src/runlink/gateway/gateway_settings.cpp
@@ -65,8 +65,7 @@
     out.start_small = in.optional_bool("start_small", out.start_small);
     out.accept_confidence =
         static_cast<int>(in.optional_integer("accept_confidence", out.accept_confidence, 0, 101));
-    out.latest_escalation =
-        in.optional_number("latest_escalation", out.latest_escalation, 0, most_of_target);
+    out.latest_escalation = in.optional_number("latest_escalation", out.latest_escalation, 0, most_of_target);
     out.affinity_tokens = static_cast<std::uint32_t>(
         in.optional_integer("affinity_tokens", out.affinity_tokens, 0, 1'000'000'000));
     out.hedge_after = in.optional_number("hedge_after", out.hedge_after, 0, most_of_target);
@@ -92,6 +91,7 @@
              {
                  out.callers = read_address(e, "callers");
                  out.readiness = read_address(e, "readiness");
+                 out.peers = read_address(e, "peers");
                  out.metrics_port =
                      static_cast<std::uint16_t>(e.optional_integer("metrics_port", 0, 0, max_port));
              });
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -135,7 +135,7 @@
 {
     const auto& request = it.request;
     const auto& name = request.session.empty() ? request.id.str() : request.session.str();
-    it.spread = core::stable_hash(name);
+    it.session = session_hash{core::stable_hash(name)};
     it.affinity = affinity_of(request.prompt);
     it.last_event = request.last_event;
     if (!it.via->model_sizes.empty() && request.model.empty())
@@ -178,7 +178,7 @@
     out.service = it.service;
     out.affinity = it.affinity;
     out.prompt_tokens = it.request.prompt_tokens;
-    out.versions = rollouts_.choose(it.service, it.spread, pins_.find(it.arrived, it.request.session));
+    out.versions = rollouts_.choose(it.service, it.session, pins_.find(it.arrived, it.session));
     out.tried = &it.tried;
     return out;
 }
@@ -244,7 +244,16 @@
         return;
     auto& it = flows_.at(found->second.flow);
     ++it.runs;
-    pins_.ran(now, it.request.session, found->second.version);
+    pin(now, it, found->second.version);
+}
+
+void request_forwarder::pin(time_point now, const flow& it, const version_id& version)
+{
+    if (it.request.session.empty())
+        return;
+    pins_.ran(now, it.session, version);
+    if (rollouts_.spreads_runs(it.service, it.session))
+        hooks_.session_ran({it.session, version});
 }
 
 request_forwarder::flow* request_forwarder::find(attempt_id id)
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -158,7 +158,7 @@
         return;
     const auto from = take_attempt(id);
     sample(now, *it, *from, false);
-    pins_.ran(now, it->request.session, from->version);
+    pin(now, *it, from->version);
     chooser_.answered(from->endpoint);
     ++counters_.answered;
     hooks_.forward_end(it->id);
--- a/src/runlink/routing/rollout_control.cpp
+++ b/src/runlink/routing/rollout_control.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "runlink/core/hash.hpp"
+
 namespace runlink::routing
 {
 namespace
@@ -99,7 +101,7 @@
         if (!sample.is_bad)
             continue;
         ++n->bad;
-        n->bad_endpoints.insert(sample.endpoint);
+        n->bad_endpoints.insert(core::stable_hash(sample.endpoint.str()));
     }
     if (sample.pace.count() > 0)
     {
@@ -107,13 +109,95 @@
         pace.total_us += static_cast<double>(sample.pace.count());
         ++pace.count;
     }
-    if (it.is_bad || sample.version != it.order.target)
+    if (sample.version == it.order.target)
+        judge(it);
+}
+
+void rollout_control::judge(rollout& it)
+{
+    if (it.is_bad)
         return;
     const auto why = fault_of(it);
     if (why.empty())
         return;
     it.is_bad = true;
-    on_verdict(sample.service, why);
+    on_verdict(it.order.service, why);
+}
+
+void rollout_control::counts::add(const counts& it)
+{
+    all += it.all;
+    bad += it.bad;
+    bad_endpoints.insert(it.bad_endpoints.begin(), it.bad_endpoints.end());
+}
+
+rollout_control::counts rollout_control::pooled(const rollout& it, const version_id& version,
+                                                const std::string& route) const
+{
+    const auto& own = version == it.order.target ? it.new_version : it.old_version;
+    counts out;
+    if (route.empty())
+        out = own.total;
+    else if (const auto found = own.by_route.find(route); found != own.by_route.end())
+        out = found->second;
+    for (const auto& [peer, all] : it.peers)
+        for (const auto& e : all)
+        {
+            const bool is_same_side = (e.version == it.order.target) == (version == it.order.target);
+            if (is_same_side && e.route == route)
+                out.add({e.all, e.bad, {e.bad_endpoints.begin(), e.bad_endpoints.end()}});
+        }
+    return out;
+}
+
+std::vector<version_evidence> rollout_control::evidence() const
+{
+    std::vector<version_evidence> out;
+    const auto add =
+        [&](const rollout& it, const version_id& version, const std::string& route, const counts& n)
+    {
+        out.push_back({it.order.service,
+                       version,
+                       route,
+                       n.all,
+                       n.bad,
+                       {n.bad_endpoints.begin(), n.bad_endpoints.end()}});
+    };
+    for (const auto& [service, it] : rollouts_)
+    {
+        if (it.order.revision == 0 || !is_running(it) || it.new_version.total.all == 0)
+            continue;
+        add(it, it.order.target, {}, it.new_version.total);
+        for (const auto& [route, n] : it.new_version.by_route)
+            add(it, it.order.target, route, n);
+    }
+    return out;
+}
+
+void rollout_control::on_peer_evidence(const core::instance_id& peer,
+                                       const std::vector<version_evidence>& all)
+{
+    std::map<service_id, std::vector<version_evidence>> by_service;
+    for (const auto& e : all)
+        by_service[e.service].push_back(e);
+    for (auto& [service, e] : by_service)
+    {
+        const auto found = rollouts_.find(service);
+        if (found == rollouts_.end() || found->second.order.revision == 0 || !is_running(found->second) ||
+            e.front().version != found->second.order.target)
+            continue;
+        found->second.peers[peer] = std::move(e);
+        judge(found->second);
+    }
+}
+
+bool rollout_control::spreads_runs(const service_id& service, session_hash session) const
+{
+    const auto found = rollouts_.find(service);
+    if (found == rollouts_.end() || found->second.order.revision == 0 || !is_running(found->second))
+        return false;
+    return found->second.record.share_percent <= options_.first_share_percent &&
+           session.value() % whole_percent < options_.first_share_percent;
 }
 
 bool rollout_control::counts_as_bad(const counts& fresh, const counts& old) const
@@ -125,15 +209,19 @@
 
 std::string rollout_control::fault_of(const rollout& it) const
 {
-    if (counts_as_bad(it.new_version.total, it.old_version.total))
-        return "bad answers: " + std::to_string(it.new_version.total.bad) + " of " +
-               std::to_string(it.new_version.total.all);
-    for (const auto& [route, fresh] : it.new_version.by_route)
+    std::set<std::string> routes{""};
+    for (const auto& [route, n] : it.new_version.by_route)
+        routes.insert(route);
+    for (const auto& route : routes)
     {
+        const auto fresh = pooled(it, it.order.target, route);
         const auto old = it.old_version.by_route.find(route);
-        if (counts_as_bad(fresh, old == it.old_version.by_route.end() ? counts{} : old->second))
-            return "bad answers on route " + route + ": " + std::to_string(fresh.bad) + " of " +
-                   std::to_string(fresh.all);
+        const auto& before = route.empty()                          ? it.old_version.total
+                             : old == it.old_version.by_route.end() ? counts{}
+                                                                    : old->second;
+        if (counts_as_bad(fresh, before))
+            return "bad answers on " + (route.empty() ? "all routes" : "route " + route) + ": " +
+                   std::to_string(fresh.bad) + " of " + std::to_string(fresh.all);
     }
     for (const auto& [model, fresh] : it.new_version.pace)
     {
@@ -150,7 +238,7 @@
 
 // Choice
 
-rollout_control::choice rollout_control::choose(const service_id& service, std::uint64_t spread,
+rollout_control::choice rollout_control::choose(const service_id& service, session_hash session,
                                                 const std::optional<version_id>& pinned) const
 {
     choice out;
@@ -178,7 +266,7 @@
         out.only = target;
         return out;
     }
-    const bool in_share = spread % whole_percent < share;
+    const bool in_share = session.value() % whole_percent < share;
     const bool in_first_half = share <= options_.first_share_percent;
     const bool ran_on_target = pinned && *pinned == target;
     const bool ran_on_old = pinned && *pinned != target;
@@ -219,9 +307,11 @@
 time_point rollout_control::next_change(const rollout& it) const
 {
     const auto share = it.record.share_percent;
-    if (it.is_bad || share == 0)
+    if (it.is_bad)
         return it.seen;
     const auto hold = std::chrono::duration_cast<duration>(it.order.allowed * options_.hold_until);
+    if (share == 0)
+        return it.seen + std::min<duration>(options_.settle_time, hold);
     if (share <= options_.first_share_percent)
         return it.seen + hold;
     if (share < options_.steps_percent.back())
--- a/src/runlink/routing/session_pins.cpp
+++ b/src/runlink/routing/session_pins.cpp
@@ -3,14 +3,12 @@
 namespace runlink::routing
 {
 
-void session_pins::ran(core::time_point now, const core::session_id& session, const core::version_id& version)
+void session_pins::ran(core::time_point now, session_hash session, const core::version_id& version)
 {
-    if (!session.empty())
-        pins_[session] = {version, now};
+    pins_[session] = {version, now};
 }
 
-std::optional<core::version_id> session_pins::find(core::time_point now,
-                                                   const core::session_id& session) const
+std::optional<core::version_id> session_pins::find(core::time_point now, session_hash session) const
 {
     const auto found = pins_.find(session);
     if (found == pins_.end() || now - found->second.last > ttl_)
