--- a/include/runlink/app/caller_api.hpp
+++ b/include/runlink/app/caller_api.hpp
@@ -10,10 +10,10 @@
 
 #include "runlink/app/attempt_runner.hpp"
 #include "runlink/app/caller_request_reader.hpp"
-#include "runlink/observe/metrics.hpp"
 #include "runlink/core/clock.hpp"
 #include "runlink/core/instance.hpp"
 #include "runlink/net/http_server.hpp"
+#include "runlink/observe/metrics.hpp"
 
 namespace runlink::app
 {
--- a/include/runlink/app/operator_api.hpp
+++ b/include/runlink/app/operator_api.hpp
@@ -7,12 +7,12 @@
 #include <string>
 #include <vector>
 
-#include "runlink/observe/metrics.hpp"
 #include "runlink/app/settings.hpp"
 #include "runlink/core/clock.hpp"
 #include "runlink/core/instance.hpp"
 #include "runlink/net/http_server.hpp"
 #include "runlink/net/peer_link.hpp"
+#include "runlink/observe/metrics.hpp"
 
 namespace runlink::app
 {
--- a/src/runlink/app/app_test.cpp
+++ b/src/runlink/app/app_test.cpp
@@ -5,11 +5,11 @@
 
 #include "runlink/app/caller_request_reader.hpp"
 #include "runlink/app/error_answer.hpp"
-#include "runlink/observe/metrics.hpp"
 #include "runlink/app/operator_client.hpp"
 #include "runlink/app/settings.hpp"
 #include "runlink/app/sse_splitter.hpp"
 #include "runlink/app/tables.hpp"
+#include "runlink/observe/metrics.hpp"
 
 using namespace runlink;
 using namespace runlink::app;
--- a/src/runlink/app/operator_api.cpp
+++ b/src/runlink/app/operator_api.cpp
@@ -79,8 +79,9 @@
 
 } // namespace
 
-operator_api::operator_api(const settings& options, core::instance& instance, const observe::metrics& measured,
-                           const net::peer_link& peers, core::store_port store, core::clock_source clock)
+operator_api::operator_api(const settings& options, core::instance& instance,
+                           const observe::metrics& measured, const net::peer_link& peers,
+                           core::store_port store, core::clock_source clock)
     : settings_{options}, instance_{instance}, metrics_{measured}, peers_{peers}, store_{std::move(store)},
       clock_{std::move(clock)}
 {
--- /dev/null
+++ b/src/runlink/control/control_test.cpp
@@ -0,0 +1,203 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+#include "runlink/control/presence.hpp"
+#include "runlink/control/store_follower.hpp"
+
+using namespace runlink;
+using namespace runlink::control;
+
+namespace
+{
+
+/// Keeps the calls that wait for an answer.
+struct fake_kv
+{
+    std::deque<std::function<void(kv_result<kv_page>)>> lists;
+    std::deque<std::function<void(kv_result<kv_changes>)>> watches;
+    std::deque<std::function<void(kv_commit_result)>> commits;
+    std::deque<std::function<void(kv_result<kv_lease>)>> leases;
+    std::vector<kv_transaction> written;
+    std::vector<std::uint64_t> watched_after;
+    int cancelled = 0;
+
+    kv_store port()
+    {
+        kv_store out;
+        out.list = [this](const std::string&, auto to) { lists.push_back(to); };
+        out.watch = [this](std::uint64_t after, core::milliseconds, auto to)
+        {
+            watched_after.push_back(after);
+            watches.push_back(to);
+        };
+        out.commit = [this](const kv_transaction& it, auto to)
+        {
+            written.push_back(it);
+            commits.push_back(to);
+        };
+        out.grant = [this](core::milliseconds, auto to) { leases.push_back(to); };
+        out.renew = [this](std::uint64_t, auto to) { leases.push_back(to); };
+        out.cancel_watch = [this] { ++cancelled; };
+        return out;
+    }
+
+    template <class Handler, class Answer>
+    static void answer(std::deque<Handler>& from, Answer it)
+    {
+        REQUIRE_FALSE(from.empty());
+        const auto to = from.front();
+        from.pop_front();
+        to(std::move(it));
+    }
+};
+
+struct followed
+{
+    fake_kv store;
+    core::time_point now{core::seconds{100}};
+    std::vector<std::string> told;
+    std::optional<core::time_point> proven;
+    store_follower it{{"conf"}, store.port(), hooks()};
+
+    followed()
+    {
+        it.clock = [this] { return now; };
+        it.start(now);
+    }
+
+    follower_hooks hooks()
+    {
+        follower_hooks out;
+        out.listed = [this](auto, const std::vector<kv_item>& all)
+        { told.push_back("listed " + std::to_string(all.size())); };
+        out.changed = [this](auto, const kv_event& e)
+        { told.push_back((e.is_deleted ? "gone " : "changed ") + e.item.key); };
+        out.proven = [this](core::time_point at) { proven = at; };
+        out.lost = [this](auto, kv_error why) { told.push_back("lost " + std::string{to_string(why)}); };
+        out.regained = [this](auto, auto) { told.push_back("regained"); };
+        return out;
+    }
+
+    void advance(core::milliseconds by)
+    {
+        now += by;
+        it.tick(now);
+    }
+
+    void list() { fake_kv::answer(store.lists, kv_result<kv_page>{kv_page{{{"conf", "c", 3}}, false, 5}}); }
+};
+
+} // namespace
+
+TEST_CASE("a list, then a watch from its revision, and a proof under the configuration's revision")
+{
+    followed f;
+    f.list();
+    CHECK(f.told == std::vector<std::string>{"listed 1"});
+    CHECK(f.store.watched_after == std::vector<std::uint64_t>{5});
+    REQUIRE(f.store.written.size() == 1);
+    CHECK(f.store.written[0].conditions[0].revision == 3);
+    CHECK(f.store.written[0].writes.empty());
+}
+
+TEST_CASE("pages are watched from the first one's revision on")
+{
+    followed f;
+    fake_kv::answer(f.store.lists, kv_result<kv_page>{kv_page{{{"a", "", 2}}, true, 5}});
+    fake_kv::answer(f.store.lists, kv_result<kv_page>{kv_page{{{"b", "", 6}}, false, 8}});
+    CHECK(f.told == std::vector<std::string>{"listed 2"});
+    CHECK(f.store.watched_after == std::vector<std::uint64_t>{5});
+}
+
+TEST_CASE("a proof counts from when it was sent, not from when it was answered")
+{
+    followed f;
+    f.list();
+    const auto sent = f.now;
+    f.advance(core::milliseconds{700});
+    fake_kv::answer(f.store.commits, kv_commit_result{kv_committed{9}});
+    CHECK(f.proven == sent);
+}
+
+TEST_CASE("a watch that says nothing proves nothing")
+{
+    followed f;
+    f.list();
+    f.advance(core::milliseconds{1000});
+    fake_kv::answer(f.store.watches, kv_result<kv_changes>{kv_changes{{}, 7}});
+    CHECK_FALSE(f.proven);
+    f.advance(core::milliseconds{1});
+    CHECK(f.store.watched_after.back() == 7);
+}
+
+TEST_CASE("a proof that fails its condition brings the newest configuration and then proves it")
+{
+    followed f;
+    f.list();
+    fake_kv::answer(f.store.commits, kv_commit_result{kv_conflict{{{"conf", "d", 8}}}});
+    CHECK(f.told.back() == "changed conf");
+    CHECK(f.proven);
+    f.advance(core::milliseconds{1500});
+    CHECK(f.store.written.back().conditions[0].revision == 8);
+}
+
+TEST_CASE("history that is gone is made up by a new list")
+{
+    followed f;
+    f.list();
+    fake_kv::answer(f.store.watches, kv_result<kv_changes>{kv_error::history_gone});
+    CHECK(f.store.lists.size() == 1);
+    f.list();
+    CHECK(f.told == std::vector<std::string>{"listed 1", "listed 1"});
+    CHECK(f.it.is_connected());
+}
+
+TEST_CASE("an outage is told once, calls are tried again, and the return is told")
+{
+    followed f;
+    f.list();
+    fake_kv::answer(f.store.commits, kv_commit_result{kv_error::unavailable});
+    fake_kv::answer(f.store.watches, kv_result<kv_changes>{kv_error::unavailable});
+    CHECK(f.told == std::vector<std::string>{"listed 1", "lost unavailable"});
+    CHECK_FALSE(f.it.is_connected());
+    f.advance(core::milliseconds{700});
+    REQUIRE(f.store.commits.size() == 1);
+    REQUIRE(f.store.watches.size() == 1);
+    fake_kv::answer(f.store.commits, kv_commit_result{kv_committed{9}});
+    CHECK(f.told.back() == "regained");
+}
+
+TEST_CASE("changes are gathered before the next watch, and what a cancelled watch says is dropped")
+{
+    followed f;
+    f.list();
+    fake_kv::answer(f.store.watches,
+                    kv_result<kv_changes>{kv_changes{{{{"x", "", 6}, false}, {{"y", "", 7}, true}}, 7}});
+    CHECK(f.told == std::vector<std::string>{"listed 1", "changed x", "gone y"});
+    CHECK(f.store.watches.empty());
+    f.advance(core::milliseconds{150});
+    CHECK(f.store.watched_after.back() == 7);
+}
+
+TEST_CASE("an instance's entry is written under a lease and written again when the lease is gone")
+{
+    fake_kv store;
+    core::time_point now{core::seconds{100}};
+    presence it{{}, store.port(), {"me", "here"}};
+    it.clock = [&] { return now; };
+    it.start(now);
+    it.tick(now);
+    fake_kv::answer(store.leases, kv_result<kv_lease>{kv_lease{7, core::milliseconds{20000}}});
+    REQUIRE(store.written.size() == 1);
+    CHECK(store.written[0].writes[0].lease == 7);
+    fake_kv::answer(store.commits, kv_commit_result{kv_committed{2}});
+    now += core::milliseconds{7000};
+    it.tick(now);
+    fake_kv::answer(store.leases, kv_result<kv_lease>{kv_error::lease_gone});
+    it.tick(now);
+    fake_kv::answer(store.leases, kv_result<kv_lease>{kv_lease{8, core::milliseconds{20000}}});
+    REQUIRE(store.written.size() == 2);
+    CHECK(store.written[1].writes[0].lease == 8);
+}
--- /dev/null
+++ b/src/runlink/gateway/gateway_test.cpp
@@ -0,0 +1,155 @@
+#include <catch2/catch.hpp>
+
+#include "runlink/gateway/gateway_settings.hpp"
+#include "runlink/gateway/gossip_link.hpp"
+#include "runlink/gateway/translation.hpp"
+#include "runlink/proto/gossip_codec.hpp"
+
+using namespace runlink;
+using namespace runlink::gateway;
+
+namespace
+{
+
+net::http_request_head make_head(std::vector<net::http_field> fields)
+{
+    net::http_request_head out;
+    out.method = "POST";
+    out.target = "/llm/x?q=1";
+    for (auto& it : fields)
+        out.fields.add(it.name, it.value);
+    return out;
+}
+
+const std::string settings_text = R"({
+  "instance": {"id": "a-1", "failure_domain": "north"},
+  "listen": {"callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "peers": "127.0.0.1:0"},
+  "store": "127.0.0.1:9",
+  "bounds": {"key_revocation_ms": 4000, "stop_grace_s": 7.5}
+})";
+
+} // namespace
+
+TEST_CASE("a request is read into a typed message")
+{
+    const header_names names;
+    const auto it = read_request(names, make_head({{"Host", "h"},
+                                                   {names.request_id, "r1"},
+                                                   {names.deadline_ms, "250"},
+                                                   {names.model, "*"},
+                                                   {names.tokens, "300,40"},
+                                                   {names.prompt, "a:100,b:200"},
+                                                   {names.last_event, "7"}}));
+    REQUIRE(it);
+    CHECK(it.value().path == "/llm/x");
+    CHECK(it.value().time_left == core::milliseconds{250});
+    CHECK(it.value().model.empty());
+    CHECK(it.value().max_new_tokens == 40);
+    CHECK(it.value().prompt.at(1).tokens == 200);
+    CHECK(it.value().last_event == 7U);
+}
+
+TEST_CASE("fields that cannot be read are a typed failure")
+{
+    const header_names names;
+    const auto fails = [&](net::http_field it) {
+        return !read_request(names, make_head({{names.request_id, "r1"}, std::move(it)})).has_value();
+    };
+    CHECK(fails({names.deadline_ms, "soon"}));
+    CHECK(fails({names.deadline_ms, "-5"}));
+    CHECK(fails({names.tokens, "12"}));
+    CHECK(fails({names.prompt, "a"}));
+    CHECK(fails({names.request_id, "r2"}));
+    CHECK_FALSE(read_request(names, make_head({})));
+}
+
+TEST_CASE("what only the system may set never comes from a caller, however it is spelled")
+{
+    header_names names;
+    names.reserved = {"X-Hold"};
+    routing::attempt_order order;
+    order.endpoint.id = core::endpoint_id{"e1"};
+    order.account = core::account_id{"acme"};
+    order.time_left = core::milliseconds{90};
+    const auto bytes = write_attempt(names,
+                                     make_head({{"Host", "h"},
+                                                {"x-hold", "forged"},
+                                                {"X_HOLD", "forged"},
+                                                {"RUNLINK_ACCOUNT", "forged"},
+                                                {"runlink-key", "secret"},
+                                                {"Runlink-Expected-Endpoint", "forged"},
+                                                {"Connection", "X-Once"},
+                                                {"X-Once", "1"},
+                                                {"X-Other", "kept"},
+                                                {"Runlink-Deadline-Ms", "99999"}}),
+                                     "body", order);
+    CHECK(bytes.find("forged") == std::string::npos);
+    CHECK(bytes.find("secret") == std::string::npos);
+    CHECK(bytes.find("X-Once") == std::string::npos);
+    CHECK(bytes.find("99999") == std::string::npos);
+    CHECK(bytes.find("X-Other: kept\r\n") != std::string::npos);
+    CHECK(bytes.find("Runlink-Account: acme\r\n") != std::string::npos);
+    CHECK(bytes.find("Runlink-Deadline-Ms: 90\r\n") != std::string::npos);
+    CHECK(bytes.starts_with("POST /llm/x?q=1 HTTP/1.1\r\n"));
+    CHECK(bytes.ends_with("Content-Length: 4\r\n\r\nbody"));
+}
+
+TEST_CASE("an answer belongs to a request by its id; only refusals may lack it")
+{
+    const header_names names;
+    net::http_response_head head;
+    head.status = 200;
+    CHECK_FALSE(is_answer_to(names, head, core::request_id{"r1"}));
+    head.status = 421;
+    CHECK(is_answer_to(names, head, core::request_id{"r1"}));
+    head.fields.add(names.request_id, "r2");
+    CHECK_FALSE(is_answer_to(names, head, core::request_id{"r1"}));
+}
+
+TEST_CASE("an answer with an encoding is not the endpoint's own")
+{
+    const header_names names;
+    net::http_response_head head;
+    head.status = 200;
+    head.fields.add(names.digest, "d");
+    CHECK(read_attempt_head(names, head).is_sealed);
+    head.fields.add("Content-Encoding", "gzip");
+    CHECK_FALSE(read_attempt_head(names, head).is_sealed);
+}
+
+TEST_CASE("a refusal tells when to come back only if the request did not run")
+{
+    const core::failure why{core::errc::overloaded, "x", core::milliseconds{300}};
+    CHECK(write_refusal({503, true, why}, "r1", false).find("Retry-After: 0.300") != std::string::npos);
+    CHECK(write_refusal({502, false, why}, "r1", false).find("Retry-After") == std::string::npos);
+    CHECK(write_refusal({502, false, why}, "r1", false).find("unknown") != std::string::npos);
+}
+
+TEST_CASE("settings are read strictly, with the path of what is wrong")
+{
+    const auto good = parse_gateway_settings(settings_text);
+    REQUIRE(good);
+    CHECK(good.value().stop_grace == core::milliseconds{7500});
+    CHECK(good.value().key_revocation == core::milliseconds{4000});
+    const auto bad = parse_gateway_settings(
+        R"({"instance": {"id": "a"}, "listen": {"callers": "here", "extra": 1}, "tuning": {"move_after": "x"}})");
+    REQUIRE_FALSE(bad);
+    for (const auto* path : {"$.instance.failure_domain", "$.listen.callers", "$.listen.extra", "$.store",
+                             "$.tuning.move_after"})
+        CHECK(bad.error().detail.find(path) != std::string::npos);
+}
+
+TEST_CASE("datagrams keep what they carry, and other bytes are no message")
+{
+    routing::gossip_message it;
+    it.sender = core::instance_id{"a"};
+    it.runs = {{routing::session_hash{77}, core::version_id{"v1"}}};
+    it.evidence = {{core::service_id{"s"}, core::version_id{"v2"}, "r", 5, 2, {1, 9}}};
+    const auto back = proto::decode_gossip(proto::encode(it));
+    REQUIRE(back);
+    CHECK(back->sender == it.sender);
+    CHECK(back->runs.at(0).session.value() == 77);
+    CHECK(back->evidence.at(0).bad_endpoints == std::vector<std::uint64_t>{1, 9});
+    CHECK_FALSE(proto::decode_gossip("\xff\xff"));
+    CHECK_FALSE(proto::decode_gossip(""));
+}
--- a/src/runlink/net/http_codec.cpp
+++ b/src/runlink/net/http_codec.cpp
@@ -136,8 +136,11 @@
     void on_header_impl(error_code& ec) override
     {
         const auto* encoding = fields.find("Transfer-Encoding");
-        const bool ambiguous = fields.count("Content-Length") > 1 || fields.count("Transfer-Encoding") > 1 ||
-                               fields.count("Host") > 1 ||
+        const auto* length = fields.find("Content-Length");
+        const bool is_odd_length =
+            length != nullptr && length->find_first_not_of("0123456789") != std::string::npos;
+        const bool ambiguous = is_odd_length || fields.count("Content-Length") > 1 ||
+                               fields.count("Transfer-Encoding") > 1 || fields.count("Host") > 1 ||
                                (encoding != nullptr && !same_name(*encoding, "chunked")) ||
                                (encoding != nullptr && fields.count("Content-Length") > 0);
         if (ambiguous)
--- /dev/null
+++ b/src/runlink/net/http_exchange_test.cpp
@@ -0,0 +1,238 @@
+#include <catch2/catch.hpp>
+
+#include <QCoreApplication>
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <sys/socket.h>
+
+#include "runlink/net/http_exchange.hpp"
+#include "runlink/net/http_listener.hpp"
+
+using namespace runlink;
+using namespace runlink::net;
+
+namespace
+{
+
+constexpr auto patience = std::chrono::seconds{10};
+
+bool wait_for(const std::function<bool()>& state)
+{
+    const auto end = std::chrono::steady_clock::now() + patience;
+    while (!state() && std::chrono::steady_clock::now() < end)
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
+    return state();
+}
+
+/// A peer that sends scripted bytes for each request that arrives.
+class raw_peer
+{
+public:
+    raw_peer()
+    {
+        server_.listen(QHostAddress::LocalHost, 0);
+        QObject::connect(&server_, &QTcpServer::newConnection, &server_,
+                         [this]
+                         {
+                             socket = server_.nextPendingConnection();
+                             ++connections;
+                             QObject::connect(socket, &QTcpSocket::readyRead, socket,
+                                              [this]
+                                              {
+                                                  received += socket->readAll().toStdString();
+                                                  if (on_bytes)
+                                                      on_bytes();
+                                              });
+                         });
+    }
+
+    peer_address address() const { return {"127.0.0.1", server_.serverPort()}; }
+    void send(const std::string& bytes) { socket->write(bytes.data(), static_cast<qint64>(bytes.size())); }
+    /// Ends the connection with a reset.
+    void reset()
+    {
+        socket->flush();
+        const linger now{1, 0};
+        setsockopt(static_cast<int>(socket->socketDescriptor()), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        socket->abort();
+    }
+
+    std::function<void()> on_bytes;
+    std::string received;
+    int connections = 0;
+    QTcpSocket* socket = nullptr;
+
+private:
+    QTcpServer server_;
+};
+
+struct outcome
+{
+    bool sent = false;
+    bool ended = false;
+    std::optional<exchange_failure> failure;
+    int status = 0;
+    std::string body;
+
+    exchange_hooks hooks()
+    {
+        exchange_hooks out;
+        out.sent = [this] { sent = true; };
+        out.head = [this](const http_response_head& it) { status = it.status; };
+        out.body = [this](std::string_view it) { body.append(it); };
+        out.end = [this] { ended = true; };
+        out.failed = [this](exchange_failure it) { failure = it; };
+        return out;
+    }
+    bool over() const { return ended || failure; }
+};
+
+const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("an answer without a length that is reset in transit is a failure, one that is closed is whole")
+{
+    raw_peer peer;
+    connection_pool pool;
+    outcome cut;
+    peer.on_bytes = [&]
+    {
+        peer.send("HTTP/1.1 200 OK\r\n\r\npart");
+        QTimer::singleShot(20, peer.socket, [&] { peer.reset(); });
+    };
+    pool.send(peer.address(), request, {}, cut.hooks());
+    REQUIRE(wait_for([&] { return cut.over(); }));
+    CHECK(cut.failure == exchange_failure::reset);
+    outcome whole;
+    peer.on_bytes = [&]
+    {
+        peer.send("HTTP/1.1 200 OK\r\n\r\nall");
+        peer.socket->disconnectFromHost();
+    };
+    pool.send(peer.address(), request, {}, whole.hooks());
+    REQUIRE(wait_for([&] { return whole.over(); }));
+    CHECK(whole.ended);
+    CHECK(whole.body == "all");
+}
+
+TEST_CASE("a connection that does not come up leaves the request unsent")
+{
+    QTcpServer closed;
+    closed.listen(QHostAddress::LocalHost, 0);
+    const peer_address address{"127.0.0.1", closed.serverPort()};
+    closed.close();
+    connection_pool pool;
+    outcome it;
+    pool.send(address, request, {}, it.hooks());
+    CHECK_FALSE(it.over());
+    REQUIRE(wait_for([&] { return it.over(); }));
+    CHECK(it.failure == exchange_failure::not_connected);
+    CHECK_FALSE(it.sent);
+    outcome bad;
+    pool.send({"not an address", 1}, request, {}, bad.hooks());
+    REQUIRE(wait_for([&] { return bad.over(); }));
+    CHECK(bad.failure == exchange_failure::not_connected);
+}
+
+TEST_CASE("a connection is used again, but not with surplus bytes behind an answer")
+{
+    raw_peer peer;
+    connection_pool pool;
+    peer.on_bytes = [&] { peer.send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"); };
+    for (int n = 0; n < 2; ++n)
+    {
+        outcome it;
+        pool.send(peer.address(), request, {}, it.hooks());
+        REQUIRE(wait_for([&] { return it.over(); }));
+        CHECK(it.body == "a");
+    }
+    CHECK(peer.connections == 1);
+    peer.on_bytes = [&] {
+        peer.send(
+            "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb");
+    };
+    outcome surplus;
+    pool.send(peer.address(), request, {}, surplus.hooks());
+    REQUIRE(wait_for([&] { return surplus.over(); }));
+    CHECK(surplus.body == "a");
+    peer.on_bytes = [&] { peer.send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nc"); };
+    outcome next;
+    pool.send(peer.address(), request, {}, next.hooks());
+    REQUIRE(wait_for([&] { return next.over(); }));
+    CHECK(next.body == "c");
+    CHECK(peer.connections == 2);
+}
+
+TEST_CASE("a late answer of an earlier request is passed over")
+{
+    raw_peer peer;
+    connection_pool pool;
+    peer.on_bytes = [&]
+    {
+        peer.send("HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nId: new\r\n"
+                  "Content-Length: 3\r\n\r\nnew");
+    };
+    outcome it;
+    auto hooks = it.hooks();
+    hooks.is_due = [](const http_response_head& head) { return *head.fields.find("Id") == "new"; };
+    pool.send(peer.address(), request, {}, hooks);
+    REQUIRE(wait_for([&] { return it.over(); }));
+    CHECK(it.ended);
+    CHECK(it.body == "new");
+}
+
+TEST_CASE("bytes that are no answer are a failure")
+{
+    raw_peer peer;
+    connection_pool pool;
+    peer.on_bytes = [&] { peer.send("what?\r\n\r\n"); };
+    outcome it;
+    pool.send(peer.address(), request, {}, it.hooks());
+    REQUIRE(wait_for([&] { return it.over(); }));
+    CHECK(it.failure == exchange_failure::malformed);
+}
+
+TEST_CASE("an abandoned exchange closes its connection and says nothing, also from within a hook")
+{
+    raw_peer peer;
+    connection_pool pool;
+    peer.on_bytes = [&] { peer.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nab"); };
+    outcome it;
+    auto hooks = it.hooks();
+    exchange handle;
+    hooks.body = [&](std::string_view) { handle.lock()->abandon(); };
+    handle = pool.send(peer.address(), request, {}, hooks);
+    REQUIRE(wait_for(
+        [&] { return peer.socket != nullptr && peer.socket->state() == QTcpSocket::UnconnectedState; }));
+    CHECK_FALSE(it.over());
+    CHECK(pool.busy_count() == 0);
+}
+
+TEST_CASE("a caller that leaves is told of, one that pipelines is answered in order")
+{
+    std::vector<std::string> targets;
+    std::shared_ptr<caller_connection> last;
+    http_listener listener{[&](const auto& from, const http_request_head& head, const std::string&)
+                           {
+                               targets.push_back(head.target);
+                               last = from;
+                           },
+                           [](const auto& from, codec_error) { from->reset(); }};
+    const auto port = listener.listen("127.0.0.1", 0).value();
+    QTcpSocket caller;
+    caller.connectToHost(QHostAddress::LocalHost, port);
+    REQUIRE(wait_for([&] { return caller.state() == QTcpSocket::ConnectedState; }));
+    caller.write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(wait_for([&] { return !targets.empty(); }));
+    CHECK(targets.size() == 1);
+    last->write(write_response(200, {}, "one"));
+    last->finish(false);
+    REQUIRE(wait_for([&] { return targets.size() == 2; }));
+    bool left = false;
+    last->on_left = [&] { left = true; };
+    caller.abort();
+    REQUIRE(wait_for([&] { return left; }));
+    CHECK(wait_for([&] { return listener.connection_count() == 0; }));
+}
--- /dev/null
+++ b/src/runlink/observe/observe_test.cpp
@@ -0,0 +1,94 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+#include <array>
+
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include "runlink/observe/decision_log.hpp"
+
+using namespace runlink;
+using namespace runlink::observe;
+
+namespace
+{
+
+constexpr core::time_point start{core::seconds{50}};
+
+struct pipe_ends
+{
+    std::array<int, 2> fds{};
+    pipe_ends() { REQUIRE(pipe(fds.data()) == 0); }
+    ~pipe_ends()
+    {
+        close(fds[0]);
+        close(fds[1]);
+    }
+    std::vector<nlohmann::json> lines() const
+    {
+        std::string text;
+        std::array<char, 65536> buf{};
+        for (ssize_t n = 0; (n = read(fds[0], buf.data(), buf.size())) > 0;)
+        {
+            text.append(buf.data(), static_cast<std::size_t>(n));
+            if (n < static_cast<ssize_t>(buf.size()))
+                break;
+        }
+        std::vector<nlohmann::json> out;
+        std::istringstream in{text};
+        for (std::string line; std::getline(in, line);)
+            out.push_back(nlohmann::json::parse(line));
+        return out;
+    }
+};
+
+std::int64_t no_wall_clock()
+{
+    return 0;
+}
+
+} // namespace
+
+TEST_CASE("each line is one JSON object, whatever its texts hold")
+{
+    pipe_ends ends;
+    decision_log it{ends.fds[1], {}, "a-1", no_wall_clock};
+    it.write(start, log_line{"refused"}.text("reason", "a \"quoted\"\nline\x01").number("status", 503));
+    it.flush();
+    const auto lines = ends.lines();
+    REQUIRE(lines.size() == 1);
+    CHECK(lines[0].at("event") == "refused");
+    CHECK(lines[0].at("reason") == "a \"quoted\"\nline\x01");
+    CHECK(lines[0].at("status") == 503);
+    CHECK(lines[0].at("instance") == "a-1");
+}
+
+TEST_CASE("routine lines are left out first, and a line tells how many")
+{
+    pipe_ends ends;
+    decision_log it{ends.fds[1], {10, 65536, 1U << 20U}, "a", no_wall_clock};
+    for (int n = 0; n < 20; ++n)
+        it.write(start, log_line{"dispatched"});
+    for (int n = 0; n < 5; ++n)
+        it.write(start, log_line{"failed"}, log_rank::notable);
+    CHECK(it.left_out() == 10);
+    it.write(start + core::seconds{1}, log_line{"dispatched"});
+    it.flush();
+    const auto lines = ends.lines();
+    REQUIRE(lines.size() == 17);
+    CHECK(lines[14].at("event") == "failed");
+    CHECK(lines[15].at("event") == "lines_left_out");
+    CHECK(lines[15].at("dispatched") == 10);
+}
+
+TEST_CASE("a reader that does not read costs lines, not time or memory")
+{
+    pipe_ends ends;
+    decision_log it{ends.fds[1], {1U << 20U, 32768, 1024}, "a", no_wall_clock};
+    const auto line = log_line{"dispatched"}.text("pad", std::string(200, 'x'));
+    for (int n = 0; n < 5000; ++n)
+        it.write(start, line);
+    CHECK(it.left_out() > 3000);
+    CHECK(it.written() + it.left_out() == 5000);
+}
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -115,6 +115,7 @@
     hooks_.log(line);
     it->head_forwarded = true;
     hooks_.forward_head(it->id, id);
+    arm(*it, next_check(*it)); // a pause between events is noticed sooner than a late first one
 }
 
 void request_forwarder::escalate(time_point now, flow& it, attempt_id from, int confidence)
@@ -188,8 +189,12 @@
 
 bool request_forwarder::may_send_again(time_point now, const flow& it) const
 {
-    const bool may_repeat = it.via->is_idempotent() || it.runs == 0;
-    return may_repeat && it.sends < options_.max_sends && it.runs < std::max(it.via->max_attempts, 1U) &&
+    // Attempts that are still connecting may run as well.
+    auto runs = it.runs;
+    for (const auto id : it.attempts)
+        runs += attempts_.at(id).may_have_run ? 0 : 1;
+    const bool may_repeat = it.via->is_idempotent() || runs == 0;
+    return may_repeat && it.sends < options_.max_sends && runs < std::max(it.via->max_attempts, 1U) &&
            it.deadline - now > options_.least_time;
 }
 
--- /dev/null
+++ b/src/runlink/routing/routing_test.cpp
@@ -0,0 +1,316 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+#include "runlink/routing/cascade_policy.hpp"
+#include "runlink/routing/endpoint_chooser.hpp"
+#include "runlink/routing/retry_allowance.hpp"
+#include "runlink/routing/rollout_control.hpp"
+#include "runlink/routing/routing_table.hpp"
+#include "runlink/routing/session_pins.hpp"
+
+using namespace runlink;
+using namespace runlink::routing;
+
+namespace
+{
+
+constexpr time_point start{core::seconds{1000}};
+
+routing_table make_table()
+{
+    std::vector<route> routes(3);
+    routes[0].host = "a.example";
+    routes[0].path_prefix = "/x/";
+    routes[1].host = "A.Example";
+    routes[1].path_prefix = "/x/y/";
+    routes[2].host = "b.example";
+    routes[2].path_prefix = "/";
+    for (auto& it : routes)
+        it.name = it.path_prefix;
+    return {7, routes, {}, {{core::account_id{"acme"}, {"k1", "k2"}, 1}}, {}};
+}
+
+endpoint_entry make_endpoint(const std::string& id, const std::string& version = "v1",
+                             const std::string& domain = "n")
+{
+    endpoint_entry out;
+    out.id = core::endpoint_id{id};
+    out.service = core::service_id{"s"};
+    out.version = core::version_id{version};
+    out.failure_domain = core::failure_domain_id{domain};
+    return out;
+}
+
+version_sample make_sample(const std::string& version, const std::string& endpoint, bool is_bad)
+{
+    version_sample out;
+    out.service = core::service_id{"s"};
+    out.version = core::version_id{version};
+    out.endpoint = core::endpoint_id{endpoint};
+    out.route = "r";
+    out.is_bad = is_bad;
+    return out;
+}
+
+rollout_control make_rollout(std::string* verdict)
+{
+    rollout_control out{{}, 0};
+    out.on_verdict = [verdict](const auto&, const std::string& why) { *verdict = why; };
+    return out;
+}
+
+const rollout_order order{core::service_id{"s"}, core::version_id{"v2"}, milliseconds{24000}, 5};
+
+} // namespace
+
+TEST_CASE("the longest prefix of a host wins; case and port of the host do not count")
+{
+    const auto table = make_table();
+    REQUIRE(table.find_route("a.example", "/x/y/z") != nullptr);
+    CHECK(table.find_route("a.example", "/x/y/z")->name == "/x/y/");
+    CHECK(table.find_route("A.EXAMPLE:8080", "/x/z")->name == "/x/");
+    CHECK(table.find_route("b.example", "/anything")->name == "/");
+    CHECK(table.find_route("a.example", "/xy") == nullptr);
+    CHECK(table.find_route("c.example", "/x/") == nullptr);
+    CHECK(table.find_account("k2")->id.str() == "acme");
+    CHECK(table.find_account("k3") == nullptr);
+}
+
+TEST_CASE("a leaving mark is never taken back")
+{
+    endpoint_directory it;
+    auto entry = make_endpoint("e1");
+    CHECK(it.put(entry) == endpoint_directory::change::added);
+    entry.leaving = true;
+    CHECK(it.put(entry) == endpoint_directory::change::leaving);
+    entry.leaving = false;
+    it.put(entry);
+    CHECK_FALSE(it.may_get_work(start, entry.id));
+}
+
+TEST_CASE("a whole list removes what it lacks")
+{
+    endpoint_directory it;
+    it.put(make_endpoint("e1"));
+    it.replace(start, {make_endpoint("e2")});
+    CHECK(it.find(core::endpoint_id{"e1"}) == nullptr);
+    CHECK(it.usable(start, core::service_id{"s"}).size() == 1);
+}
+
+TEST_CASE("an entry that vanishes in the shadow of an outage is used for its grace only")
+{
+    endpoint_directory it;
+    it.put(make_endpoint("e1"));
+    it.store_returned(start);
+    it.remove(start + core::seconds{1}, core::endpoint_id{"e1"});
+    CHECK(it.may_get_work(start + core::seconds{2}, core::endpoint_id{"e1"}));
+    CHECK_FALSE(it.may_get_work(start + core::seconds{3}, core::endpoint_id{"e1"}));
+    it.put(make_endpoint("e1"));
+    CHECK(it.may_get_work(start + core::seconds{3}, core::endpoint_id{"e1"}));
+}
+
+TEST_CASE("repeats stay below the share of first dispatches in any window")
+{
+    retry_allowance it{{core::seconds{10}, 0.5, 2}};
+    auto now = start;
+    std::vector<time_point> firsts;
+    std::vector<time_point> repeats;
+    for (int n = 0; n < 600; ++n, now += milliseconds{50})
+    {
+        if (n % 3 == 0)
+        {
+            it.on_first(now);
+            firsts.push_back(now);
+        }
+        if (it.try_take(now))
+            repeats.push_back(now);
+        const auto in_window = [&](const auto& all)
+        { return std::count_if(all.begin(), all.end(), [&](auto e) { return now - e < core::seconds{9}; }); };
+        REQUIRE(static_cast<double>(in_window(repeats)) <=
+                2 + 0.5 * (static_cast<double>(in_window(firsts)) + 20));
+    }
+    CHECK(repeats.size() > 90);
+}
+
+TEST_CASE("a session's pin lasts for its time after the last run")
+{
+    session_pins it{milliseconds{5000}};
+    it.ran(start, session_hash{1}, core::version_id{"v1"});
+    CHECK(it.find(start + milliseconds{5000}, session_hash{1})->str() == "v1");
+    CHECK_FALSE(it.find(start + milliseconds{5001}, session_hash{1}));
+    it.expire(start + milliseconds{5001});
+    CHECK(it.size() == 0);
+}
+
+TEST_CASE("the same prompt goes to the same endpoint until that one has too much to read")
+{
+    endpoint_directory directory;
+    for (const auto* id : {"e1", "e2", "e3", "e4"})
+        directory.put(make_endpoint(id));
+    endpoint_chooser it{{}, core::failure_domain_id{"n"}};
+    endpoint_need need;
+    need.service = core::service_id{"s"};
+    need.affinity = 42;
+    need.prompt_tokens = 5000;
+    const auto* first = it.choose(start, directory, need);
+    REQUIRE(first != nullptr);
+    CHECK(it.choose(start, directory, need) == first);
+    it.started(first->id, 10000);
+    const auto* second = it.choose(start, directory, need);
+    CHECK(second != first);
+    it.prompt_read(first->id, 10000);
+    CHECK(it.choose(start, directory, need) == first);
+}
+
+TEST_CASE("an endpoint that cannot be reached is put aside, and used again if there is no other")
+{
+    endpoint_directory directory;
+    directory.put(make_endpoint("e1"));
+    directory.put(make_endpoint("e2"));
+    endpoint_chooser it{{}, core::failure_domain_id{"n"}};
+    endpoint_need need;
+    need.service = core::service_id{"s"};
+    it.not_reached(start, core::endpoint_id{"e1"});
+    for (int n = 0; n < 4; ++n)
+        CHECK(it.choose(start, directory, need)->id.str() == "e2");
+    it.not_reached(start, core::endpoint_id{"e2"});
+    CHECK(it.choose(start, directory, need) != nullptr);
+}
+
+TEST_CASE("the own failure domain is nearer, until it has more to do")
+{
+    endpoint_directory directory;
+    directory.put(make_endpoint("near", "v1", "n"));
+    directory.put(make_endpoint("far", "v1", "f"));
+    endpoint_chooser it{{}, core::failure_domain_id{"n"}};
+    endpoint_need need;
+    need.service = core::service_id{"s"};
+    for (int n = 0; n < 4; ++n)
+        CHECK(it.choose(start, directory, need)->id.str() == "near");
+    it.started(core::endpoint_id{"near"}, 0);
+    it.started(core::endpoint_id{"near"}, 0);
+    CHECK(it.choose(start, directory, need)->id.str() == "far");
+}
+
+TEST_CASE("an excluded version gets nothing, a preferred one all there is")
+{
+    endpoint_directory directory;
+    directory.put(make_endpoint("o", "v1"));
+    directory.put(make_endpoint("n", "v2"));
+    endpoint_chooser it{{}, core::failure_domain_id{"n"}};
+    endpoint_need need;
+    need.service = core::service_id{"s"};
+    need.versions.excluded = core::version_id{"v2"};
+    CHECK(it.choose(start, directory, need)->id.str() == "o");
+    need.versions = {};
+    need.versions.only = core::version_id{"v2"};
+    CHECK(it.choose(start, directory, need)->id.str() == "n");
+    need.versions.only = core::version_id{"v3"};
+    CHECK(it.choose(start, directory, need) != nullptr);
+    need.versions.is_strict = true;
+    CHECK(it.choose(start, directory, need) == nullptr);
+}
+
+TEST_CASE("a smaller model's answer is kept when it is sure, late, or cannot be repeated")
+{
+    const cascade_policy it;
+    cascade_input in;
+    in.sizes = 3;
+    in.confidence = 95;
+    in.target_latency = milliseconds{1000};
+    CHECK(it.accepts(in));
+    in.confidence = 10;
+    CHECK_FALSE(it.accepts(in));
+    in.may_retry = false;
+    CHECK(it.accepts(in));
+    in.may_retry = true;
+    in.elapsed = milliseconds{900};
+    CHECK(it.accepts(in));
+    in.elapsed = {};
+    in.size = 2;
+    CHECK(it.accepts(in));
+}
+
+TEST_CASE("failures at one endpoint do not make a version bad, failures at two do")
+{
+    std::string verdict;
+    auto it = make_rollout(&verdict);
+    it.on_order(start, order);
+    for (int n = 0; n < 5; ++n)
+        it.on_sample(start, make_sample("v2", "e1", true));
+    CHECK(verdict.empty());
+    it.on_sample(start, make_sample("v2", "e2", true));
+    CHECK_FALSE(verdict.empty());
+    CHECK(it.choose(order.service, session_hash{0}, std::nullopt).excluded == order.target);
+}
+
+TEST_CASE("evidence of peers is pooled, each peer's newest word only")
+{
+    std::string verdict;
+    auto it = make_rollout(&verdict);
+    it.on_order(start, order);
+    const std::vector<version_evidence> e{{order.service, order.target, "", 4, 2, {1, 2}}};
+    it.on_peer_evidence(core::instance_id{"b"}, e);
+    it.on_peer_evidence(core::instance_id{"b"}, e);
+    CHECK(verdict.empty());
+    it.on_peer_evidence(core::instance_id{"c"}, e);
+    CHECK_FALSE(verdict.empty());
+}
+
+TEST_CASE("a version that is several times slower than the old one is bad")
+{
+    std::string verdict;
+    auto it = make_rollout(&verdict);
+    it.on_order(start, order);
+    for (int n = 0; n < 6; ++n)
+    {
+        auto old = make_sample("v1", "e1", false);
+        old.pace = milliseconds{20};
+        it.on_sample(start, old);
+        auto fresh = make_sample("v2", "e2", false);
+        fresh.pace = milliseconds{160};
+        it.on_sample(start, fresh);
+    }
+    CHECK_FALSE(verdict.empty());
+}
+
+TEST_CASE("one instance writes a step; the others, whose turn is later, follow its record")
+{
+    rollout_control first{{}, 0};
+    rollout_control second{{}, 300};
+    first.on_order(start, order);
+    second.on_order(start, order);
+    const auto now = start + rollout_options{}.settle_time;
+    const auto writes = first.due(now);
+    REQUIRE(writes.size() == 1);
+    CHECK(second.due(now).empty());
+    auto record = writes[0];
+    record.revision = 6;
+    second.on_record(now + milliseconds{10}, record);
+    CHECK(second.due(now + milliseconds{400}).empty());
+    CHECK(second.choose(order.service, session_hash{0}, std::nullopt).only == order.target);
+}
+
+TEST_CASE("a process that starts in the middle takes the record that is younger than the order")
+{
+    rollout_control it{{}, 0};
+    it.on_record(start, {order.service, order.target, rollout_state::running, 100, 9});
+    it.on_order(start, order);
+    CHECK(it.choose(order.service, session_hash{99}, std::nullopt).only == order.target);
+    rollout_control older{{}, 0};
+    older.on_record(start, {order.service, order.target, rollout_state::rolled_back, 0, 3});
+    older.on_order(start, order);
+    CHECK(older.due(start + rollout_options{}.settle_time).size() == 1);
+}
+
+TEST_CASE("after a roll-out succeeded, the next one keeps its version as the old one")
+{
+    rollout_control it{{}, 0};
+    it.on_order(start, order);
+    it.on_record(start, {order.service, order.target, rollout_state::succeeded, 100, 6});
+    const rollout_order next{order.service, core::version_id{"v3"}, milliseconds{24000}, 7};
+    it.on_order(start, next);
+    const auto choice = it.choose(order.service, session_hash{0}, std::nullopt);
+    CHECK(choice.only == order.target);
+    CHECK(choice.excluded == next.target);
+}
--- /dev/null
+++ b/standins/kv_standin.cpp
@@ -0,0 +1,165 @@
+#include "kv_standin.hpp"
+
+#include <utility>
+
+#include <QByteArray>
+#include <QUrlQuery>
+
+namespace runlink::standins
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr int status_gone = 410;
+constexpr int status_condition_failed = 412;
+constexpr int status_unavailable = 503;
+
+std::string base64(const std::string& it)
+{
+    return QByteArray::fromStdString(it).toBase64().toStdString();
+}
+
+} // namespace
+
+kv_standin::kv_standin()
+    : listener_{[this](const connection_ptr& from, const net::http_request_head& head,
+                       const std::string& body) { on_request(from, head, body); },
+                [](const connection_ptr& from, net::codec_error) { from->reset(); }}
+{
+}
+
+std::uint16_t kv_standin::listen()
+{
+    return listener_.listen("127.0.0.1", 0).value();
+}
+
+void kv_standin::put(const std::string& key, const json& value)
+{
+    items_[key] = {value.dump(), ++revision_};
+    changed(key);
+}
+
+void kv_standin::remove(const std::string& key)
+{
+    items_.erase(key);
+    ++revision_;
+    changed(key);
+}
+
+json kv_standin::value(const std::string& key) const
+{
+    const auto found = items_.find(key);
+    return found == items_.end() ? json{} : json::parse(found->second.value);
+}
+
+std::size_t kv_standin::calls(const std::string& path) const
+{
+    const auto found = calls_.find(path);
+    return found == calls_.end() ? 0 : found->second;
+}
+
+void kv_standin::changed(const std::string& key)
+{
+    history_.emplace_back(revision_, key);
+    const auto waiting = std::exchange(watches_, {});
+    for (const auto& it : waiting)
+        on_watch(it.connection, it.after);
+}
+
+json kv_standin::item_json(const std::string& key) const
+{
+    const auto found = items_.find(key);
+    if (found == items_.end())
+        return {{"key", key}, {"revision", 0}};
+    return {{"key", key},
+            {"value", base64(found->second.value)},
+            {"revision", found->second.revision},
+            {"created", found->second.revision},
+            {"lease", 0}};
+}
+
+json kv_standin::changes_since(std::uint64_t after) const
+{
+    json out = json::array();
+    for (const auto& [revision, key] : history_)
+    {
+        if (revision <= after)
+            continue;
+        if (items_.contains(key))
+            out.push_back(item_json(key));
+        else
+            out.push_back({{"key", key}, {"revision", revision}, {"deleted", true}});
+    }
+    return out;
+}
+
+void kv_standin::answer(const connection_ptr& to, int status, const json& body)
+{
+    to->write(net::write_response(status, {}, body.dump()));
+    to->finish(false);
+}
+
+void kv_standin::on_watch(const connection_ptr& from, std::uint64_t after)
+{
+    if (after < oldest_)
+        return answer(from, status_gone, json::object());
+    const auto events = changes_since(after);
+    if (events.empty())
+        return watches_.push_back({from, after});
+    answer(from, status_ok, {{"events", events}, {"currentRev", revision_}});
+}
+
+void kv_standin::on_transaction(const connection_ptr& from, const json& in)
+{
+    json failed = json::array();
+    for (const auto& it : in.at("expectedRevision"))
+    {
+        const auto now = item_json(it.at("key"));
+        if (now.at("revision") != it.at("revision"))
+            failed.push_back(now);
+    }
+    if (!failed.empty())
+        return answer(from, status_condition_failed, {{"items", failed}});
+    for (const auto& it : in.at("writes"))
+    {
+        const auto bytes = QByteArray::fromBase64(QByteArray::fromStdString(it.at("value")));
+        items_[it.at("key")] = {bytes.toStdString(), ++revision_};
+        changed(it.at("key"));
+    }
+    if (answers != mode::lose_answers)
+        return answer(from, status_ok, {{"revision", revision_}});
+    from->reset();
+}
+
+void kv_standin::on_request(const connection_ptr& from, const net::http_request_head& head,
+                            const std::string& body)
+{
+    const auto target = QString::fromStdString(head.target);
+    const auto path = target.section('?', 0, 0).toStdString();
+    const QUrlQuery query{target.section('?', 1)};
+    ++calls_[path];
+    if (answers == mode::silent)
+        return;
+    if (answers == mode::refuse)
+        return answer(from, status_unavailable, json::object());
+    if (path == "/-/kv-range")
+    {
+        json items = json::array();
+        for (const auto& [key, it] : items_)
+            items.push_back(item_json(key));
+        return answer(from, status_ok, {{"items", items}, {"morePages", false}, {"currentRev", revision_}});
+    }
+    if (path == "/-/kv-watch")
+        return on_watch(from, query.queryItemValue("after").toULongLong());
+    if (path == "/-/kv-txn")
+        return on_transaction(from, json::parse(body));
+    if (path == "/-/kv-lease" || path.starts_with("/-/kv-keep/"))
+        return answer(from, status_ok, {{"lease", 1}, {"ttlMs", 20000}});
+    answer(from, status_not_found, json::object());
+}
+
+} // namespace runlink::standins
--- a/tests/golden_files.hpp
+++ b/tests/golden_files.hpp
@@ -21,10 +21,11 @@
 }
 
 /// The scripts, in order of their names.
-inline std::vector<std::filesystem::path> session_scripts()
+inline std::vector<std::filesystem::path>
+session_scripts(const std::filesystem::path& directory = RUNLINK_GOLDEN_DIR)
 {
     std::vector<std::filesystem::path> out;
-    for (const auto& it : std::filesystem::directory_iterator{RUNLINK_GOLDEN_DIR})
+    for (const auto& it : std::filesystem::directory_iterator{directory})
         if (it.path().extension() == ".session")
             out.push_back(it.path());
     std::sort(out.begin(), out.end());
--- /dev/null
+++ b/tests/support/forwarding_script.cpp
@@ -0,0 +1,304 @@
+#include "support/forwarding_script.hpp"
+
+#include <functional>
+#include <map>
+#include <sstream>
+#include <stdexcept>
+#include <vector>
+
+#include "runlink/routing/request_forwarder.hpp"
+
+namespace runlink::tests
+{
+namespace
+{
+
+using namespace routing;
+using words = std::vector<std::string>;
+
+/// The value of a word `name=value`, or the fallback.
+std::string option(const words& from, const std::string& name, const std::string& fallback = {})
+{
+    for (const auto& it : from)
+        if (it.starts_with(name + "="))
+            return it.substr(name.size() + 1);
+    return fallback;
+}
+
+bool has(const words& from, const std::string& word)
+{
+    return std::find(from.begin(), from.end(), word) != from.end();
+}
+
+route make_route(const std::string& prefix, route_kind kind, const std::string& service)
+{
+    route out;
+    out.name = prefix.substr(1, prefix.size() - 2);
+    out.host = "api.example";
+    out.path_prefix = prefix;
+    out.kind = kind;
+    out.services = {{core::service_id{service}, 1}};
+    out.timeout = milliseconds{2000};
+    out.target_latency = milliseconds{200};
+    return out;
+}
+
+class world
+{
+public:
+    world() : forwarder_{options(), core::failure_domain_id{"north"}, 0, hooks()} {}
+
+    void run(const std::string& line)
+    {
+        std::istringstream in{line};
+        words all;
+        for (std::string it; in >> it;)
+            all.push_back(it);
+        const auto found = commands_.find(all.at(0));
+        if (found == commands_.end())
+            throw std::runtime_error{"no such command: " + line};
+        try
+        {
+            found->second(all);
+        }
+        catch (const std::logic_error&)
+        {
+            throw std::runtime_error{"bad arguments: " + line};
+        }
+    }
+
+    std::ostringstream out;
+
+private:
+    static forwarder_options options()
+    {
+        forwarder_options out;
+        out.rollouts.settle_time = milliseconds{500};
+        out.rollouts.write_spread = milliseconds{1};
+        out.rollouts.step_time = milliseconds{500};
+        out.rollouts.reserve = milliseconds{500};
+        out.rollouts.first_share_percent = 50;
+        out.rollouts.steps_percent = {100};
+        return out;
+    }
+
+    std::ostream& trace()
+    {
+        return out << std::chrono::floor<milliseconds>(now_.time_since_epoch()).count() << "ms ";
+    }
+
+    std::string name(flow_id id) const { return names_.at(id); }
+
+    forwarder_hooks hooks()
+    {
+        forwarder_hooks to;
+        to.start = [this](const attempt_order& it)
+        {
+            auto& os = trace();
+            os << "start a" << it.id << " " << name(it.flow) << " -> " << it.endpoint.id;
+            if (!it.model.empty())
+                os << " model=" << it.model;
+            if (!it.account.empty())
+                os << " account=" << it.account;
+            if (it.last_event)
+                os << " after=" << *it.last_event;
+            if (it.fresh_connection)
+                os << " fresh";
+            os << " left=" << it.time_left.count() << "\n";
+        };
+        to.cancel = [this](core::attempt_id it) { trace() << "cancel a" << it << "\n"; };
+        to.forward_answer = [this](flow_id it, core::attempt_id from)
+        { trace() << "answer " << name(it) << " from a" << from << "\n"; };
+        to.forward_head = [this](flow_id it, core::attempt_id from)
+        { trace() << "head " << name(it) << " from a" << from << "\n"; };
+        to.forward_bytes = [this](flow_id it, std::string_view bytes)
+        { trace() << "bytes " << name(it) << " " << bytes << "\n"; };
+        to.forward_end = [this](flow_id it) { trace() << "end " << name(it) << "\n"; };
+        to.break_off = [this](flow_id it) { trace() << "break off " << name(it) << "\n"; };
+        to.refuse = [this](flow_id it, const refusal& why)
+        {
+            trace() << "refuse " << name(it) << " " << why.status << " " << to_string(why.why.code)
+                    << (why.not_run ? " not_run" : " unknown") << "\n";
+        };
+        to.session_ran = [this](const session_run& it)
+        { trace() << "tell peers: ran on " << it.version << "\n"; };
+        to.log = [](const decision&) {};
+        to.ended = [](const decision&, core::duration) {};
+        return to;
+    }
+
+    /// `table VERSION [without=ROUTE] [revoked=KEY]`
+    void set_table(const words& all)
+    {
+        std::vector<route> routes{make_route("/look/", route_kind::safe, "app"),
+                                  make_route("/pay/", route_kind::unsafe, "app"),
+                                  make_route("/llm/", route_kind::streaming, "pool"),
+                                  make_route("/open/", route_kind::safe, "app")};
+        routes[0].max_attempts = 2;
+        routes[2].max_attempts = 3;
+        routes[2].resumable = true;
+        routes[2].target_latency = milliseconds{1000};
+        routes[2].target_gap = milliseconds{500};
+        routes[2].timeout = milliseconds{8000};
+        routes[2].model_sizes = {core::model_id{"small"}, core::model_id{"large"}};
+        routes[3].is_public = true;
+        std::erase_if(routes, [&](const auto& it) { return it.name == option(all, "without"); });
+        std::vector<account> accounts{{core::account_id{"acme"}, {"k1"}, std::nullopt},
+                                      {core::account_id{"bank"}, {"k2"}, 0}};
+        for (auto& it : accounts)
+            std::erase(it.keys, option(all, "revoked"));
+        forwarder_.apply(std::make_shared<const routing_table>(
+            std::stoull(all.at(1)), routes, std::vector<service>{{core::service_id{"pool"}, 0, true, {}}},
+            accounts, caller_limits{}));
+    }
+
+    /// `endpoint ID SERVICE [version=V] [leaving]`
+    void put_endpoint(const words& all)
+    {
+        endpoint_entry it;
+        it.id = core::endpoint_id{all.at(1)};
+        it.service = core::service_id{all.at(2)};
+        it.version = core::version_id{option(all, "version", "v1")};
+        it.failure_domain = core::failure_domain_id{"north"};
+        it.leaving = has(all, "leaving");
+        forwarder_.endpoints().put(it);
+    }
+
+    /// `request NAME PATH [key=] [deadline=] [session=] [last=] [tokens=]`
+    void request(const words& all)
+    {
+        inbound_request it;
+        it.id = core::request_id{all.at(1)};
+        it.host = "api.example";
+        it.path = all.at(2);
+        it.key = option(all, "key");
+        it.time_left = milliseconds{std::stol(option(all, "deadline", "5000"))};
+        it.session = core::session_id{option(all, "session")};
+        it.prompt_tokens = static_cast<std::uint32_t>(std::stoul(option(all, "tokens", "100")));
+        if (const auto last = option(all, "last"); !last.empty())
+            it.last_event = std::stoull(last);
+        const flow_id id{next_flow_++};
+        names_[id] = all.at(1);
+        flows_[all.at(1)] = id;
+        forwarder_.on_request(now_, id, it);
+    }
+
+    static core::attempt_id attempt(const words& all)
+    {
+        return core::attempt_id{std::stoull(all.at(1).substr(1))};
+    }
+
+    static attempt_head head_of(const words& all)
+    {
+        attempt_head out;
+        out.status = 200;
+        out.is_sealed = !has(all, "unsealed");
+        out.not_run = has(all, "not_run");
+        if (const auto n = option(all, "confidence"); !n.empty())
+            out.confidence = std::stoi(n);
+        return out;
+    }
+
+    void answer(const words& all)
+    {
+        auto head = head_of(all);
+        head.status = std::stoi(all.at(2));
+        forwarder_.on_answer(now_, attempt(all), head);
+    }
+
+    void event(const words& all)
+    {
+        const auto id = std::stoull(all.at(2));
+        forwarder_.on_stream_event(now_, attempt(all), "#" + all.at(2), id);
+    }
+
+    void advance(const words& all)
+    {
+        const auto end = now_ + milliseconds{std::stol(all.at(1))};
+        while (now_ < end)
+        {
+            now_ += milliseconds{1};
+            forwarder_.tick(now_);
+        }
+    }
+
+    rollout_record record_of(const words& all) const
+    {
+        rollout_record it;
+        it.service = core::service_id{"pool"};
+        it.target = core::version_id{"v2"};
+        it.share_percent = static_cast<std::uint32_t>(std::stoul(all.at(1)));
+        it.revision = std::stoull(option(all, "revision"));
+        if (has(all, "succeeded"))
+            it.state = rollout_state::succeeded;
+        if (has(all, "rolled_back"))
+            it.state = rollout_state::rolled_back;
+        return it;
+    }
+
+    time_point now_{core::seconds{100}};
+    request_forwarder forwarder_;
+    std::map<flow_id, std::string> names_;
+    std::map<std::string, flow_id> flows_;
+    std::uint64_t next_flow_ = 1;
+    std::map<std::string, std::function<void(const words&)>> commands_{
+        {"table", [this](const words& all) { set_table(all); }},
+        {"proven", [this](const words&) { forwarder_.proven_current(now_); }},
+        {"endpoint", [this](const words& all) { put_endpoint(all); }},
+        {"gone",
+         [this](const words& all) { forwarder_.endpoints().remove(now_, core::endpoint_id{all.at(1)}); }},
+        {"store_returned", [this](const words&) { forwarder_.endpoints().store_returned(now_); }},
+        {"request", [this](const words& all) { request(all); }},
+        {"leave", [this](const words& all) { forwarder_.on_caller_left(now_, flows_.at(all.at(1))); }},
+        {"sent", [this](const words& all) { forwarder_.on_sent(now_, attempt(all)); }},
+        {"answer", [this](const words& all) { answer(all); }},
+        {"head", [this](const words& all) { forwarder_.on_stream_head(now_, attempt(all), head_of(all)); }},
+        {"event", [this](const words& all) { event(all); }},
+        {"end", [this](const words& all) { forwarder_.on_stream_end(now_, attempt(all)); }},
+        {"lose",
+         [this](const words& all)
+         {
+             forwarder_.on_lost(now_, attempt(all),
+                                has(all, "not_sent") ? attempt_loss::not_sent : attempt_loss::broken);
+         }},
+        {"advance", [this](const words& all) { advance(all); }},
+        {"stop",
+         [this](const words& all)
+         {
+             forwarder_.begin_stop(now_ + milliseconds{std::stol(all.at(1))},
+                                   now_ + milliseconds{std::stol(all.at(2))});
+         }},
+        {"order",
+         [this](const words& all)
+         {
+             forwarder_.rollouts().on_order(now_,
+                                            {core::service_id{"pool"}, core::version_id{"v2"},
+                                             milliseconds{std::stol(all.at(1))}, std::stoull(all.at(2))});
+         }},
+        {"record", [this](const words& all) { forwarder_.rollouts().on_record(now_, record_of(all)); }},
+        {"due",
+         [this](const words&)
+         {
+             for (const auto& it : forwarder_.rollouts().due(now_))
+                 trace() << "write " << to_string(it.state) << " " << it.share_percent << " %\n";
+         }},
+    };
+};
+
+} // namespace
+
+std::string run_forwarding_script(const std::string& text)
+{
+    world it;
+    std::istringstream in{text};
+    for (std::string line; std::getline(in, line);)
+    {
+        if (line.empty() || line.front() == '#')
+            continue;
+        it.out << "> " << line << "\n";
+        it.run(line);
+    }
+    return it.out.str();
+}
+
+} // namespace runlink::tests
