--- a/include/runlink/routing/cascade_policy.hpp
+++ b/include/runlink/routing/cascade_policy.hpp
@@ -14,7 +14,7 @@
 struct cascade_options
 {
     /// Opinion of its own answer, 0 to 100, at which a smaller model's answer is kept.
-    int accept_confidence = 70;
+    int accept_confidence = 50;
     /// Part of the target latency that may be gone when a larger model is still tried.
     double latest_escalation = 0.5;
     /// Prompt tokens below which the largest model answers at once.
