--- a/include/runlink/routing/rollout_control.hpp
+++ b/include/runlink/routing/rollout_control.hpp
@@ -79,7 +79,7 @@
     /// Before the first share is given: what ran before the order is at rest by then.
     milliseconds settle_time{5300};
     /// A good version is declared this long before the end, so that work on old endpoints may finish.
-    milliseconds reserve{2500};
+    milliseconds reserve{3500};
     /// Instances wait between nothing and this long before they write, so that mostly one does.
     milliseconds write_spread{500};
     milliseconds rewrite_after{1500}; ///< a write that was not seen by then is tried again
--- a/src/runlink/app/programs/runlink.cpp
+++ b/src/runlink/app/programs/runlink.cpp
@@ -12,6 +12,7 @@
 
 #include "runlink/app/operator_client.hpp"
 #include "runlink/app/tables.hpp"
+#include "runlink/observe/log_report.hpp"
 
 namespace
 {
@@ -39,6 +40,9 @@
     std::string model;
     int wait_s = 10;
     std::string revision;
+    std::vector<std::string> log_files;
+    std::string request;
+    bool summary = true;
 };
 
 int report(const failure& why)
@@ -191,6 +195,28 @@
                      e.at("capacity").dump() + "\n");
 }
 
+using runlink::observe::log_records;
+using log_report = std::function<std::string(const options&, const log_records&)>;
+
+int read_logs(const options& opt, const log_report& report_on)
+{
+    log_records logs;
+    for (const auto& path : opt.log_files)
+    {
+        if (path == "-")
+        {
+            runlink::observe::read_log(std::cin, logs);
+            continue;
+        }
+        std::ifstream in{path};
+        if (!in)
+            return report({errc::malformed_request, path + ": cannot be read"});
+        runlink::observe::read_log(in, logs);
+    }
+    std::cout << report_on(opt, logs);
+    return exit_ok;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -233,6 +259,22 @@
     auto* explain_command = add(cli, "explain", "Which version and endpoint a request would get", explain);
     explain_command->add_option("--account", opt.account, "Client account")->required();
     explain_command->add_option("--model", opt.model, "Model, or model/version")->required();
+    std::function<int()> run_on_logs;
+    const auto add_log_command = [&](const char* name, const char* help, auto report_on)
+    {
+        auto* it = cli.add_subcommand(name, help);
+        it->add_option("files", opt.log_files, "Logs; - reads the input")->required();
+        it->callback([&run_on_logs, &opt, report_on]
+                     { run_on_logs = [&opt, report_on] { return read_logs(opt, report_on); }; });
+        return it;
+    };
+    add_log_command("trace", "The story of one request, from the logs of one or more instances",
+                    [](const options& o, const log_records& it) { return trace_request(it, o.request); })
+        ->add_option("--request", opt.request, "Id of the request")
+        ->required();
+    add_log_command("logs", "Counts of what happened, by reason",
+                    [](const options&, const log_records& it) { return summarize(it); })
+        ->add_flag("--summary", opt.summary, "Counts by event and reason; the only report there is");
     try
     {
         cli.parse(argc, argv);
@@ -241,6 +283,8 @@
     {
         return cli.exit(e) == 0 ? exit_ok : exit_usage;
     }
+    if (run_on_logs)
+        return run_on_logs();
     const auto address = runlink::app::parse_host_port(opt.address);
     if (!address)
     {
--- a/src/runlink/observe/observe_test.cpp
+++ b/src/runlink/observe/observe_test.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "runlink/observe/decision_log.hpp"
+#include "runlink/observe/log_report.hpp"
 
 using namespace runlink;
 using namespace runlink::observe;
@@ -92,3 +93,35 @@
     CHECK(it.left_out() > 3000);
     CHECK(it.written() + it.left_out() == 5000);
 }
+
+TEST_CASE("the story of a request is merged from several instances, with what changed meanwhile")
+{
+    std::istringstream in{
+        R"(  1.0 b {"t_ms":2000,"instance":"b","event":"ended","request":"r1","reason":"answered","status":200}
+noise
+{"t_ms":1500,"instance":"a","event":"dispatched","request":"r1","endpoint":"e1","attempt":1}
+{"t_ms":1600,"instance":"a","event":"store_lost","reason":"unavailable"}
+{"t_ms":1600,"instance":"c","event":"store_lost","reason":"unavailable"}
+{"t_ms":1700,"instance":"a","event":"dispatched","request":"r2","endpoint":"e1"}
+)"};
+    log_records logs;
+    read_log(in, logs);
+    CHECK(logs.unreadable == 1);
+    CHECK(trace_request(logs, "r1") == "  0 ms a dispatched attempt=1 endpoint=e1\n"
+                                       "~ 100 ms a store_lost reason=unavailable\n"
+                                       "  500 ms b ended reason=answered status=200\n");
+    CHECK(trace_request(logs, "r9") == "no line names request r9\n");
+}
+
+TEST_CASE("a summary counts events by reason and what was left out")
+{
+    std::istringstream in{R"({"t_ms":1,"instance":"a","event":"refused","request":"r1","reason":"cut_off"}
+{"t_ms":2,"instance":"a","event":"refused","request":"r2","reason":"cut_off"}
+{"t_ms":3,"instance":"a","event":"listed","reason":"5 endpoints"}
+{"t_ms":4,"instance":"a","event":"lines_left_out","dispatched":7}
+)"};
+    log_records logs;
+    read_log(in, logs);
+    CHECK(summarize(logs) == "1\tlines_left_out\n1\tlisted\n2\trefused cut_off\n"
+                             "4\tlines; left out by the instances: 7; not readable: 0\n");
+}
