--- a/include/runlink/gateway/gateway.hpp
+++ b/include/runlink/gateway/gateway.hpp
@@ -27,6 +27,9 @@
 struct gateway_options
 {
     core::milliseconds connect_timeout{150};
+    /// An endpoint that takes no connection within this is not there: far above the way and back, and a lost
+    /// packet is sent again only after a second.
+    core::milliseconds ask_timeout{300};
     core::milliseconds max_rest{1500}; ///< of a kept connection to an endpoint that is used again
 };
 
@@ -85,6 +88,7 @@
     void on_body(const attempt_ptr& it, std::string_view bytes);
     void on_end(const attempt_ptr& it);
     void on_failed(const attempt_ptr& it, net::exchange_failure why);
+    void ask(const routing::endpoint_entry& endpoint);
     void cancel(core::attempt_id id);
 
     void forward_answer(routing::flow_id flow, core::attempt_id id);
--- a/include/runlink/net/http_exchange.hpp
+++ b/include/runlink/net/http_exchange.hpp
@@ -71,6 +71,8 @@
     client_connection(const client_connection&) = delete;
     client_connection& operator=(const client_connection&) = delete;
 
+    /// Only connects.
+    void open(core::milliseconds timeout, std::function<void(bool)> to);
     void start(std::string request, const exchange_options& options, exchange_hooks hooks);
     /// Drops the exchange and the connection; no hook is called.
     void abandon();
@@ -100,6 +102,7 @@
     http_response_reader reader_;
     std::unique_ptr<exchange_hooks> hooks_;
     std::unique_ptr<exchange_hooks> spent_hooks_; ///< of an exchange that was abandoned
+    std::function<void(bool)> asked_;
     std::string request_;
     core::milliseconds unacknowledged_timeout_{};
     std::chrono::steady_clock::time_point rested_since_{};
@@ -126,6 +129,8 @@
 
     exchange send(const peer_address& peer, std::string request, const exchange_options& options,
                   exchange_hooks hooks);
+    /// Opens a connection and keeps it for the next request; tells whether it came up.
+    void ask(const peer_address& peer, core::milliseconds timeout, std::function<void(bool)> to);
     const counters& totals() const { return counters_; }
     std::size_t busy_count() const { return busy_.size(); }
 
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -13,6 +13,7 @@
 
 #include "runlink/routing/cascade_policy.hpp"
 #include "runlink/routing/endpoint_chooser.hpp"
+#include "runlink/routing/liveness.hpp"
 #include "runlink/routing/messages.hpp"
 #include "runlink/routing/retry_allowance.hpp"
 #include "runlink/routing/rollout_control.hpp"
@@ -37,12 +38,13 @@
     /// Part of the target latency after which a safe request is sent to a second endpoint as well.
     double hedge_after = 0.5;
     /// Part of the target latency that a stream may take to its first event before it is moved.
-    double move_after = 1.5;
+    double move_after = 2.0;
     /// Part of the target gap without an event after which a stream is resumed elsewhere.
-    double stall_after = 0.7;
+    double stall_after = 0.9;
     milliseconds retry_after{300}; ///< told to callers where nothing better is known
     retry_options retries;
     rollout_options rollouts;
+    liveness_options liveness;
     chooser_options chooser;
     cascade_options cascade;
 };
@@ -74,6 +76,8 @@
 {
     std::function<void(const attempt_order&)> start;
     std::function<void(attempt_id)> cancel;
+    /// Asks an endpoint whether it lives, by a connection; `on_asked` is called with what became of it.
+    std::function<void(const endpoint_entry&)> ask;
     std::function<void(flow_id, attempt_id)> forward_answer;
     std::function<void(flow_id, attempt_id)> forward_head;
     std::function<void(flow_id, std::string_view)> forward_bytes;
@@ -146,6 +150,7 @@
     void on_stream_end(time_point now, attempt_id id);
     void on_lost(time_point now, attempt_id id, attempt_loss loss);
 
+    void on_asked(time_point now, const endpoint_id& id, bool answered);
     /// A session ran at another instance.
     void on_peer_run(time_point now, const session_run& it) { pins_.ran(now, it.session, it.version); }
 
@@ -182,6 +187,7 @@
         std::optional<std::uint64_t> last_event;
         time_point last_progress{};
         time_point check_at{};
+        time_point ask_at{}; ///< when its silent endpoint is asked whether it lives
     };
     struct attempt
     {
@@ -229,6 +235,8 @@
     void check(time_point now, flow& it);
     void hedge(time_point now, flow& it);
     void move(time_point now, flow& it);
+    void ask_endpoints(time_point now, flow& it);
+    void lose_silent_attempts(time_point now, const endpoint_id& id);
 
     decision describe(time_point now, const flow& it, std::string_view event) const;
 
@@ -244,6 +252,7 @@
     std::optional<stop_times> stop_;
     endpoint_directory endpoints_;
     endpoint_chooser chooser_;
+    liveness liveness_;
     rollout_control rollouts_;
     session_pins pins_;
     cascade_policy cascade_;
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -33,6 +33,7 @@
     routing::forwarder_hooks out;
     out.start = [this](const routing::attempt_order& it) { start(it); };
     out.cancel = [this](core::attempt_id id) { cancel(id); };
+    out.ask = [this](const routing::endpoint_entry& it) { ask(it); };
     out.forward_answer = [this](routing::flow_id flow, core::attempt_id id) { forward_answer(flow, id); };
     out.forward_head = [this](routing::flow_id flow, core::attempt_id id) { forward_head(flow, id); };
     out.forward_bytes = [this](routing::flow_id flow, std::string_view it) { forward_bytes(flow, it); };
@@ -186,6 +187,22 @@
     on_activity();
 }
 
+void gateway::ask(const routing::endpoint_entry& endpoint)
+{
+    pool_.ask({endpoint.host, endpoint.port}, options_.ask_timeout,
+              [this, endpoint](bool answered)
+              {
+                  if (!answered)
+                      log_.write(clock_(),
+                                 observe::log_line{"endpoint_silent"}
+                                     .text("endpoint", endpoint.id.str())
+                                     .text("service", endpoint.service.str()),
+                                 observe::log_rank::notable);
+                  forwarder_->on_asked(clock_(), endpoint.id, answered);
+                  on_activity();
+              });
+}
+
 void gateway::cancel(core::attempt_id id)
 {
     const auto found = attempts_.extract(id);
--- a/src/runlink/net/http_exchange.cpp
+++ b/src/runlink/net/http_exchange.cpp
@@ -78,9 +78,26 @@
     connect_timer_.start(began ? options.connect_timeout : core::milliseconds{0});
 }
 
+void client_connection::open(core::milliseconds timeout, std::function<void(bool)> to)
+{
+    asked_ = std::move(to);
+    const bool began = stream_.connect(peer_.host, peer_.port);
+    connect_timer_.start(began ? timeout : core::milliseconds{0});
+}
+
 void client_connection::on_connected()
 {
     connect_timer_.stop();
+    if (asked_)
+    {
+        const auto guard = shared_from_this();
+        rested_since_ = std::chrono::steady_clock::now();
+        keep_alive_ = default_keep_alive;
+        const auto to = std::exchange(asked_, nullptr);
+        on_free();
+        return to(true);
+    }
+
     stream_.set_unacknowledged_timeout(unacknowledged_timeout_);
     if (!hooks_)
         return;
@@ -146,7 +163,7 @@
 {
     const auto guard = shared_from_this();
     reusable_ = false;
-    if (!hooks_)
+    if (!hooks_ && !asked_)
         return on_idle_lost();
     if (how == stream_end::not_connected)
         return fail(exchange_failure::not_connected);
@@ -166,6 +183,8 @@
     reusable_ = false;
     detach();
     on_free();
+    if (const auto to = std::exchange(asked_, nullptr))
+        to(false);
     if (hooks)
         hooks->failed(why);
 }
@@ -230,6 +249,13 @@
     return nullptr;
 }
 
+void connection_pool::ask(const peer_address& peer, core::milliseconds timeout, std::function<void(bool)> to)
+{
+    auto it = open(peer);
+    busy_.emplace(it.get(), it);
+    it->open(timeout, std::move(to));
+}
+
 connection_pool::connection_ptr connection_pool::open(const peer_address& peer)
 {
     ++counters_.opened;
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -27,8 +27,8 @@
 
 request_forwarder::request_forwarder(forwarder_options options, failure_domain_id own_domain,
                                      std::uint64_t instance_seed, forwarder_hooks hooks)
-    : options_{std::move(options)}, hooks_{std::move(hooks)}, chooser_{options_.chooser,
-                                                                       std::move(own_domain)},
+    : options_{std::move(options)}, hooks_{std::move(hooks)},
+      chooser_{options_.chooser, std::move(own_domain)}, liveness_{options_.liveness},
       rollouts_{options_.rollouts, instance_seed}, pins_{options_.session_ttl}, cascade_{options_.cascade}
 {
 }
@@ -168,6 +168,7 @@
     pins_.expire(now);
     endpoints_.forget_vanished(now);
     chooser_.keep_only(endpoints_);
+    liveness_.keep_only(endpoints_);
 }
 
 // Attempts
@@ -216,6 +217,7 @@
     it.tried.insert(endpoint->id);
     it.attempts.insert(order.id);
     it.last_progress = now;
+    it.ask_at = now + liveness_.options().ask_after;
     attempt record;
     record.flow = it.id;
     record.endpoint = endpoint->id;
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -33,6 +33,7 @@
     if (it == nullptr)
         return;
     const auto from = take_attempt(id);
+    liveness_.heard(now, from->endpoint);
     const bool refused = head.not_run || head.status == status_misdirected;
     auto line = describe(now, *it, refused ? "endpoint_refused" : "endpoint_answered");
     line.endpoint = from->endpoint.str();
@@ -83,6 +84,8 @@
     if (it == nullptr)
         return;
     auto& from = attempts_.at(id);
+    liveness_.heard(now, from.endpoint);
+    it->ask_at = now + liveness_.options().ask_after;
     if (!head.is_sealed)
     {
         chooser_.broke(now, from.endpoint);
@@ -144,7 +147,9 @@
     if (!from.first_event)
         from.first_event = now;
     ++from.events;
+    liveness_.heard(now, from.endpoint);
     it->last_progress = now;
+    it->ask_at = now + liveness_.options().ask_after;
     if (event_id && it->last_event && *event_id <= *it->last_event)
         return; // the caller has it
     if (event_id)
@@ -184,7 +189,10 @@
         chooser_.not_reached(now, from->endpoint);
     else
         chooser_.broke(now, from->endpoint);
+    const auto endpoint = from->endpoint;
     again_or_end(now, *it, core::errc::endpoint_lost, loss != attempt_loss::not_sent);
+    if (loss == attempt_loss::not_sent)
+        lose_silent_attempts(now, endpoint);
 }
 
 bool request_forwarder::may_send_again(time_point now, const flow& it) const
@@ -251,86 +259,6 @@
     flows_.erase(it.id);
 }
 
-// Timers
-
-void request_forwarder::arm(flow& it, time_point at)
-{
-    timers_.erase({it.check_at, it.id});
-    it.check_at = at;
-    timers_.insert({at, it.id});
-}
-
-time_point request_forwarder::next_check(const flow& it) const
-{
-    const auto part = [](milliseconds of, double share)
-    { return std::chrono::duration_cast<core::duration>(of * share); };
-    auto out = it.deadline;
-    if (it.via->kind == route_kind::safe && !it.hedged)
-        out = std::min(out, it.arrived + part(it.via->target_latency, options_.hedge_after));
-    if (it.via->kind != route_kind::streaming || !it.via->resumable)
-        return out;
-    const auto patience = it.head_forwarded ? part(it.via->target_gap, options_.stall_after)
-                                            : part(it.via->target_latency, options_.move_after);
-    return std::min(out, it.last_progress + patience);
-}
-
-void request_forwarder::check(time_point now, flow& it)
-{
-    if (now >= it.deadline)
-        return end_without_answer(now, it, core::errc::deadline_exceeded);
-    const auto next = next_check(it);
-    if (now < next)
-        return arm(it, next);
-    if (it.via->kind == route_kind::safe)
-        return hedge(now, it);
-    move(now, it);
-}
-
-void request_forwarder::hedge(time_point now, flow& it)
-{
-    it.hedged = true;
-    if (may_send_again(now, it) && retries_.at(it.service).try_take(now) && dispatch(now, it))
-        ++counters_.hedges;
-    arm(it, next_check(it));
-}
-
-void request_forwarder::move(time_point now, flow& it)
-{
-    // Only where another endpoint may take it; otherwise the one that has it is the best there is.
-    const bool can_move = may_send_again(now, it) && retries_.at(it.service).left(now) >= 1 &&
-                          chooser_.choose(now, endpoints_, need_of(it)) != nullptr;
-    if (!can_move)
-    {
-        it.last_progress = now;
-        return arm(it, next_check(it));
-    }
-    auto line = describe(now, it, "moved");
-    line.reason = "no_progress";
-    hooks_.log(line);
-    const auto attempts = it.attempts;
-    for (const auto id : attempts)
-        chooser_.broke(now, attempts_.at(id).endpoint);
-    cancel_attempts(now, it);
-    again_or_end(now, it, core::errc::endpoint_lost, true);
-}
-
-void request_forwarder::tick(time_point now)
-{
-    while (!timers_.empty() && timers_.begin()->first <= now)
-    {
-        const auto id = timers_.begin()->second;
-        timers_.erase(timers_.begin());
-        const auto found = flows_.find(id);
-        if (found != flows_.end())
-            check(now, found->second);
-    }
-}
-
-std::optional<time_point> request_forwarder::next_due() const
-{
-    return timers_.empty() ? std::nullopt : std::optional{timers_.begin()->first};
-}
-
 decision request_forwarder::describe(time_point now, const flow& it, std::string_view event) const
 {
     decision out;
--- /dev/null
+++ b/src/runlink/routing/request_forwarder_timers.cpp
@@ -0,0 +1,130 @@
+// What happens when time passes: deadlines, second sends, moves, and questions to silent endpoints.
+
+#include <algorithm>
+
+#include "runlink/routing/request_forwarder.hpp"
+
+namespace runlink::routing
+{
+
+void request_forwarder::arm(flow& it, time_point at)
+{
+    timers_.erase({it.check_at, it.id});
+    it.check_at = at;
+    timers_.insert({at, it.id});
+}
+
+time_point request_forwarder::next_check(const flow& it) const
+{
+    const auto part = [](milliseconds of, double share)
+    { return std::chrono::duration_cast<core::duration>(of * share); };
+    auto out = it.deadline;
+    if (it.via->kind == route_kind::safe && !it.hedged)
+        out = std::min(out, it.arrived + part(it.via->target_latency, options_.hedge_after));
+    if (it.via->kind != route_kind::streaming || !it.via->resumable)
+        return out;
+    const auto patience = it.head_forwarded ? part(it.via->target_gap, options_.stall_after)
+                                            : part(it.via->target_latency, options_.move_after);
+    return std::min({out, it.last_progress + patience, it.ask_at});
+}
+
+void request_forwarder::check(time_point now, flow& it)
+{
+    if (now >= it.deadline)
+        return end_without_answer(now, it, core::errc::deadline_exceeded);
+    const auto next = next_check(it);
+    if (now < next)
+        return arm(it, next);
+    if (it.via->kind == route_kind::safe)
+        return hedge(now, it);
+    if (now >= it.ask_at)
+        return ask_endpoints(now, it);
+    move(now, it);
+}
+
+void request_forwarder::ask_endpoints(time_point now, flow& it)
+{
+    it.ask_at = now + liveness_.options().ask_interval;
+    for (const auto id : it.attempts)
+    {
+        const auto& from = attempts_.at(id);
+        const auto* endpoint = endpoints_.find(from.endpoint);
+        if (from.may_have_run && endpoint != nullptr && liveness_.try_ask(now, from.endpoint))
+            hooks_.ask(*endpoint);
+    }
+    arm(it, next_check(it));
+}
+
+void request_forwarder::on_asked(time_point now, const endpoint_id& id, bool answered)
+{
+    if (answered)
+        return liveness_.heard(now, id);
+    chooser_.not_reached(now, id);
+    lose_silent_attempts(now, id);
+}
+
+void request_forwarder::lose_silent_attempts(time_point now, const endpoint_id& id)
+{
+    // Only what may be repeated: a request that may run once is not ended because its endpoint is silent.
+    std::vector<attempt_id> silent;
+    for (const auto& [attempt, it] : attempts_)
+    {
+        const auto& of = flows_.at(it.flow);
+        const auto last = std::max({of.last_progress, it.started, liveness_.last_heard(id)});
+        if (it.endpoint == id && it.may_have_run && of.via->is_idempotent() &&
+            now - last >= liveness_.options().ask_after)
+            silent.push_back(attempt);
+    }
+    for (const auto attempt : silent)
+    {
+        hooks_.cancel(attempt);
+        on_lost(now, attempt, attempt_loss::broken);
+    }
+}
+
+void request_forwarder::hedge(time_point now, flow& it)
+{
+    it.hedged = true;
+    if (may_send_again(now, it) && retries_.at(it.service).try_take(now) && dispatch(now, it))
+        ++counters_.hedges;
+    arm(it, next_check(it));
+}
+
+void request_forwarder::move(time_point now, flow& it)
+{
+    // Only where another endpoint may take it; otherwise the one that has it is the best there is.
+    const bool can_move = may_send_again(now, it) && retries_.at(it.service).left(now) >= 1 &&
+                          chooser_.choose(now, endpoints_, need_of(it)) != nullptr;
+    if (!can_move)
+    {
+        it.last_progress = now;
+        return arm(it, next_check(it));
+    }
+    auto line = describe(now, it, "moved");
+    line.reason = "no_progress";
+    hooks_.log(line);
+    const auto attempts = it.attempts;
+    for (const auto id : attempts)
+        chooser_.broke(now, attempts_.at(id).endpoint);
+    cancel_attempts(now, it);
+    again_or_end(now, it, core::errc::endpoint_lost, true);
+}
+
+void request_forwarder::tick(time_point now)
+{
+    while (!timers_.empty() && timers_.begin()->first <= now)
+    {
+        const auto id = timers_.begin()->second;
+        timers_.erase(timers_.begin());
+        const auto found = flows_.find(id);
+        if (found != flows_.end())
+            check(now, found->second);
+    }
+}
+
+std::optional<time_point> request_forwarder::next_due() const
+{
+    return timers_.empty() ? std::nullopt : std::optional{timers_.begin()->first};
+}
+
+} // namespace runlink::routing
--- a/tests/support/forwarding_script.cpp
+++ b/tests/support/forwarding_script.cpp
@@ -107,6 +107,7 @@
             os << " left=" << it.time_left.count() << "\n";
         };
         to.cancel = [this](core::attempt_id it) { trace() << "cancel a" << it << "\n"; };
+        to.ask = [this](const endpoint_entry& it) { trace() << "ask " << it.id << "\n"; };
         to.forward_answer = [this](flow_id it, core::attempt_id from)
         { trace() << "answer " << name(it) << " from a" << from << "\n"; };
         to.forward_head = [this](flow_id it, core::attempt_id from)
@@ -261,6 +262,8 @@
              forwarder_.on_lost(now_, attempt(all),
                                 has(all, "not_sent") ? attempt_loss::not_sent : attempt_loss::broken);
          }},
+        {"asked", [this](const words& all)
+         { forwarder_.on_asked(now_, core::endpoint_id{all.at(1)}, has(all, "answered")); }},
         {"advance", [this](const words& all) { advance(all); }},
         {"stop",
          [this](const words& all)
