Two instances of a failure domain follow the store; the others ask them by datagram

Change: relays chosen by hash, one and a stand-by a failure domain; followers ask every 0.8 s and are told of changes at once. A follower's proof counts from its question less the age the relay told, so delay only makes it older. Large documents are read from the store; without an answer the stand-by, then the store itself.

--- a/include/runlink/control/documents.hpp
+++ b/include/runlink/control/documents.hpp
@@ -19,6 +19,7 @@
 struct peer_entry
 {
     core::instance_id id;
+    core::failure_domain_id failure_domain;
     std::string host;
     std::uint16_t port = 0;
 };
--- a/include/runlink/control/store_follower.hpp
+++ b/include/runlink/control/store_follower.hpp
@@ -34,6 +34,8 @@
 struct follower_hooks
 {
     std::function<void(time_point, std::vector<kv_item>)> listed; ///< all there is
+    /// All changes up to the revision have been told.
+    std::function<void(time_point, std::uint64_t revision)> caught_up;
     std::function<void(time_point, const kv_event&)> changed;
     /// A call sent at this time proved that the configuration is the one that was told last.
     std::function<void(time_point sent_at)> proven;
@@ -59,6 +61,16 @@
     store_follower& operator=(const store_follower&) = delete;
 
     void start(time_point now);
+    /// Watches and proves by itself, or leaves both to a relay.
+    void set_direct(time_point now, bool direct);
+    /// Takes changes that a relay has told: all up to the revision.
+    void apply(time_point now, const std::vector<kv_event>& events, std::uint64_t revision);
+    /// Reads everything anew.
+    void list_again(time_point now) { list(now); }
+    /// Proves the configuration's revision after a while, which brings a newer document.
+    void prove_soon(time_point now, milliseconds after);
+    std::uint64_t revision() const { return revision_; }
+    std::uint64_t configuration_revision() const { return configuration_revision_; }
     void tick(time_point now);
     std::optional<time_point> next_due() const;
     /// Told by whoever else calls the store.
@@ -88,6 +100,7 @@
     std::uint64_t revision_ = 0; ///< all changes up to here are known
     std::uint64_t list_revision_ = 0;
     std::uint64_t configuration_revision_ = 0;
+    bool is_direct_ = true; ///< unless `set_direct` says otherwise
     bool is_listed_ = false;
     bool is_listing_ = false;
     bool is_watching_ = false;
--- a/include/runlink/gateway/gateway.hpp
+++ b/include/runlink/gateway/gateway.hpp
@@ -26,10 +26,10 @@
 /// Parameters of the edge.
 struct gateway_options
 {
-    core::milliseconds connect_timeout{150};
+    core::milliseconds connect_timeout{250};
     /// An endpoint that takes no connection within this is not there: far above the way and back, and a lost
     /// packet is sent again only after a second.
-    core::milliseconds ask_timeout{300};
+    core::milliseconds ask_timeout{600};
     core::milliseconds max_rest{1500}; ///< of a kept connection to an endpoint that is used again
 };
 
--- a/include/runlink/gateway/gateway_daemon.hpp
+++ b/include/runlink/gateway/gateway_daemon.hpp
@@ -13,6 +13,7 @@
 
 #include "runlink/control/documents.hpp"
 #include "runlink/control/presence.hpp"
+#include "runlink/control/relay.hpp"
 #include "runlink/control/store_follower.hpp"
 #include "runlink/gateway/gateway.hpp"
 #include "runlink/gateway/gateway_settings.hpp"
@@ -53,13 +54,15 @@
 private:
     routing::forwarder_options forwarder_options() const;
     control::follower_hooks follower_hooks();
+    control::relay_hooks relay_hooks();
 
     void on_listed(core::time_point now, const std::vector<control::kv_item>& items);
     void on_changed(core::time_point now, const control::kv_event& it);
     void take(core::time_point now, const control::kv_item& item);
     void take_table(core::time_point now, const routing::routing_table_ptr& it, std::uint64_t revision);
     void take_endpoint(core::time_point now, const routing::endpoint_entry& it);
-    void on_gossip(const routing::gossip_message& it);
+    void on_datagram(const proto::datagram& it);
+    void on_gossip(core::time_point now, const routing::gossip_message& it);
     void start_presence(core::time_point now, std::uint16_t port);
     void forget(core::time_point now, const std::string& key);
     void write_record(core::time_point now, const routing::rollout_record& it);
@@ -85,6 +88,7 @@
     control::store_follower follower_;
     std::optional<control::presence> presence_;
     gossip_link gossip_;
+    control::relay relay_;
     net::http_listener readiness_;
     net::http_listener metrics_listener_;
     QTimer timer_;
--- a/include/runlink/gateway/gossip_link.hpp
+++ b/include/runlink/gateway/gossip_link.hpp
@@ -12,6 +12,7 @@
 #include <QUdpSocket>
 
 #include "runlink/core/failure.hpp"
+#include "runlink/proto/gossip_codec.hpp"
 #include "runlink/routing/gossip_messages.hpp"
 
 namespace runlink::gateway
@@ -22,7 +23,7 @@
 class gossip_link
 {
 public:
-    using handler = std::function<void(const routing::gossip_message&)>;
+    using handler = std::function<void(const proto::datagram&)>;
 
     gossip_link(core::instance_id self, handler on_message);
     gossip_link(const gossip_link&) = delete;
@@ -33,6 +34,7 @@
     void remove_peer(const core::instance_id& id) { peers_.erase(id); }
     std::size_t peer_count() const { return peers_.size(); }
 
+    void send_to(const core::instance_id& to, const proto::datagram& it);
     void tell(const routing::session_run& it);
     /// What is counted now; asked for with each message.
     std::function<std::vector<routing::version_evidence>()> evidence;
--- a/include/runlink/net/http_exchange.hpp
+++ b/include/runlink/net/http_exchange.hpp
@@ -56,7 +56,9 @@
 /// How an exchange gets its connection.
 struct exchange_options
 {
-    core::milliseconds connect_timeout{150};
+    /// Above the way and back also where a slow link is full, below the second after which a lost packet is
+    /// sent again.
+    core::milliseconds connect_timeout{250};
     /// Kept connections that have rested for longer are not used.
     core::milliseconds max_rest{1000};
     /// The kernel gives the connection up when sent bytes stay unacknowledged for this long.
--- a/include/runlink/net/tcp_stream.hpp
+++ b/include/runlink/net/tcp_stream.hpp
@@ -45,6 +45,8 @@
 
     /// Returns false where no connection can be begun; nothing is called then.
     bool connect(const std::string& host, std::uint16_t port);
+    /// Looks whether the connection has come up meanwhile; a process that was held up may not have been told.
+    bool finish_connect();
     /// Sends bytes now or when the peer takes them.
     void write(std::string_view bytes);
     /// Ends the connection at once; no handler is called any more.
--- a/include/runlink/proto/gossip_codec.hpp
+++ b/include/runlink/proto/gossip_codec.hpp
@@ -2,17 +2,21 @@
 /// Datagrams between forwarding instances as bytes.
 #pragma once
 
-#include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 
+#include "runlink/control/relay.hpp"
 #include "runlink/routing/gossip_messages.hpp"
 
 namespace runlink::proto
 {
 
-std::string encode(const routing::gossip_message& it);
-/// Nothing for bytes that are no message.
-std::optional<routing::gossip_message> decode_gossip(std::string_view bytes);
+/// What one datagram holds; empty for bytes that are no message.
+using datagram =
+    std::variant<std::monostate, routing::gossip_message, control::sync_request, control::sync_reply>;
+
+std::string encode(const datagram& it);
+datagram decode_datagram(std::string_view bytes);
 
 } // namespace runlink::proto
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -33,6 +33,8 @@
     milliseconds session_ttl{5000};
     /// Sends of one request, those that endpoints refused included.
     std::uint32_t max_sends = 4;
+    /// Connections of one request that did not come up.
+    std::uint32_t max_unsent = 6;
     /// Time left below which nothing is sent again.
     milliseconds least_time{20};
     /// Part of the target latency after which a safe request is sent to a second endpoint as well.
@@ -181,7 +183,8 @@
         std::set<endpoint_id> tried;
         std::size_t size = 0; ///< index of the model
         std::uint32_t sends = 0;
-        std::uint32_t runs = 0; ///< attempts that may have run
+        std::uint32_t unsent = 0; ///< of the sends: the connection did not come up
+        std::uint32_t runs = 0;   ///< attempts that may have run
         bool head_forwarded = false;
         bool hedged = false;
         std::optional<std::uint64_t> last_event;
--- a/include/runlink/routing/rollout_control.hpp
+++ b/include/runlink/routing/rollout_control.hpp
@@ -86,8 +86,11 @@
     std::uint32_t bad_to_stop = 3;    ///< bad answers, from two endpoints or more
     double bad_rate_to_stop = 0.12;
     double bad_rate_over_old = 3.0;
-    double slow_over_old = 3.0; ///< mean time between events, over the old version's, that counts as bad
-    std::uint32_t slow_samples = 5;
+    /// New endpoints have kept no prompts yet, which alone makes them up to four times slower for a while.
+    double slow_over_old = 5.5; ///< median time between events, over the old version's, that is bad
+    /// Samples on both sides before paces are compared; single ones vary with what runs beside them.
+    std::size_t slow_samples = 12;
+    std::size_t most_samples = 60;
 };
 
 /// Decides which version a request may get, and when the roll-out goes on or back.
@@ -150,18 +153,19 @@
 
         double bad_rate() const { return all == 0 ? 0 : static_cast<double>(bad) / all; }
     };
-    struct pace_sum
+    struct pace_samples
     {
-        double total_us = 0;
-        std::uint32_t count = 0;
+        std::vector<double> us; ///< the latest samples
+        std::size_t next = 0;   ///< which is replaced next
 
-        double mean() const { return count == 0 ? 0 : total_us / count; }
+        void add(double it, std::size_t most);
+        double median() const;
     };
     struct side
     {
         counts total;
         std::map<std::string, counts> by_route;
-        std::map<core::model_id, pace_sum> pace;
+        std::map<core::model_id, pace_samples> pace;
     };
     struct rollout
     {
--- a/src/runlink/control/store_follower.cpp
+++ b/src/runlink/control/store_follower.cpp
@@ -88,6 +88,41 @@
     hooks_.regained(now, away);
 }
 
+void store_follower::prove_soon(time_point now, milliseconds after)
+{
+    const auto at = now + after;
+    next_proof_ = next_proof_ ? std::min(*next_proof_, at) : at;
+}
+
+void store_follower::set_direct(time_point now, bool direct)
+{
+    if (std::exchange(is_direct_, direct) == direct)
+        return;
+    if (direct)
+    {
+        watch(now);
+        return prove(now);
+    }
+    ++watch_number_;
+    if (std::exchange(is_watching_, false))
+        store_.cancel_watch();
+    next_watch_.reset();
+    next_proof_.reset();
+}
+
+void store_follower::apply(time_point now, const std::vector<kv_event>& events, std::uint64_t revision)
+{
+    if (revision <= revision_)
+        return;
+    revision_ = revision;
+    for (const auto& it : events)
+    {
+        remember(it.item, it.is_deleted);
+        hooks_.changed(now, it);
+    }
+    hooks_.caught_up(now, revision_);
+}
+
 // List
 
 void store_follower::list(time_point now)
@@ -137,9 +172,10 @@
     for (const auto& it : pages_)
         remember(it, false);
     hooks_.listed(now, std::exchange(pages_, {}));
+    hooks_.caught_up(now, revision_);
     watch(now);
     if (!is_proving_)
-        prove(now);
+        prove(now); // also where a relay proves: what was listed is to be used at once
 }
 
 void store_follower::remember(const kv_item& item, bool is_deleted)
@@ -154,7 +190,7 @@
 void store_follower::watch(time_point now)
 {
     (void)now;
-    if (is_watching_ || is_listing_ || !is_listed_)
+    if (is_watching_ || is_listing_ || !is_listed_ || !is_direct_)
         return;
     is_watching_ = true;
     ++counters_.watches;
@@ -187,6 +223,7 @@
         remember(e.item, e.is_deleted);
         hooks_.changed(now, e);
     }
+    hooks_.caught_up(now, revision_);
     next_watch_ = it.events.empty() ? now : now + options_.gather;
 }
 
@@ -222,7 +259,8 @@
             hooks_.changed(now, {it, false});
         }
     hooks_.proven(sent_at);
-    next_proof_ = sent_at + std::max(options_.proof_interval, milliseconds{1});
+    if (is_direct_)
+        next_proof_ = sent_at + std::max(options_.proof_interval, milliseconds{1});
 }
 
 } // namespace runlink::control
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -25,6 +25,9 @@
 constexpr double first_exposure_part = 0.55;
 /// After this long the balancer has taken an instance out that is not ready: two questions, a second apart.
 constexpr core::milliseconds balancer_wait{2700};
+/// Followers read a new configuration within this of its news, well inside the time in which it must be in
+/// force.
+constexpr std::uint64_t fetch_spread_ms = 300;
 /// The process ends this long before it would be killed.
 constexpr core::milliseconds stop_reserve{300};
 
@@ -50,7 +53,8 @@
                                                                       edge_.hooks()},
       store_{{}, settings_.store, binding_.store}, store_port_{store_.port()},
       follower_{{binding_.documents.configuration_key}, store_port_, follower_hooks()},
-      gossip_{settings_.id, [this](const routing::gossip_message& it) { on_gossip(it); }},
+      gossip_{settings_.id, [this](const proto::datagram& it) { on_datagram(it); }},
+      relay_{{}, settings_.id, settings_.failure_domain, relay_hooks()},
       readiness_{[this](const auto& from, const auto&, const std::string&) { on_readiness(from); },
                  [](const auto& from, net::codec_error) { from->reset(); }},
       metrics_listener_{[this](const auto& from, const auto&, const std::string&) { on_metrics(from); },
@@ -98,6 +102,7 @@
     out.listed = [this](core::time_point now, const std::vector<control::kv_item>& items)
     { on_listed(now, items); };
     out.changed = [this](core::time_point now, const control::kv_event& it) { on_changed(now, it); };
+    out.caught_up = [this](core::time_point now, std::uint64_t revision) { relay_.publish(now, revision); };
     out.proven = [this](core::time_point sent_at)
     {
         if (table_is_readable_)
@@ -127,7 +132,9 @@
     BOOST_OUTCOME_TRY(peers, gossip_.bind(settings_.peers.host, settings_.peers.port));
     log_state("started", settings_.failure_domain.str());
     next_housekeeping_ = now + housekeeping_interval;
+    follower_.set_direct(now, false); // the relays are chosen first
     follower_.start(now);
+    relay_.start(now);
     start_presence(now, peers);
     rearm();
     return boost::outcome_v2::success();
@@ -135,7 +142,8 @@
 
 void gateway_daemon::start_presence(core::time_point now, std::uint16_t port)
 {
-    const auto entry = binding_.documents.write_peer({settings_.id, settings_.peers.host, port});
+    const auto entry =
+        binding_.documents.write_peer({settings_.id, settings_.failure_domain, settings_.peers.host, port});
     presence_.emplace(control::presence_options{}, store_port_, entry);
     presence_->clock = clock_;
     presence_->on_failure = [this](core::time_point at, control::kv_error why)
@@ -143,13 +151,63 @@
     presence_->start(now);
 }
 
-void gateway_daemon::on_gossip(const routing::gossip_message& it)
+void gateway_daemon::on_datagram(const proto::datagram& it)
 {
     const auto now = clock_();
+    if (const auto* gossip = std::get_if<routing::gossip_message>(&it))
+        on_gossip(now, *gossip);
+    else if (const auto* request = std::get_if<control::sync_request>(&it))
+        relay_.on_request(now, *request);
+    else if (const auto* reply = std::get_if<control::sync_reply>(&it))
+        relay_.on_reply(now, *reply);
+    rearm();
+}
+
+control::relay_hooks gateway_daemon::relay_hooks()
+{
+    control::relay_hooks out;
+    out.ask = [this](const core::instance_id& to, const control::sync_request& it)
+    { gossip_.send_to(to, it); };
+    out.reply = [this](const core::instance_id& to, const control::sync_reply& it)
+    { gossip_.send_to(to, it); };
+    out.view = [this](core::time_point now)
+    {
+        return control::store_view{follower_.revision(), follower_.configuration_revision(),
+                                   forwarder_.proof_age(now)};
+    };
+    out.set_direct = [this](core::time_point now, bool direct)
+    {
+        log_state("store_followed", direct ? "directly" : "by a relay");
+        follower_.set_direct(now, direct);
+    };
+    out.apply = [this](core::time_point now, const std::vector<control::kv_event>& events,
+                       std::uint64_t revision) { follower_.apply(now, events, revision); };
+    out.fetch = [this](core::time_point now, const std::vector<std::string>& keys)
+    {
+        const bool is_configuration =
+            std::all_of(keys.begin(), keys.end(),
+                        [this](const auto& it) { return it == binding_.documents.configuration_key; });
+        if (is_configuration)
+            // Not all followers at the same moment: the store bounds its calls a second.
+            follower_.prove_soon(now, core::milliseconds{static_cast<core::milliseconds::rep>(
+                                          core::stable_hash(settings_.id.str()) % fetch_spread_ms)});
+        else
+            follower_.list_again(now);
+    };
+    out.list_again = [this](core::time_point now) { follower_.list_again(now); };
+    out.proven = [this](core::time_point sent_at)
+    {
+        if (table_is_readable_)
+            forwarder_.proven_current(sent_at);
+    };
+    return out;
+}
+
+void gateway_daemon::on_gossip(core::time_point now, const routing::gossip_message& it)
+{
     for (const auto& e : it.runs)
         forwarder_.on_peer_run(now, e);
     forwarder_.rollouts().on_peer_evidence(it.sender, it.evidence);
-    rearm();
 }
 
 bool gateway_daemon::is_ready() const
@@ -174,12 +232,14 @@
             take(now, it);
     }
     forwarder_.endpoints().replace(now, endpoints);
+    relay_.forget_before(follower_.revision());
     log_state("listed", std::to_string(endpoints.size()) + " endpoints");
     rearm();
 }
 
 void gateway_daemon::on_changed(core::time_point now, const control::kv_event& it)
 {
+    relay_.remember(it);
     if (it.is_deleted)
         forget(now, it.item.key);
     else
@@ -207,7 +267,10 @@
         log_state("rollout_ordered", order->service.str() + " to " + order->target.str());
     }
     else if (const auto* peer = std::get_if<control::peer_entry>(&it))
+    {
         gossip_.put_peer(peer->id, peer->host, peer->port);
+        relay_.put_peer(peer->id, peer->failure_domain);
+    }
     else if (const auto* record = std::get_if<routing::rollout_record>(&it))
     {
         forwarder_.rollouts().on_record(now, *record);
@@ -258,7 +321,10 @@
         log_state("endpoint_gone", endpoint->id.str());
     }
     if (const auto* peer = std::get_if<control::peer_key>(&name))
+    {
         gossip_.remove_peer(peer->id);
+        relay_.remove_peer(peer->id);
+    }
     if (const auto* order = std::get_if<control::order_key>(&name))
         forwarder_.rollouts().on_order_removed(order->service);
 }
@@ -365,8 +431,8 @@
     if (stop_began_)
         due = std::min(due, *stop_began_ + settings_.stop_grace - stop_reserve);
     const auto presence_due = presence_ ? presence_->next_due() : std::nullopt;
-    for (const auto& it :
-         {forwarder_.next_due(), follower_.next_due(), forwarder_.rollouts().next_due(), presence_due})
+    for (const auto& it : {forwarder_.next_due(), follower_.next_due(), forwarder_.rollouts().next_due(),
+                           presence_due, relay_.next_due()})
         if (it)
             due = std::min(due, *it);
     // An earlier timer fires without harm; a change that is not earlier needs no new one.
@@ -383,6 +449,7 @@
     const auto now = clock_();
     forwarder_.tick(now);
     follower_.tick(now);
+    relay_.tick(now);
     if (presence_)
         presence_->tick(now);
     for (const auto& it : forwarder_.rollouts().due(now))
--- a/src/runlink/gateway/gateway_test.cpp
+++ b/src/runlink/gateway/gateway_test.cpp
@@ -145,11 +145,22 @@
     it.sender = core::instance_id{"a"};
     it.runs = {{routing::session_hash{77}, core::version_id{"v1"}}};
     it.evidence = {{core::service_id{"s"}, core::version_id{"v2"}, "r", 5, 2, {1, 9}}};
-    const auto back = proto::decode_gossip(proto::encode(it));
-    REQUIRE(back);
-    CHECK(back->sender == it.sender);
-    CHECK(back->runs.at(0).session.value() == 77);
-    CHECK(back->evidence.at(0).bad_endpoints == std::vector<std::uint64_t>{1, 9});
-    CHECK_FALSE(proto::decode_gossip("\xff\xff"));
-    CHECK_FALSE(proto::decode_gossip(""));
+    const auto gossip = std::get<routing::gossip_message>(proto::decode_datagram(proto::encode(it)));
+    CHECK(gossip.sender == it.sender);
+    CHECK(gossip.runs.at(0).session.value() == 77);
+    CHECK(gossip.evidence.at(0).bad_endpoints == std::vector<std::uint64_t>{1, 9});
+    const control::sync_request request{core::instance_id{"a"}, 3, 99};
+    CHECK(std::get<control::sync_request>(proto::decode_datagram(proto::encode(request))).store_revision ==
+          99);
+    control::sync_reply reply;
+    reply.proof_age = core::milliseconds{0};
+    reply.events = {{{"k", std::string{"v\0w", 3}, 7}, true}};
+    reply.omitted = {"big"};
+    const auto back = std::get<control::sync_reply>(proto::decode_datagram(proto::encode(reply)));
+    CHECK(back.proof_age == core::milliseconds{0});
+    CHECK(back.events.at(0).item.value.size() == 3);
+    CHECK(back.events.at(0).is_deleted);
+    CHECK(back.omitted == reply.omitted);
+    CHECK(std::holds_alternative<std::monostate>(proto::decode_datagram("\xff\xff")));
+    CHECK(std::holds_alternative<std::monostate>(proto::decode_datagram("")));
 }
--- a/src/runlink/gateway/gossip_link.cpp
+++ b/src/runlink/gateway/gossip_link.cpp
@@ -4,8 +4,6 @@
 
 #include <QNetworkDatagram>
 
-#include "runlink/proto/gossip_codec.hpp"
-
 namespace runlink::gateway
 {
 namespace
@@ -40,6 +38,17 @@
         peers_[id] = {QHostAddress{QString::fromStdString(host)}, port};
 }
 
+void gossip_link::send_to(const core::instance_id& to, const proto::datagram& it)
+{
+    const auto found = peers_.find(to);
+    if (found == peers_.end())
+        return;
+    const auto bytes = proto::encode(it);
+    // A datagram that is not taken counts as lost.
+    (void)socket_.writeDatagram(bytes.data(), static_cast<qint64>(bytes.size()), found->second.host,
+                                found->second.port);
+}
+
 void gossip_link::tell(const routing::session_run& it)
 {
     if (peers_.empty())
@@ -69,8 +78,7 @@
     while (socket_.hasPendingDatagrams())
     {
         const auto bytes = socket_.receiveDatagram().data();
-        if (const auto it = proto::decode_gossip({bytes.data(), static_cast<std::size_t>(bytes.size())}))
-            on_message_(*it);
+        on_message_(proto::decode_datagram({bytes.data(), static_cast<std::size_t>(bytes.size())}));
     }
 }
 
--- a/src/runlink/net/http_exchange.cpp
+++ b/src/runlink/net/http_exchange.cpp
@@ -58,7 +58,12 @@
     connect_timer_.setSingleShot(true);
     connect_timer_.setTimerType(Qt::PreciseTimer);
     QObject::connect(&connect_timer_, &QTimer::timeout, &connect_timer_,
-                     [this] { fail(exchange_failure::not_connected); });
+                     [this]
+                     {
+                         const auto guard = shared_from_this();
+                         if (!stream_.finish_connect())
+                             fail(exchange_failure::not_connected);
+                     });
 }
 
 void client_connection::start(std::string request, const exchange_options& options, exchange_hooks hooks)
--- a/src/runlink/net/tcp_stream.cpp
+++ b/src/runlink/net/tcp_stream.cpp
@@ -7,6 +7,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -60,6 +61,15 @@
     (void)setsockopt(fd_, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
 }
 
+bool tcp_stream::finish_connect()
+{
+    pollfd it{fd_, POLLOUT, 0};
+    if (fd_ < 0 || poll(&it, 1, 0) != 1 || (it.revents & (POLLERR | POLLHUP)) != 0)
+        return false;
+    on_writable();
+    return true;
+}
+
 void tcp_stream::on_writable()
 {
     if (connected_)
--- a/src/runlink/proto/gossip_codec.cpp
+++ b/src/runlink/proto/gossip_codec.cpp
@@ -4,36 +4,68 @@
 
 namespace runlink::proto
 {
+namespace
+{
+
+void write(const std::monostate&, wire::Datagram&) {}
 
-std::string encode(const routing::gossip_message& it)
+void write(const routing::gossip_message& it, wire::Datagram& to)
 {
-    wire::Gossip out;
+    auto& out = *to.mutable_gossip();
     out.set_sender(it.sender.str());
     for (const auto& e : it.runs)
     {
-        auto* to = out.add_runs();
-        to->set_session_hash(e.session.value());
-        to->set_version(e.version.str());
+        auto* run = out.add_runs();
+        run->set_session_hash(e.session.value());
+        run->set_version(e.version.str());
     }
     for (const auto& e : it.evidence)
     {
-        auto* to = out.add_evidence();
-        to->set_service(e.service.str());
-        to->set_version(e.version.str());
-        to->set_route(e.route);
-        to->set_all(e.all);
-        to->set_bad(e.bad);
+        auto* evidence = out.add_evidence();
+        evidence->set_service(e.service.str());
+        evidence->set_version(e.version.str());
+        evidence->set_route(e.route);
+        evidence->set_all(e.all);
+        evidence->set_bad(e.bad);
         for (const auto n : e.bad_endpoints)
-            to->add_bad_endpoints(n);
+            evidence->add_bad_endpoints(n);
     }
-    return out.SerializeAsString();
 }
 
-std::optional<routing::gossip_message> decode_gossip(std::string_view bytes)
+void write(const control::sync_request& it, wire::Datagram& to)
+{
+    auto& out = *to.mutable_request();
+    out.set_sender(it.sender.str());
+    out.set_number(it.number);
+    out.set_store_revision(it.store_revision);
+}
+
+void write(const control::sync_reply& it, wire::Datagram& to)
+{
+    auto& out = *to.mutable_reply();
+    out.set_sender(it.sender.str());
+    out.set_number(it.number);
+    out.set_has_proof(it.proof_age.has_value());
+    out.set_proof_age_ms(it.proof_age ? static_cast<std::uint64_t>(it.proof_age->count()) : 0);
+    out.set_configuration_revision(it.configuration_revision);
+    out.set_since(it.since);
+    out.set_store_revision(it.store_revision);
+    out.set_history_gone(it.history_gone);
+    out.set_has_more(it.has_more);
+    for (const auto& e : it.events)
+    {
+        auto* event = out.add_events();
+        event->set_key(e.item.key);
+        event->set_value(e.item.value);
+        event->set_revision(e.item.revision);
+        event->set_deleted(e.is_deleted);
+    }
+    for (const auto& e : it.omitted)
+        out.add_omitted(e);
+}
+
+datagram read(const wire::Gossip& in)
 {
-    wire::Gossip in;
-    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || in.sender().empty())
-        return std::nullopt;
     routing::gossip_message out;
     out.sender = core::instance_id{in.sender()};
     for (const auto& e : in.runs())
@@ -48,4 +80,51 @@
     return out;
 }
 
+datagram read(const wire::SyncRequest& in)
+{
+    return control::sync_request{core::instance_id{in.sender()}, in.number(), in.store_revision()};
+}
+
+datagram read(const wire::SyncReply& in)
+{
+    control::sync_reply out;
+    out.sender = core::instance_id{in.sender()};
+    out.number = in.number();
+    if (in.has_proof())
+        out.proof_age = core::milliseconds{static_cast<core::milliseconds::rep>(in.proof_age_ms())};
+    out.configuration_revision = in.configuration_revision();
+    out.since = in.since();
+    out.store_revision = in.store_revision();
+    out.history_gone = in.history_gone();
+    out.has_more = in.has_more();
+    for (const auto& e : in.events())
+        out.events.push_back({{e.key(), e.value(), e.revision()}, e.deleted()});
+    out.omitted = {in.omitted().begin(), in.omitted().end()};
+    return out;
+}
+
+} // namespace
+
+std::string encode(const datagram& it)
+{
+    wire::Datagram out;
+    std::visit([&](const auto& e) { write(e, out); }, it);
+    return out.SerializeAsString();
+}
+
+datagram decode_datagram(std::string_view bytes)
+{
+    wire::Datagram in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return {};
+    switch (in.message_case())
+    {
+    case wire::Datagram::kGossip: return read(in.gossip());
+    case wire::Datagram::kRequest: return read(in.request());
+    case wire::Datagram::kReply: return read(in.reply());
+    case wire::Datagram::MESSAGE_NOT_SET: break;
+    }
+    return {};
+}
+
 } // namespace runlink::proto
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -186,7 +186,10 @@
     line.attempt = from->number;
     hooks_.log(line);
     if (loss == attempt_loss::not_sent)
+    {
+        ++it->unsent;
         chooser_.not_reached(now, from->endpoint);
+    }
     else
         chooser_.broke(now, from->endpoint);
     const auto endpoint = from->endpoint;
@@ -202,8 +205,8 @@
     for (const auto id : it.attempts)
         runs += attempts_.at(id).may_have_run ? 0 : 1;
     const bool may_repeat = it.via->is_idempotent() || runs == 0;
-    return may_repeat && it.sends < options_.max_sends && runs < std::max(it.via->max_attempts, 1U) &&
-           it.deadline - now > options_.least_time;
+    return may_repeat && it.sends - it.unsent < options_.max_sends && it.unsent < options_.max_unsent &&
+           runs < std::max(it.via->max_attempts, 1U) && it.deadline - now > options_.least_time;
 }
 
 void request_forwarder::again_or_end(time_point now, flow& it, core::errc why, bool costs_budget)
--- a/src/runlink/routing/rollout_control.cpp
+++ b/src/runlink/routing/rollout_control.cpp
@@ -105,14 +105,28 @@
     }
     if (sample.pace.count() > 0)
     {
-        auto& pace = to.pace[sample.model];
-        pace.total_us += static_cast<double>(sample.pace.count());
-        ++pace.count;
+        to.pace[sample.model].add(static_cast<double>(sample.pace.count()), options_.most_samples);
     }
     if (sample.version == it.order.target)
         judge(it);
 }
 
+void rollout_control::pace_samples::add(double it, std::size_t most)
+{
+    if (us.size() < most)
+        return us.push_back(it);
+    us[next] = it;
+    next = (next + 1) % most;
+}
+
+double rollout_control::pace_samples::median() const
+{
+    auto sorted = us;
+    const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
+    std::nth_element(sorted.begin(), middle, sorted.end());
+    return *middle;
+}
+
 void rollout_control::judge(rollout& it)
 {
     if (it.is_bad)
@@ -226,12 +240,12 @@
     for (const auto& [model, fresh] : it.new_version.pace)
     {
         const auto old = it.old_version.pace.find(model);
-        if (old == it.old_version.pace.end() || old->second.count < options_.slow_samples ||
-            fresh.count < options_.slow_samples)
+        if (old == it.old_version.pace.end() || old->second.us.size() < options_.slow_samples ||
+            fresh.us.size() < options_.slow_samples)
             continue;
-        if (fresh.mean() > options_.slow_over_old * old->second.mean())
-            return "slow: " + std::to_string(static_cast<long>(fresh.mean())) + " us an event, " +
-                   std::to_string(static_cast<long>(old->second.mean())) + " before";
+        if (fresh.median() > options_.slow_over_old * old->second.median())
+            return "slow: " + std::to_string(static_cast<long>(fresh.median())) + " us an event, " +
+                   std::to_string(static_cast<long>(old->second.median())) + " before";
     }
     return {};
 }
--- a/src/runlink/routing/routing_test.cpp
+++ b/src/runlink/routing/routing_test.cpp
@@ -262,8 +262,9 @@
     std::string verdict;
     auto it = make_rollout(&verdict);
     it.on_order(start, order);
-    for (int n = 0; n < 6; ++n)
+    for (int n = 0; n < 12; ++n)
     {
+        CHECK(verdict.empty());
         auto old = make_sample("v1", "e1", false);
         old.pace = milliseconds{20};
         it.on_sample(start, old);
@@ -314,3 +315,20 @@
     CHECK(choice.only == order.target);
     CHECK(choice.excluded == next.target);
 }
+
+TEST_CASE("a few slow answers do not make a version slow")
+{
+    std::string verdict;
+    auto it = make_rollout(&verdict);
+    it.on_order(start, order);
+    for (int n = 0; n < 40; ++n)
+    {
+        auto old = make_sample("v1", "e1", false);
+        old.pace = milliseconds{20};
+        it.on_sample(start, old);
+        auto fresh = make_sample("v2", "e2", false);
+        fresh.pace = milliseconds{n % 4 == 0 ? 900 : 22};
+        it.on_sample(start, fresh);
+    }
+    CHECK(verdict.empty());
+}
