Relays only from 16 instances, with times from the bound on changes

Change: a relay that has lost the store gives no proof; the age, the interval and the waits together are 0.85 of the time in which a change must be in force; with fewer than 16 instances all follow the store.

--- a/include/runlink/control/relay.hpp
+++ b/include/runlink/control/relay.hpp
@@ -51,14 +51,23 @@
 struct relay_options
 {
     std::size_t relays_per_domain = 2; ///< one and a stand-by
-    milliseconds first_choice{500};    ///< after the start; by then the others' entries have come
-    milliseconds ask_interval{800};
-    milliseconds answer_timeout{350};      ///< far above the way and back
-    milliseconds oldest_proof{2600};       ///< older ones are not taken: the store is asked directly
+    /// With fewer instances all follow the store: the calls that relays save are worth less than the time by
+    /// which a follower learns later that its relay has lost the store.
+    std::size_t least_members = 16;
+    milliseconds first_choice{500}; ///< after the start; by then the others' entries have come
+    milliseconds ask_interval{600};
+    milliseconds answer_timeout{300};      ///< far above the way and back
+    milliseconds oldest_proof{1350};       ///< older ones are not taken: the store is asked directly
     milliseconds subscription{3000};       ///< changes are sent to who asked within this
     std::size_t kept_events = 1000;        ///< a roll-out brings an entry for each endpoint of a service
     std::size_t largest_value = 4096;      ///< of a change that is sent on, bytes
     std::size_t largest_reply = 16 * 1024; ///< bytes of values in one datagram
+
+    /// Times within which a follower whose relay loses the store still applies a change in the given time:
+    /// a proof's age, an interval, and two answers that do not come are 0.85 of it.
+    static relay_options within(milliseconds apply);
+    /// How often relays prove, so that their proofs are young enough.
+    milliseconds proof_interval() const { return oldest_proof * 2 / 3; }
 };
 
 /// What this instance knows of the store.
@@ -109,6 +118,8 @@
     void tick(time_point now);
     std::optional<time_point> next_due() const { return next_; }
     bool is_direct() const { return direct_; }
+    /// Whether there are enough instances for relays.
+    bool is_used() const { return peers_.size() + 1 >= options_.least_members; }
 
 private:
     struct subscriber
@@ -118,7 +129,7 @@
     };
 
     std::vector<instance_id> relays() const;
-    bool is_relay() const;
+    bool follows_store() const;
     void ask(time_point now);
     void on_no_answer(time_point now);
     void set_direct(time_point now, bool direct);
--- a/src/runlink/control/relay.cpp
+++ b/src/runlink/control/relay.cpp
@@ -13,6 +13,16 @@
 {
 }
 
+relay_options relay_options::within(milliseconds apply)
+{
+    relay_options out;
+    const auto unit = apply / 10;
+    out.ask_interval = unit * 2;
+    out.answer_timeout = unit;
+    out.oldest_proof = unit * 9 / 2;
+    return out;
+}
+
 void relay::start(time_point now)
 {
     next_ = now + options_.first_choice;
@@ -47,8 +57,10 @@
     return out;
 }
 
-bool relay::is_relay() const
+bool relay::follows_store() const
 {
+    if (!is_used())
+        return true;
     const auto all = relays();
     return std::find(all.begin(), all.end(), self_) != all.end();
 }
@@ -149,7 +161,7 @@
 void relay::ask(time_point now)
 {
     next_ = now + options_.ask_interval;
-    if (is_relay())
+    if (follows_store())
         return set_direct(now, true);
     const auto all = relays();
     sync_request out;
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -54,7 +54,8 @@
       store_{{}, settings_.store, binding_.store}, store_port_{store_.port()},
       follower_{{binding_.documents.configuration_key}, store_port_, follower_hooks()},
       gossip_{settings_.id, [this](const proto::datagram& it) { on_datagram(it); }},
-      relay_{{}, settings_.id, settings_.failure_domain, relay_hooks()},
+      relay_{control::relay_options::within(settings_.configuration_apply), settings_.id,
+             settings_.failure_domain, relay_hooks()},
       readiness_{[this](const auto& from, const auto&, const std::string&) { on_readiness(from); },
                  [](const auto& from, net::codec_error) { from->reset(); }},
       metrics_listener_{[this](const auto& from, const auto&, const std::string&) { on_metrics(from); },
@@ -172,8 +173,10 @@
     { gossip_.send_to(to, it); };
     out.view = [this](core::time_point now)
     {
-        return control::store_view{follower_.revision(), follower_.configuration_revision(),
-                                   forwarder_.proof_age(now)};
+        control::store_view view{follower_.revision(), follower_.configuration_revision(), std::nullopt};
+        if (follower_.is_connected())
+            view.proof_age = forwarder_.proof_age(now);
+        return view;
     };
     out.set_direct = [this](core::time_point now, bool direct)
     {
@@ -469,6 +472,10 @@
     readiness_.check_timeouts();
     metrics_listener_.check_timeouts();
     forwarder_.keep_house(now);
+    // Followers take only young proofs from relays.
+    const auto options = control::relay_options::within(settings_.configuration_apply);
+    follower_.set_proof_interval(relay_.is_used() ? options.proof_interval()
+                                                  : control::follower_options{}.proof_interval);
     log_.flush();
 }
 
