--- a/include/runlink/control/relay.hpp
+++ b/include/runlink/control/relay.hpp
@@ -90,7 +90,7 @@
     std::function<void(time_point, const std::vector<kv_event>&, std::uint64_t revision)> apply;
     /// Keys whose values must be read from the store.
     std::function<void(time_point, const std::vector<std::string>& keys)> fetch;
-    std::function<void(time_point)> list_again;
+    std::function<void()> list_again;
     std::function<void(time_point sent_at)> proven;
 };
 
--- a/include/runlink/control/store_follower.hpp
+++ b/include/runlink/control/store_follower.hpp
@@ -60,14 +60,17 @@
     store_follower(const store_follower&) = delete;
     store_follower& operator=(const store_follower&) = delete;
 
-    void start(time_point now);
+    /// The time when answers arrive.
+    std::function<time_point()> clock;
+
+    void start();
     /// Watches and proves by itself, or leaves both to a relay.
     void set_direct(time_point now, bool direct);
     void set_proof_interval(milliseconds it) { options_.proof_interval = it; }
     /// Takes changes that a relay has told: all up to the revision.
     void apply(time_point now, const std::vector<kv_event>& events, std::uint64_t revision);
     /// Reads everything anew.
-    void list_again(time_point now) { list(now); }
+    void list_again() { list(); }
     /// Proves the configuration's revision after a while, which brings a newer document.
     void prove_soon(time_point now, milliseconds after);
     std::uint64_t revision() const { return revision_; }
@@ -81,10 +84,10 @@
     const follower_counters& counters() const { return counters_; }
 
 private:
-    void list(time_point now);
+    void list();
     void on_page(kv_result<kv_page> page);
     void finish_list();
-    void watch(time_point now);
+    void watch();
     void on_changes(kv_result<kv_changes> changes);
     void prove(time_point now);
     void on_proof(time_point sent_at, const kv_commit_result& result);
@@ -113,10 +116,6 @@
     std::optional<time_point> next_proof_;
     std::uint64_t watch_number_ = 0;
     follower_counters counters_;
-
-public:
-    /// The time of events; set before handlers run.
-    std::function<time_point()> clock;
 };
 
 } // namespace runlink::control
--- a/include/runlink/gateway/gateway.hpp
+++ b/include/runlink/gateway/gateway.hpp
@@ -27,6 +27,8 @@
 struct gateway_options
 {
     core::milliseconds connect_timeout{250};
+    /// Bytes that wait for a caller who does not read, above which the caller counts as gone.
+    std::size_t max_unsent_bytes = 1024 * 1024;
     /// An endpoint that takes no connection within this is not there: far above the way and back, and a lost
     /// packet is sent again only after a second.
     core::milliseconds ask_timeout{600};
--- a/include/runlink/gateway/gateway_daemon.hpp
+++ b/include/runlink/gateway/gateway_daemon.hpp
@@ -65,7 +65,7 @@
     void on_gossip(core::time_point now, const routing::gossip_message& it);
     void start_presence(core::time_point now, std::uint16_t port);
     void forget(core::time_point now, const std::string& key);
-    void write_record(core::time_point now, const routing::rollout_record& it);
+    void write_record(const routing::rollout_record& it);
 
     void on_readiness(const std::shared_ptr<net::caller_connection>& from);
     void on_metrics(const std::shared_ptr<net::caller_connection>& from);
--- a/include/runlink/net/http_listener.hpp
+++ b/include/runlink/net/http_listener.hpp
@@ -27,8 +27,6 @@
     codec_limits message;
     core::milliseconds header_timeout{3000};
     core::milliseconds idle_timeout{15000};
-    /// Bytes that wait for a caller who does not read, above which the source is asked to pause.
-    std::size_t max_unsent_bytes = 256 * 1024;
 };
 
 /// One connection of a caller.
--- a/include/runlink/routing/cascade_policy.hpp
+++ b/include/runlink/routing/cascade_policy.hpp
@@ -17,8 +17,7 @@
     int accept_confidence = 50;
     /// Part of the target latency that may be gone when a larger model is still tried.
     double latest_escalation = 0.5;
-    /// Prompt tokens below which the largest model answers at once.
-    std::uint32_t small_prompt_tokens = 0;
+    /// Whether the smallest model answers first, or the largest alone.
     bool start_small = true;
 };
 
@@ -40,7 +39,7 @@
     explicit cascade_policy(cascade_options options = {}) : options_{options} {}
 
     /// Index of the model that answers first.
-    std::size_t first_size(const route& it, std::uint32_t prompt_tokens) const;
+    std::size_t first_size(const route& it) const;
     bool accepts(const cascade_input& it) const;
     /// Index of the model that answers after one was not accepted: the largest.
     static std::size_t next_size(const cascade_input& it) { return it.sizes - 1; }
--- a/include/runlink/routing/endpoint_chooser.hpp
+++ b/include/runlink/routing/endpoint_chooser.hpp
@@ -35,10 +35,7 @@
 struct endpoint_need
 {
     service_id service;
-    bool runs_models = false;
-    model_id model;
     std::uint64_t affinity = 0; ///< hash of the shared prompt parts; 0: none
-    std::uint32_t prompt_tokens = 0;
     rollout_control::choice versions;
     const std::set<endpoint_id>* tried = nullptr;
 };
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -221,7 +221,7 @@
     /// Sends the request again, or ends it for the reason.
     void again_or_end(time_point now, flow& it, core::errc why, bool costs_budget);
     std::optional<attempt> take_attempt(attempt_id id);
-    void cancel_attempts(time_point now, flow& it);
+    void cancel_attempts(flow& it);
     /// Notes the version of a session's latest run.
     void pin(time_point now, const flow& it, const version_id& version);
     void sample(time_point now, const flow& it, const attempt& from, bool is_bad);
--- a/include/runlink/routing/rollout_control.hpp
+++ b/include/runlink/routing/rollout_control.hpp
@@ -108,7 +108,7 @@
     void on_order(time_point now, const rollout_order& order);
     void on_order_removed(const service_id& service);
     void on_record(time_point now, const rollout_record& record);
-    void on_sample(time_point now, const version_sample& sample);
+    void on_sample(const version_sample& sample);
 
     /// Which versions a request may run on.
     struct choice
--- a/src/runlink/control/control_test.cpp
+++ b/src/runlink/control/control_test.cpp
@@ -67,7 +67,7 @@
     followed()
     {
         it.clock = [this] { return now; };
-        it.start(now);
+        it.start();
     }
 
     follower_hooks hooks()
@@ -272,7 +272,7 @@
         };
         out.fetch = [&self](core::time_point, const std::vector<std::string>& keys)
         { self.told.push_back("fetch " + keys.at(0)); };
-        out.list_again = [&self](core::time_point) { self.told.push_back("list"); };
+        out.list_again = [&self] { self.told.push_back("list"); };
         out.proven = [&self](core::time_point at) { self.proven = at; };
         return out;
     }
--- a/src/runlink/control/relay.cpp
+++ b/src/runlink/control/relay.cpp
@@ -220,7 +220,7 @@
     if (it.history_gone)
     {
         if (it.number != 0 && it.store_revision > own)
-            hooks_.list_again(now);
+            hooks_.list_again();
         return it.number != 0 && it.store_revision <= own;
     }
     if (it.since > own)
--- a/src/runlink/control/store_follower.cpp
+++ b/src/runlink/control/store_follower.cpp
@@ -31,9 +31,9 @@
 {
 }
 
-void store_follower::start(time_point now)
+void store_follower::start()
 {
-    list(now);
+    list();
 }
 
 void store_follower::tick(time_point now)
@@ -46,9 +46,9 @@
         return true;
     };
     if (is_due(next_list_))
-        list(now);
+        list();
     if (is_due(next_watch_))
-        watch(now);
+        watch();
     if (is_due(next_proof_))
         prove(now);
 }
@@ -100,7 +100,7 @@
         return;
     if (direct)
     {
-        watch(now);
+        watch();
         return prove(now);
     }
     ++watch_number_;
@@ -125,7 +125,7 @@
 
 // List
 
-void store_follower::list(time_point now)
+void store_follower::list()
 {
     if (is_listing_)
         return;
@@ -137,7 +137,6 @@
     pages_.clear();
     list_revision_ = 0;
     ++counters_.lists;
-    (void)now;
     store_.list({}, [this](kv_result<kv_page> it) { on_page(std::move(it)); });
 }
 
@@ -173,7 +172,7 @@
         remember(it, false);
     hooks_.listed(now, std::exchange(pages_, {}));
     hooks_.caught_up(now, revision_);
-    watch(now);
+    watch();
     if (!is_proving_)
         prove(now); // also where a relay proves: what was listed is to be used at once
 }
@@ -187,9 +186,8 @@
 
 // Watch
 
-void store_follower::watch(time_point now)
+void store_follower::watch()
 {
-    (void)now;
     if (is_watching_ || is_listing_ || !is_listed_ || !is_direct_)
         return;
     is_watching_ = true;
@@ -210,7 +208,7 @@
     if (const auto* why = std::get_if<kv_error>(&changes))
     {
         if (*why == kv_error::history_gone)
-            return list(now);
+            return list();
         note_failure(now, *why);
         next_watch_ = now + retry_delay();
         return;
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -243,8 +243,17 @@
 void gateway::forward_bytes(routing::flow_id flow, std::string_view bytes)
 {
     const auto found = calls_.find(flow);
-    if (found != calls_.end())
-        found->second.connection->write(net::write_chunk(bytes));
+    if (found == calls_.end())
+        return;
+    const auto to = found->second.connection;
+    to->write(net::write_chunk(bytes));
+    if (to->unsent_bytes() <= options_.max_unsent_bytes)
+        return;
+    log_.write(clock_(), observe::log_line{"caller_reads_nothing"}.text("request", found->second.request_id),
+               observe::log_rank::notable);
+    calls_.erase(found);
+    to->reset();
+    forwarder_->on_caller_left(clock_(), flow);
 }
 
 void gateway::forward_end(routing::flow_id flow)
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -25,9 +25,6 @@
 constexpr double first_exposure_part = 0.55;
 /// After this long the balancer has taken an instance out that is not ready: two questions, a second apart.
 constexpr core::milliseconds balancer_wait{2700};
-/// Followers read a new configuration within this of its news, well inside the time in which it must be in
-/// force.
-constexpr std::uint64_t fetch_spread_ms = 300;
 /// The process ends this long before it would be killed.
 constexpr core::milliseconds stop_reserve{300};
 
@@ -97,28 +94,6 @@
     return out;
 }
 
-control::follower_hooks gateway_daemon::follower_hooks()
-{
-    control::follower_hooks out;
-    out.listed = [this](core::time_point now, const std::vector<control::kv_item>& items)
-    { on_listed(now, items); };
-    out.changed = [this](core::time_point now, const control::kv_event& it) { on_changed(now, it); };
-    out.caught_up = [this](core::time_point now, std::uint64_t revision) { relay_.publish(now, revision); };
-    out.proven = [this](core::time_point sent_at)
-    {
-        if (table_is_readable_)
-            forwarder_.proven_current(sent_at);
-    };
-    out.lost = [this](core::time_point, control::kv_error why) { log_state("store_lost", to_string(why)); };
-    out.regained = [this](core::time_point now, core::duration away)
-    {
-        forwarder_.endpoints().store_returned(now);
-        log_state("store_regained",
-                  std::to_string(std::chrono::floor<core::milliseconds>(away).count()) + " ms");
-    };
-    return out;
-}
-
 core::result<void> gateway_daemon::start()
 {
     const auto now = clock_();
@@ -134,85 +109,13 @@
     log_state("started", settings_.failure_domain.str());
     next_housekeeping_ = now + housekeeping_interval;
     follower_.set_direct(now, false); // the relays are chosen first
-    follower_.start(now);
+    follower_.start();
     relay_.start(now);
     start_presence(now, peers);
     rearm();
     return boost::outcome_v2::success();
 }
 
-void gateway_daemon::start_presence(core::time_point now, std::uint16_t port)
-{
-    const auto entry =
-        binding_.documents.write_peer({settings_.id, settings_.failure_domain, settings_.peers.host, port});
-    presence_.emplace(control::presence_options{}, store_port_, entry);
-    presence_->clock = clock_;
-    presence_->on_failure = [this](core::time_point at, control::kv_error why)
-    { follower_.on_call_failed(at, why); };
-    presence_->start(now);
-}
-
-void gateway_daemon::on_datagram(const proto::datagram& it)
-{
-    const auto now = clock_();
-    if (const auto* gossip = std::get_if<routing::gossip_message>(&it))
-        on_gossip(now, *gossip);
-    else if (const auto* request = std::get_if<control::sync_request>(&it))
-        relay_.on_request(now, *request);
-    else if (const auto* reply = std::get_if<control::sync_reply>(&it))
-        relay_.on_reply(now, *reply);
-    rearm();
-}
-
-control::relay_hooks gateway_daemon::relay_hooks()
-{
-    control::relay_hooks out;
-    out.ask = [this](const core::instance_id& to, const control::sync_request& it)
-    { gossip_.send_to(to, it); };
-    out.reply = [this](const core::instance_id& to, const control::sync_reply& it)
-    { gossip_.send_to(to, it); };
-    out.view = [this](core::time_point now)
-    {
-        control::store_view view{follower_.revision(), follower_.configuration_revision(), std::nullopt};
-        if (follower_.is_connected())
-            view.proof_age = forwarder_.proof_age(now);
-        return view;
-    };
-    out.set_direct = [this](core::time_point now, bool direct)
-    {
-        log_state("store_followed", direct ? "directly" : "by a relay");
-        follower_.set_direct(now, direct);
-    };
-    out.apply = [this](core::time_point now, const std::vector<control::kv_event>& events,
-                       std::uint64_t revision) { follower_.apply(now, events, revision); };
-    out.fetch = [this](core::time_point now, const std::vector<std::string>& keys)
-    {
-        const bool is_configuration =
-            std::all_of(keys.begin(), keys.end(),
-                        [this](const auto& it) { return it == binding_.documents.configuration_key; });
-        if (is_configuration)
-            // Not all followers at the same moment: the store bounds its calls a second.
-            follower_.prove_soon(now, core::milliseconds{static_cast<core::milliseconds::rep>(
-                                          core::stable_hash(settings_.id.str()) % fetch_spread_ms)});
-        else
-            follower_.list_again(now);
-    };
-    out.list_again = [this](core::time_point now) { follower_.list_again(now); };
-    out.proven = [this](core::time_point sent_at)
-    {
-        if (table_is_readable_)
-            forwarder_.proven_current(sent_at);
-    };
-    return out;
-}
-
-void gateway_daemon::on_gossip(core::time_point now, const routing::gossip_message& it)
-{
-    for (const auto& e : it.runs)
-        forwarder_.on_peer_run(now, e);
-    forwarder_.rollouts().on_peer_evidence(it.sender, it.evidence);
-}
-
 bool gateway_daemon::is_ready() const
 {
     if (stop_began_ || !forwarder_.table() || forwarder_.endpoints().size() == 0)
@@ -221,144 +124,6 @@
     return age && *age < settings_.key_revocation - key_margin;
 }
 
-// The store's documents
-
-void gateway_daemon::on_listed(core::time_point now, const std::vector<control::kv_item>& items)
-{
-    std::vector<routing::endpoint_entry> endpoints;
-    for (const auto& it : items)
-    {
-        auto read = binding_.documents.read(it);
-        if (read && std::holds_alternative<routing::endpoint_entry>(read.value()))
-            endpoints.push_back(std::get<routing::endpoint_entry>(std::move(read).value()));
-        else
-            take(now, it);
-    }
-    forwarder_.endpoints().replace(now, endpoints);
-    relay_.forget_before(follower_.revision());
-    log_state("listed", std::to_string(endpoints.size()) + " endpoints");
-    rearm();
-}
-
-void gateway_daemon::on_changed(core::time_point now, const control::kv_event& it)
-{
-    relay_.remember(it);
-    if (it.is_deleted)
-        forget(now, it.item.key);
-    else
-        take(now, it.item);
-    rearm();
-}
-
-void gateway_daemon::take(core::time_point now, const control::kv_item& item)
-{
-    const auto read = binding_.documents.read(item);
-    if (!read)
-    {
-        if (item.key == binding_.documents.configuration_key)
-            table_is_readable_ = false;
-        return log_state("document_refused", item.key + ": " + read.error().detail);
-    }
-    const auto& it = read.value();
-    if (const auto* table = std::get_if<routing::routing_table_ptr>(&it))
-        take_table(now, *table, item.revision);
-    else if (const auto* endpoint = std::get_if<routing::endpoint_entry>(&it))
-        take_endpoint(now, *endpoint);
-    else if (const auto* order = std::get_if<routing::rollout_order>(&it))
-    {
-        forwarder_.rollouts().on_order(now, *order);
-        log_state("rollout_ordered", order->service.str() + " to " + order->target.str());
-    }
-    else if (const auto* peer = std::get_if<control::peer_entry>(&it))
-    {
-        gossip_.put_peer(peer->id, peer->host, peer->port);
-        relay_.put_peer(peer->id, peer->failure_domain);
-    }
-    else if (const auto* record = std::get_if<routing::rollout_record>(&it))
-    {
-        forwarder_.rollouts().on_record(now, *record);
-        log_state("rollout_record", record->service.str() + " " + std::string{to_string(record->state)} +
-                                        " " + std::to_string(record->share_percent) + " %");
-    }
-}
-
-void gateway_daemon::take_table(core::time_point now, const routing::routing_table_ptr& it,
-                                std::uint64_t revision)
-{
-    if (revision <= table_revision_)
-        return;
-    table_revision_ = revision;
-    table_is_readable_ = true;
-    forwarder_.apply(it);
-    net::listener_limits limits;
-    limits.message.max_header_bytes = it->limits().max_header_bytes;
-    limits.message.max_body_bytes = it->limits().max_body_bytes;
-    limits.header_timeout = it->limits().header_timeout;
-    limits.idle_timeout = it->limits().idle_timeout;
-    edge_.listener().set_limits(limits);
-    observe::log_line line{"configuration_applied"};
-    line.number("table", static_cast<std::int64_t>(it->version()))
-        .number("revision", static_cast<std::int64_t>(revision))
-        .number("routes", static_cast<std::int64_t>(it->route_count()))
-        .number("accounts", static_cast<std::int64_t>(it->account_count()));
-    log_.write(now, line, observe::log_rank::notable);
-}
-
-void gateway_daemon::take_endpoint(core::time_point now, const routing::endpoint_entry& it)
-{
-    const auto change = forwarder_.endpoints().put(it);
-    if (change == routing::endpoint_directory::change::none)
-        return;
-    observe::log_line line{change == routing::endpoint_directory::change::leaving ? "endpoint_leaving"
-                                                                                  : "endpoint_listed"};
-    line.text("endpoint", it.id.str()).text("service", it.service.str()).text("version", it.version.str());
-    log_.write(now, line, observe::log_rank::notable);
-}
-
-void gateway_daemon::forget(core::time_point now, const std::string& key)
-{
-    const auto name = binding_.documents.name(key);
-    if (const auto* endpoint = std::get_if<control::endpoint_key>(&name))
-    {
-        forwarder_.endpoints().remove(now, endpoint->id);
-        log_state("endpoint_gone", endpoint->id.str());
-    }
-    if (const auto* peer = std::get_if<control::peer_key>(&name))
-    {
-        gossip_.remove_peer(peer->id);
-        relay_.remove_peer(peer->id);
-    }
-    if (const auto* order = std::get_if<control::order_key>(&name))
-        forwarder_.rollouts().on_order_removed(order->service);
-}
-
-void gateway_daemon::write_record(core::time_point now, const routing::rollout_record& it)
-{
-    auto item = binding_.documents.write_record(it);
-    control::kv_transaction write;
-    write.conditions.push_back({item.key, it.revision});
-    write.writes.push_back(std::move(item));
-    log_state("rollout_write", it.service.str() + " " + std::string{to_string(it.state)} + " " +
-                                   std::to_string(it.share_percent) + " %");
-    (void)now;
-    store_port_.commit(write,
-                       [this, it](const control::kv_commit_result& result)
-                       {
-                           const auto at = clock_();
-                           if (const auto* why = std::get_if<control::kv_error>(&result))
-                               follower_.on_call_failed(at, *why);
-                           if (const auto* done = std::get_if<control::kv_committed>(&result))
-                           {
-                               auto record = it;
-                               record.revision = done->revision;
-                               forwarder_.rollouts().on_record(at, record);
-                           }
-                           else
-                               forwarder_.rollouts().on_write_failed(at, it.service);
-                           rearm();
-                       });
-}
-
 // Readiness and metrics
 
 void gateway_daemon::on_readiness(const std::shared_ptr<net::caller_connection>& from)
@@ -379,53 +144,6 @@
     from->finish(false);
 }
 
-std::string gateway_daemon::metrics_text() const
-{
-    const auto& n = forwarder_.counters();
-    const auto counter = [](std::string name, std::string help, std::uint64_t value) {
-        return observe::plain_metric{std::move(name), std::move(help), true, static_cast<double>(value)};
-    };
-    const auto gauge = [](std::string name, std::string help, double value) {
-        return observe::plain_metric{std::move(name), std::move(help), false, value};
-    };
-    const auto age = forwarder_.proof_age(clock_());
-    constexpr double us_per_s = 1e6;
-    return metrics_.text({
-        counter("runlink_forwarded_requests_total", "Requests that arrived", n.requests),
-        counter("runlink_forwarded_answered_total", "Requests with a whole answer", n.answered),
-        counter("runlink_forwarded_refused_total", "Requests refused as not run", n.refused),
-        counter("runlink_forwarded_failed_total", "Requests ended without an answer that may have run",
-                n.failed),
-        counter("runlink_forwarded_broken_total", "Streams that were cut", n.broken),
-        counter("runlink_callers_left_total", "Callers that went away while waiting", n.callers_left),
-        counter("runlink_attempts_total", "Sends to endpoints", n.attempts),
-        counter("runlink_attempts_repeated_total", "Sends after the first of a request", n.repeats),
-        counter("runlink_attempts_hedged_total", "Second sends beside a first", n.hedges),
-        counter("runlink_streams_resumed_total", "Streams that went on elsewhere", n.resumed),
-        counter("runlink_escalated_total", "Answers of a smaller model that were not kept", n.escalated),
-        counter("runlink_endpoint_refusals_total", "Sends that endpoints refused", n.endpoint_refusals),
-        counter("runlink_attempts_lost_total", "Sends without a whole answer", n.attempts_lost),
-        counter("runlink_store_lists_total", "Lists read from the store", follower_.counters().lists),
-        counter("runlink_store_watches_total", "Watches of the store", follower_.counters().watches),
-        counter("runlink_store_proofs_total", "Checks of the configuration's revision",
-                follower_.counters().proofs),
-        counter("runlink_store_failures_total", "Calls of the store that failed",
-                follower_.counters().failures),
-        counter("runlink_connections_opened_total", "Connections opened to endpoints",
-                edge_.pool().totals().opened),
-        counter("runlink_connections_reused_total", "Connections to endpoints used again",
-                edge_.pool().totals().reused),
-        counter("runlink_log_lines_left_out_total", "Log lines without room", log_.left_out()),
-        gauge("runlink_active_requests", "Requests under way",
-              static_cast<double>(forwarder_.active_count())),
-        gauge("runlink_configuration_proof_age_seconds",
-              "Age of the proof that the configuration is the newest",
-              age ? static_cast<double>(age->count()) / us_per_s : -1),
-        gauge("runlink_endpoints", "Endpoints that the store lists",
-              static_cast<double>(forwarder_.endpoints().size())),
-    });
-}
-
 // Time
 
 void gateway_daemon::rearm()
@@ -456,7 +174,7 @@
     if (presence_)
         presence_->tick(now);
     for (const auto& it : forwarder_.rollouts().due(now))
-        write_record(now, it);
+        write_record(it);
     if (now >= next_housekeeping_)
         keep_house(now);
     check_stop(now);
--- /dev/null
+++ b/src/runlink/gateway/gateway_daemon_metrics.cpp
@@ -0,0 +1,55 @@
+// What the daemon counts, as Prometheus text.
+
+#include "runlink/gateway/gateway_daemon.hpp"
+
+namespace runlink::gateway
+{
+
+std::string gateway_daemon::metrics_text() const
+{
+    const auto& n = forwarder_.counters();
+    const auto counter = [](std::string name, std::string help, std::uint64_t value) {
+        return observe::plain_metric{std::move(name), std::move(help), true, static_cast<double>(value)};
+    };
+    const auto gauge = [](std::string name, std::string help, double value) {
+        return observe::plain_metric{std::move(name), std::move(help), false, value};
+    };
+    const auto age = forwarder_.proof_age(clock_());
+    constexpr double us_per_s = 1e6;
+    return metrics_.text({
+        counter("runlink_forwarded_requests_total", "Requests that arrived", n.requests),
+        counter("runlink_forwarded_answered_total", "Requests with a whole answer", n.answered),
+        counter("runlink_forwarded_refused_total", "Requests refused as not run", n.refused),
+        counter("runlink_forwarded_failed_total", "Requests ended without an answer that may have run",
+                n.failed),
+        counter("runlink_forwarded_broken_total", "Streams that were cut", n.broken),
+        counter("runlink_callers_left_total", "Callers that went away while waiting", n.callers_left),
+        counter("runlink_attempts_total", "Sends to endpoints", n.attempts),
+        counter("runlink_attempts_repeated_total", "Sends after the first of a request", n.repeats),
+        counter("runlink_attempts_hedged_total", "Second sends beside a first", n.hedges),
+        counter("runlink_streams_resumed_total", "Streams that went on elsewhere", n.resumed),
+        counter("runlink_escalated_total", "Answers of a smaller model that were not kept", n.escalated),
+        counter("runlink_endpoint_refusals_total", "Sends that endpoints refused", n.endpoint_refusals),
+        counter("runlink_attempts_lost_total", "Sends without a whole answer", n.attempts_lost),
+        counter("runlink_store_lists_total", "Lists read from the store", follower_.counters().lists),
+        counter("runlink_store_watches_total", "Watches of the store", follower_.counters().watches),
+        counter("runlink_store_proofs_total", "Checks of the configuration's revision",
+                follower_.counters().proofs),
+        counter("runlink_store_failures_total", "Calls of the store that failed",
+                follower_.counters().failures),
+        counter("runlink_connections_opened_total", "Connections opened to endpoints",
+                edge_.pool().totals().opened),
+        counter("runlink_connections_reused_total", "Connections to endpoints used again",
+                edge_.pool().totals().reused),
+        counter("runlink_log_lines_left_out_total", "Log lines without room", log_.left_out()),
+        gauge("runlink_active_requests", "Requests under way",
+              static_cast<double>(forwarder_.active_count())),
+        gauge("runlink_configuration_proof_age_seconds",
+              "Age of the proof that the configuration is the newest",
+              age ? static_cast<double>(age->count()) / us_per_s : -1),
+        gauge("runlink_endpoints", "Endpoints that the store lists",
+              static_cast<double>(forwarder_.endpoints().size())),
+    });
+}
+
+} // namespace runlink::gateway
--- /dev/null
+++ b/src/runlink/gateway/gateway_daemon_store.cpp
@@ -0,0 +1,252 @@
+// What the daemon learns from the store and from other instances, and what it writes.
+
+#include "runlink/gateway/gateway_daemon.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "runlink/core/hash.hpp"
+
+namespace runlink::gateway
+{
+namespace
+{
+
+/// Followers read a new configuration within this of its news, well inside the time in which it must be in
+/// force.
+constexpr std::uint64_t fetch_spread_ms = 300;
+
+} // namespace
+
+control::follower_hooks gateway_daemon::follower_hooks()
+{
+    control::follower_hooks out;
+    out.listed = [this](core::time_point now, const std::vector<control::kv_item>& items)
+    { on_listed(now, items); };
+    out.changed = [this](core::time_point now, const control::kv_event& it) { on_changed(now, it); };
+    out.caught_up = [this](core::time_point now, std::uint64_t revision) { relay_.publish(now, revision); };
+    out.proven = [this](core::time_point sent_at)
+    {
+        if (table_is_readable_)
+            forwarder_.proven_current(sent_at);
+    };
+    out.lost = [this](core::time_point, control::kv_error why) { log_state("store_lost", to_string(why)); };
+    out.regained = [this](core::time_point now, core::duration away)
+    {
+        forwarder_.endpoints().store_returned(now);
+        log_state("store_regained",
+                  std::to_string(std::chrono::floor<core::milliseconds>(away).count()) + " ms");
+    };
+    return out;
+}
+
+void gateway_daemon::start_presence(core::time_point now, std::uint16_t port)
+{
+    const auto entry =
+        binding_.documents.write_peer({settings_.id, settings_.failure_domain, settings_.peers.host, port});
+    presence_.emplace(control::presence_options{}, store_port_, entry);
+    presence_->clock = clock_;
+    presence_->on_failure = [this](core::time_point at, control::kv_error why)
+    { follower_.on_call_failed(at, why); };
+    presence_->start(now);
+}
+
+void gateway_daemon::on_datagram(const proto::datagram& it)
+{
+    const auto now = clock_();
+    if (const auto* gossip = std::get_if<routing::gossip_message>(&it))
+        on_gossip(now, *gossip);
+    else if (const auto* request = std::get_if<control::sync_request>(&it))
+        relay_.on_request(now, *request);
+    else if (const auto* reply = std::get_if<control::sync_reply>(&it))
+        relay_.on_reply(now, *reply);
+    rearm();
+}
+
+control::relay_hooks gateway_daemon::relay_hooks()
+{
+    control::relay_hooks out;
+    out.ask = [this](const core::instance_id& to, const control::sync_request& it)
+    { gossip_.send_to(to, it); };
+    out.reply = [this](const core::instance_id& to, const control::sync_reply& it)
+    { gossip_.send_to(to, it); };
+    out.view = [this](core::time_point now)
+    {
+        control::store_view view{follower_.revision(), follower_.configuration_revision(), std::nullopt};
+        if (follower_.is_connected())
+            view.proof_age = forwarder_.proof_age(now);
+        return view;
+    };
+    out.set_direct = [this](core::time_point now, bool direct)
+    {
+        log_state("store_followed", direct ? "directly" : "by a relay");
+        follower_.set_direct(now, direct);
+    };
+    out.apply = [this](core::time_point now, const std::vector<control::kv_event>& events,
+                       std::uint64_t revision) { follower_.apply(now, events, revision); };
+    out.fetch = [this](core::time_point now, const std::vector<std::string>& keys)
+    {
+        const bool is_configuration =
+            std::all_of(keys.begin(), keys.end(),
+                        [this](const auto& it) { return it == binding_.documents.configuration_key; });
+        if (is_configuration)
+            // Not all followers at the same moment: the store bounds its calls a second.
+            follower_.prove_soon(now, core::milliseconds{static_cast<core::milliseconds::rep>(
+                                          core::stable_hash(settings_.id.str()) % fetch_spread_ms)});
+        else
+            follower_.list_again();
+    };
+    out.list_again = [this] { follower_.list_again(); };
+    out.proven = [this](core::time_point sent_at)
+    {
+        if (table_is_readable_)
+            forwarder_.proven_current(sent_at);
+    };
+    return out;
+}
+
+void gateway_daemon::on_gossip(core::time_point now, const routing::gossip_message& it)
+{
+    for (const auto& e : it.runs)
+        forwarder_.on_peer_run(now, e);
+    forwarder_.rollouts().on_peer_evidence(it.sender, it.evidence);
+}
+
+// The store's documents
+
+void gateway_daemon::on_listed(core::time_point now, const std::vector<control::kv_item>& items)
+{
+    std::vector<routing::endpoint_entry> endpoints;
+    for (const auto& it : items)
+    {
+        auto read = binding_.documents.read(it);
+        if (read && std::holds_alternative<routing::endpoint_entry>(read.value()))
+            endpoints.push_back(std::get<routing::endpoint_entry>(std::move(read).value()));
+        else
+            take(now, it);
+    }
+    forwarder_.endpoints().replace(now, endpoints);
+    relay_.forget_before(follower_.revision());
+    log_state("listed", std::to_string(endpoints.size()) + " endpoints");
+    rearm();
+}
+
+void gateway_daemon::on_changed(core::time_point now, const control::kv_event& it)
+{
+    relay_.remember(it);
+    if (it.is_deleted)
+        forget(now, it.item.key);
+    else
+        take(now, it.item);
+    rearm();
+}
+
+void gateway_daemon::take(core::time_point now, const control::kv_item& item)
+{
+    const auto read = binding_.documents.read(item);
+    if (!read)
+    {
+        if (item.key == binding_.documents.configuration_key)
+            table_is_readable_ = false;
+        return log_state("document_refused", item.key + ": " + read.error().detail);
+    }
+    const auto& it = read.value();
+    if (const auto* table = std::get_if<routing::routing_table_ptr>(&it))
+        take_table(now, *table, item.revision);
+    else if (const auto* endpoint = std::get_if<routing::endpoint_entry>(&it))
+        take_endpoint(now, *endpoint);
+    else if (const auto* order = std::get_if<routing::rollout_order>(&it))
+    {
+        forwarder_.rollouts().on_order(now, *order);
+        log_state("rollout_ordered", order->service.str() + " to " + order->target.str());
+    }
+    else if (const auto* peer = std::get_if<control::peer_entry>(&it))
+    {
+        gossip_.put_peer(peer->id, peer->host, peer->port);
+        relay_.put_peer(peer->id, peer->failure_domain);
+    }
+    else if (const auto* record = std::get_if<routing::rollout_record>(&it))
+    {
+        forwarder_.rollouts().on_record(now, *record);
+        log_state("rollout_record", record->service.str() + " " + std::string{to_string(record->state)} +
+                                        " " + std::to_string(record->share_percent) + " %");
+    }
+}
+
+void gateway_daemon::take_table(core::time_point now, const routing::routing_table_ptr& it,
+                                std::uint64_t revision)
+{
+    if (revision <= table_revision_)
+        return;
+    table_revision_ = revision;
+    table_is_readable_ = true;
+    forwarder_.apply(it);
+    net::listener_limits limits;
+    limits.message.max_header_bytes = it->limits().max_header_bytes;
+    limits.message.max_body_bytes = it->limits().max_body_bytes;
+    limits.header_timeout = it->limits().header_timeout;
+    limits.idle_timeout = it->limits().idle_timeout;
+    edge_.listener().set_limits(limits);
+    observe::log_line line{"configuration_applied"};
+    line.number("table", static_cast<std::int64_t>(it->version()))
+        .number("revision", static_cast<std::int64_t>(revision))
+        .number("routes", static_cast<std::int64_t>(it->route_count()))
+        .number("accounts", static_cast<std::int64_t>(it->account_count()));
+    log_.write(now, line, observe::log_rank::notable);
+}
+
+void gateway_daemon::take_endpoint(core::time_point now, const routing::endpoint_entry& it)
+{
+    const auto change = forwarder_.endpoints().put(it);
+    if (change == routing::endpoint_directory::change::none)
+        return;
+    observe::log_line line{change == routing::endpoint_directory::change::leaving ? "endpoint_leaving"
+                                                                                  : "endpoint_listed"};
+    line.text("endpoint", it.id.str()).text("service", it.service.str()).text("version", it.version.str());
+    log_.write(now, line, observe::log_rank::notable);
+}
+
+void gateway_daemon::forget(core::time_point now, const std::string& key)
+{
+    const auto name = binding_.documents.name(key);
+    if (const auto* endpoint = std::get_if<control::endpoint_key>(&name))
+    {
+        forwarder_.endpoints().remove(now, endpoint->id);
+        log_state("endpoint_gone", endpoint->id.str());
+    }
+    if (const auto* peer = std::get_if<control::peer_key>(&name))
+    {
+        gossip_.remove_peer(peer->id);
+        relay_.remove_peer(peer->id);
+    }
+    if (const auto* order = std::get_if<control::order_key>(&name))
+        forwarder_.rollouts().on_order_removed(order->service);
+}
+
+void gateway_daemon::write_record(const routing::rollout_record& it)
+{
+    auto item = binding_.documents.write_record(it);
+    control::kv_transaction write;
+    write.conditions.push_back({item.key, it.revision});
+    write.writes.push_back(std::move(item));
+    log_state("rollout_write", it.service.str() + " " + std::string{to_string(it.state)} + " " +
+                                   std::to_string(it.share_percent) + " %");
+    store_port_.commit(write,
+                       [this, it](const control::kv_commit_result& result)
+                       {
+                           const auto at = clock_();
+                           if (const auto* why = std::get_if<control::kv_error>(&result))
+                               follower_.on_call_failed(at, *why);
+                           if (const auto* done = std::get_if<control::kv_committed>(&result))
+                           {
+                               auto record = it;
+                               record.revision = done->revision;
+                               forwarder_.rollouts().on_record(at, record);
+                           }
+                           else
+                               forwarder_.rollouts().on_write_failed(at, it.service);
+                           rearm();
+                       });
+}
+
+} // namespace runlink::gateway
--- a/src/runlink/net/http_exchange_test.cpp
+++ b/src/runlink/net/http_exchange_test.cpp
@@ -8,23 +8,15 @@
 
 #include "runlink/net/http_exchange.hpp"
 #include "runlink/net/http_listener.hpp"
+#include "support/wait_for.hpp"
 
+using runlink::tests::wait_for;
 using namespace runlink;
 using namespace runlink::net;
 
 namespace
 {
 
-constexpr auto patience = std::chrono::seconds{10};
-
-bool wait_for(const std::function<bool()>& state)
-{
-    const auto end = std::chrono::steady_clock::now() + patience;
-    while (!state() && std::chrono::steady_clock::now() < end)
-        QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
-    return state();
-}
-
 /// A peer that sends scripted bytes for each request that arrives.
 class raw_peer
 {
--- a/src/runlink/routing/cascade_policy.cpp
+++ b/src/runlink/routing/cascade_policy.cpp
@@ -3,10 +3,10 @@
 namespace runlink::routing
 {
 
-std::size_t cascade_policy::first_size(const route& it, std::uint32_t prompt_tokens) const
+std::size_t cascade_policy::first_size(const route& it) const
 {
     const auto largest = it.model_sizes.size() - 1;
-    if (!options_.start_small || prompt_tokens < options_.small_prompt_tokens)
+    if (!options_.start_small)
         return largest;
     return 0;
 }
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -139,7 +139,7 @@
     it.affinity = affinity_of(request.prompt);
     it.last_event = request.last_event;
     if (!it.via->model_sizes.empty() && request.model.empty())
-        it.size = cascade_.first_size(*it.via, request.prompt_tokens);
+        it.size = cascade_.first_size(*it.via);
     std::uint64_t sum = 0;
     for (const auto& e : it.via->services)
         sum += e.weight;
@@ -159,7 +159,7 @@
     if (found == flows_.end())
         return;
     ++counters_.callers_left;
-    cancel_attempts(now, found->second);
+    cancel_attempts(found->second);
     finish(now, found->second, "caller_left", -1);
 }
 
@@ -178,7 +178,6 @@
     endpoint_need out;
     out.service = it.service;
     out.affinity = it.affinity;
-    out.prompt_tokens = it.request.prompt_tokens;
     out.versions = rollouts_.choose(it.service, it.session, pins_.find(it.arrived, it.session));
     out.tried = &it.tried;
     return out;
@@ -279,7 +278,7 @@
     return out;
 }
 
-void request_forwarder::cancel_attempts(time_point, flow& it)
+void request_forwarder::cancel_attempts(flow& it)
 {
     const auto all = it.attempts;
     for (const auto id : all)
@@ -301,7 +300,7 @@
     constexpr std::uint32_t least_events = 3;
     if (from.first_event && from.events >= least_events)
         out.pace = (now - *from.first_event) / (from.events - 1);
-    rollouts_.on_sample(now, out);
+    rollouts_.on_sample(out);
 }
 
 } // namespace runlink::routing
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -70,7 +70,7 @@
     }
     if (it->head_forwarded)
         return end_without_answer(now, *it, core::errc::endpoint_answer_invalid);
-    cancel_attempts(now, *it);
+    cancel_attempts(*it);
     ++counters_.answered;
     hooks_.forward_answer(it->id, id);
     finish(now, *it, "answered", head.status);
@@ -229,7 +229,7 @@
 
 void request_forwarder::end_without_answer(time_point now, flow& it, core::errc why)
 {
-    cancel_attempts(now, it);
+    cancel_attempts(it);
     if (it.head_forwarded)
     {
         ++counters_.broken;
--- a/src/runlink/routing/request_forwarder_timers.cpp
+++ b/src/runlink/routing/request_forwarder_timers.cpp
@@ -106,7 +106,7 @@
     const auto attempts = it.attempts;
     for (const auto id : attempts)
         chooser_.broke(now, attempts_.at(id).endpoint);
-    cancel_attempts(now, it);
+    cancel_attempts(it);
     again_or_end(now, it, core::errc::endpoint_lost, true);
 }
 
--- a/src/runlink/routing/rollout_control.cpp
+++ b/src/runlink/routing/rollout_control.cpp
@@ -88,7 +88,7 @@
 
 // Evidence
 
-void rollout_control::on_sample(time_point, const version_sample& sample)
+void rollout_control::on_sample(const version_sample& sample)
 {
     const auto found = rollouts_.find(sample.service);
     if (found == rollouts_.end() || found->second.order.revision == 0 || !is_running(found->second))
--- a/src/runlink/routing/routing_test.cpp
+++ b/src/runlink/routing/routing_test.cpp
@@ -151,7 +151,6 @@
     endpoint_need need;
     need.service = core::service_id{"s"};
     need.affinity = 42;
-    need.prompt_tokens = 5000;
     const auto* first = it.choose(start, directory, need);
     REQUIRE(first != nullptr);
     CHECK(it.choose(start, directory, need) == first);
@@ -237,9 +236,9 @@
     auto it = make_rollout(&verdict);
     it.on_order(start, order);
     for (int n = 0; n < 5; ++n)
-        it.on_sample(start, make_sample("v2", "e1", true));
+        it.on_sample(make_sample("v2", "e1", true));
     CHECK(verdict.empty());
-    it.on_sample(start, make_sample("v2", "e2", true));
+    it.on_sample(make_sample("v2", "e2", true));
     CHECK_FALSE(verdict.empty());
     CHECK(it.choose(order.service, session_hash{0}, std::nullopt).excluded == order.target);
 }
@@ -267,10 +266,10 @@
         CHECK(verdict.empty());
         auto old = make_sample("v1", "e1", false);
         old.pace = milliseconds{20};
-        it.on_sample(start, old);
+        it.on_sample(old);
         auto fresh = make_sample("v2", "e2", false);
         fresh.pace = milliseconds{160};
-        it.on_sample(start, fresh);
+        it.on_sample(fresh);
     }
     CHECK_FALSE(verdict.empty());
 }
@@ -325,10 +324,10 @@
     {
         auto old = make_sample("v1", "e1", false);
         old.pace = milliseconds{20};
-        it.on_sample(start, old);
+        it.on_sample(old);
         auto fresh = make_sample("v2", "e2", false);
         fresh.pace = milliseconds{n % 4 == 0 ? 900 : 22};
-        it.on_sample(start, fresh);
+        it.on_sample(fresh);
     }
     CHECK(verdict.empty());
 }
