--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -63,6 +63,7 @@
     std::string endpoint;
     std::string version;
     std::string model;
+    std::optional<core::run_outcome> outcome; ///< of a request that has ended
     int status = -1;
     int confidence = -1;
     std::int64_t attempt = -1;
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -10,7 +10,6 @@
 constexpr int status_bad_request = 400;
 constexpr int status_body_too_large = 413;
 constexpr int status_header_too_large = 431;
-constexpr int status_failed = 500;
 
 } // namespace
 
@@ -288,6 +287,8 @@
     text("endpoint", it.endpoint);
     text("version", it.version);
     text("model", it.model);
+    if (it.outcome)
+        text("outcome", to_string(*it.outcome));
     number("status", it.status);
     number("confidence", it.confidence);
     number("attempt", it.attempt);
@@ -303,10 +304,8 @@
 
 void gateway::on_ended(const routing::decision& it, core::duration after)
 {
-    const auto outcome = it.status >= 0 && it.status < status_failed ? core::run_outcome::ran
-                         : it.status < 0                             ? core::run_outcome::unknown
-                                                                     : core::run_outcome::not_run;
-    metrics_.ended(core::account_id{it.account}, core::request_class{it.route}, after, outcome);
+    metrics_.ended(core::account_id{it.account}, core::request_class{it.route}, after,
+                   it.outcome.value_or(core::run_outcome::unknown));
 }
 
 } // namespace runlink::gateway
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -70,6 +70,7 @@
         auto line = describe(now, it, "refused");
         line.reason = to_string(why->why.code);
         line.status = why->status;
+        line.outcome = core::run_outcome::not_run;
         hooks_.log(line);
         hooks_.ended(line, {});
         return hooks_.refuse(id, *why);
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -256,6 +256,9 @@
     line.reason = outcome;
     line.status = status;
     line.attempt = it.sends;
+    line.outcome = outcome == "answered" ? core::run_outcome::ran
+                   : it.runs == 0        ? core::run_outcome::not_run
+                                         : core::run_outcome::unknown;
     hooks_.log(line);
     hooks_.ended(line, now - it.arrived);
     timers_.erase({it.check_at, it.id});
