--- a/include/runlink/routing/gossip_messages.hpp
+++ b/include/runlink/routing/gossip_messages.hpp
@@ -29,6 +29,7 @@
     std::string route; ///< empty: all routes
     std::uint32_t all = 0;
     std::uint32_t bad = 0;
+    std::uint32_t slow = 0;
     std::vector<std::uint64_t> bad_endpoints; ///< hashes of their ids
 };
 
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -226,6 +226,7 @@
     /// Notes the version of a session's latest run.
     void pin(time_point now, const flow& it, const version_id& version);
     void sample(time_point now, const flow& it, const attempt& from, bool is_bad);
+    void sample_head(time_point now, const flow& it, const attempt& from);
     void escalate(time_point now, flow& it, attempt_id from, int confidence);
 
     // Endings
--- a/include/runlink/routing/rollout_control.hpp
+++ b/include/runlink/routing/rollout_control.hpp
@@ -64,6 +64,8 @@
     bool is_bad = false;
     /// Time between events over what this model takes elsewhere is compared; 0 where not measured.
     duration pace{};
+    /// Time to the first byte; 0 where not measured.
+    duration first{};
     core::model_id model;
 };
 
@@ -75,7 +77,7 @@
     /// Sessions must not be moved in the first half of a roll-out; the share grows after this part.
     double hold_until = 0.52;
     std::vector<std::uint32_t> steps_percent{25, 50, 100};
-    milliseconds step_time{1300};
+    double step_time = 0.08; ///< part of the time of the roll-out
     /// Before the first share is given: what ran before the order is at rest by then.
     milliseconds settle_time{5300};
     /// A good version is declared this long before the end, so that work on old endpoints may finish.
@@ -91,6 +93,12 @@
     /// Samples on both sides before paces are compared; single ones vary with what runs beside them.
     std::size_t slow_samples = 12;
     std::size_t most_samples = 60;
+    /// An answer that takes this many times the old version's median, to its first byte or between events, is
+    /// slow. Bad versions are
+    /// seen about eight times slower, for a part of their answers.
+    double slow_answer = 6.0;
+    std::uint32_t slow_to_stop = 5;
+    double slow_rate_to_stop = 0.2;
 };
 
 /// Decides which version a request may get, and when the roll-out goes on or back.
@@ -147,10 +155,12 @@
     {
         std::uint32_t all = 0;
         std::uint32_t bad = 0;
+        std::uint32_t slow = 0;
         std::set<std::uint64_t> bad_endpoints; ///< hashes of their ids
 
         void add(const counts& it);
 
+        double slow_rate() const { return all == 0 ? 0 : static_cast<double>(slow) / all; }
         double bad_rate() const { return all == 0 ? 0 : static_cast<double>(bad) / all; }
     };
     struct pace_samples
@@ -166,6 +176,7 @@
         counts total;
         std::map<std::string, counts> by_route;
         std::map<core::model_id, pace_samples> pace;
+        std::map<core::model_id, pace_samples> first;
     };
     struct rollout
     {
@@ -188,6 +199,9 @@
     void judge(rollout& it);
     std::string fault_of(const rollout& it) const;
     bool counts_as_bad(const counts& fresh, const counts& old) const;
+    bool is_slow(const rollout& it, const version_sample& sample) const;
+    bool exceeds(const std::map<core::model_id, pace_samples>& old, const version_sample& of,
+                 duration value) const;
     milliseconds delay() const;
 
     rollout_options options_;
--- a/src/runlink/proto/gossip_codec.cpp
+++ b/src/runlink/proto/gossip_codec.cpp
@@ -27,6 +27,7 @@
         evidence->set_route(e.route);
         evidence->set_all(e.all);
         evidence->set_bad(e.bad);
+        evidence->set_slow(e.slow);
         for (const auto n : e.bad_endpoints)
             evidence->add_bad_endpoints(n);
     }
@@ -76,6 +77,7 @@
                                 e.route(),
                                 e.all(),
                                 e.bad(),
+                                e.slow(),
                                 {e.bad_endpoints().begin(), e.bad_endpoints().end()}});
     return out;
 }
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -289,6 +289,18 @@
     }
 }
 
+void request_forwarder::sample_head(time_point now, const flow& it, const attempt& from)
+{
+    version_sample out;
+    out.service = it.service;
+    out.version = from.version;
+    out.endpoint = from.endpoint;
+    out.route = it.via->name;
+    out.model = from.model;
+    out.first = now - from.started;
+    rollouts_.on_sample(out);
+}
+
 void request_forwarder::sample(time_point now, const flow& it, const attempt& from, bool is_bad)
 {
     version_sample out;
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -96,6 +96,7 @@
     chooser_.prompt_read(from.endpoint, it->request.prompt_tokens);
     from.prompt_read = true;
     it->last_progress = now;
+    sample_head(now, *it, from);
     if (it->head_forwarded)
         return; // a resumed stream keeps the head of its first endpoint
     if (head.confidence && !it->via->model_sizes.empty() && it->request.model.empty())
--- a/src/runlink/routing/rollout_control.cpp
+++ b/src/runlink/routing/rollout_control.cpp
@@ -95,14 +95,18 @@
         return;
     auto& it = found->second;
     auto& to = sample.version == it.order.target ? it.new_version : it.old_version;
+    const bool slow = is_slow(it, sample);
     for (auto* n : {&to.total, &to.by_route[sample.route]})
     {
         ++n->all;
-        if (!sample.is_bad)
+        if (!sample.is_bad && !slow)
             continue;
-        ++n->bad;
+        n->bad += sample.is_bad ? 1 : 0;
+        n->slow += slow ? 1 : 0;
         n->bad_endpoints.insert(core::stable_hash(sample.endpoint.str()));
     }
+    if (sample.first.count() > 0)
+        to.first[sample.model].add(static_cast<double>(sample.first.count()), options_.most_samples);
     if (sample.pace.count() > 0)
     {
         to.pace[sample.model].add(static_cast<double>(sample.pace.count()), options_.most_samples);
@@ -142,6 +146,7 @@
 {
     all += it.all;
     bad += it.bad;
+    slow += it.slow;
     bad_endpoints.insert(it.bad_endpoints.begin(), it.bad_endpoints.end());
 }
 
@@ -159,7 +164,7 @@
         {
             const bool is_same_side = (e.version == it.order.target) == (version == it.order.target);
             if (is_same_side && e.route == route)
-                out.add({e.all, e.bad, {e.bad_endpoints.begin(), e.bad_endpoints.end()}});
+                out.add({e.all, e.bad, e.slow, {e.bad_endpoints.begin(), e.bad_endpoints.end()}});
         }
     return out;
 }
@@ -175,6 +180,7 @@
                        route,
                        n.all,
                        n.bad,
+                       n.slow,
                        {n.bad_endpoints.begin(), n.bad_endpoints.end()}});
     };
     for (const auto& [service, it] : rollouts_)
@@ -214,8 +220,27 @@
            session.value() % whole_percent < options_.first_share_percent;
 }
 
+bool rollout_control::is_slow(const rollout& it, const version_sample& sample) const
+{
+    return exceeds(it.old_version.pace, sample, sample.pace) ||
+           exceeds(it.old_version.first, sample, sample.first);
+}
+
+bool rollout_control::exceeds(const std::map<core::model_id, pace_samples>& old, const version_sample& of,
+                              duration value) const
+{
+    const auto found = old.find(of.model);
+    return value.count() > 0 && found != old.end() && found->second.us.size() >= options_.slow_samples &&
+           static_cast<double>(value.count()) > options_.slow_answer * found->second.median();
+}
+
 bool rollout_control::counts_as_bad(const counts& fresh, const counts& old) const
 {
+    const bool slow = fresh.slow >= options_.slow_to_stop &&
+                      fresh.slow_rate() >= options_.slow_rate_to_stop &&
+                      fresh.slow_rate() >= options_.bad_rate_over_old * old.slow_rate();
+    if (slow && fresh.bad_endpoints.size() > 1)
+        return true;
     return fresh.bad >= options_.bad_to_stop && fresh.bad_endpoints.size() > 1 &&
            fresh.bad_rate() >= options_.bad_rate_to_stop &&
            fresh.bad_rate() >= options_.bad_rate_over_old * old.bad_rate();
@@ -234,8 +259,9 @@
                              : old == it.old_version.by_route.end() ? counts{}
                                                                     : old->second;
         if (counts_as_bad(fresh, before))
-            return "bad answers on " + (route.empty() ? "all routes" : "route " + route) + ": " +
-                   std::to_string(fresh.bad) + " of " + std::to_string(fresh.all);
+            return "bad or slow answers on " + (route.empty() ? "all routes" : "route " + route) + ": " +
+                   std::to_string(fresh.bad) + " and " + std::to_string(fresh.slow) + " of " +
+                   std::to_string(fresh.all);
     }
     for (const auto& [model, fresh] : it.new_version.pace)
     {
@@ -328,9 +354,10 @@
         return it.seen + std::min<duration>(options_.settle_time, hold);
     if (share <= options_.first_share_percent)
         return it.seen + hold;
+    const auto step = std::chrono::duration_cast<duration>(it.order.allowed * options_.step_time);
     if (share < options_.steps_percent.back())
-        return it.step_began + options_.step_time;
-    return std::max(it.seen + it.order.allowed - options_.reserve, it.step_began + options_.step_time);
+        return it.step_began + step;
+    return std::max(it.seen + it.order.allowed - options_.reserve, it.step_began + step);
 }
 
 std::vector<rollout_record> rollout_control::due(time_point now)
