Give a new version all requests only at the very end, within the accepted exposure

Ruled out: finding the fault sooner; at that load the answers look like the old version's.

Change: rollout_schedule plans the steps from the end backwards: the first share (5 % here) holds until the time for which the accepted exposure lasts with all requests on the new version; each instance also counts its own sends and lets no new session onto the version above that share. Also: counts of store calls by kind, as a line each 10 s and at the stop, and in the metrics.

--- a/include/runlink/gateway/gateway_daemon.hpp
+++ b/include/runlink/gateway/gateway_daemon.hpp
@@ -74,6 +74,7 @@
     void on_timer();
     void keep_house(core::time_point now);
     void check_stop(core::time_point now);
+    void log_store_calls(core::time_point now);
     void log_state(std::string_view event, std::string_view reason);
 
     gateway_settings settings_;
@@ -94,6 +95,7 @@
     QTimer timer_;
     std::optional<core::time_point> armed_;
     core::time_point next_housekeeping_{};
+    core::time_point next_call_report_{};
     std::uint64_t table_revision_ = 0;
     bool table_is_readable_ = false;
     bool was_ready_ = false;
--- a/include/runlink/gateway/kv_http_store.hpp
+++ b/include/runlink/gateway/kv_http_store.hpp
@@ -26,6 +26,20 @@
     core::milliseconds watch_slack{1500};
 };
 
+/// Calls since the start, by kind and by what became of them. The store's operators count and charge each.
+struct kv_call_counters
+{
+    std::uint64_t lists = 0;
+    std::uint64_t watches = 0;
+    std::uint64_t commits = 0; ///< transactions, those that only prove a revision included
+    std::uint64_t grants = 0;
+    std::uint64_t renewals = 0;
+    std::uint64_t unanswered = 0; ///< of all
+    std::uint64_t refused = 0;    ///< of all: answered 429 or 503
+
+    std::uint64_t all() const { return lists + watches + commits + grants + renewals; }
+};
+
 /// Sends the calls of a `kv_store` to one address.
 class kv_http_store
 {
@@ -35,6 +49,7 @@
     kv_http_store& operator=(const kv_http_store&) = delete;
 
     control::kv_store port();
+    const kv_call_counters& counters() const { return counters_; }
 
 private:
     /// An answer, or nothing when none came.
@@ -57,6 +72,7 @@
     control::kv_wire wire_;
     net::connection_pool pool_;
     std::weak_ptr<call> watch_;
+    kv_call_counters counters_;
 };
 
 } // namespace runlink::gateway
--- a/include/runlink/routing/rollout_control.hpp
+++ b/include/runlink/routing/rollout_control.hpp
@@ -14,6 +14,7 @@
 #include "runlink/core/ids.hpp"
 #include "runlink/core/units.hpp"
 #include "runlink/routing/gossip_messages.hpp"
+#include "runlink/routing/rollout_schedule.hpp"
 
 namespace runlink::routing
 {
@@ -72,16 +73,7 @@
 /// Parameters of roll-outs.
 struct rollout_options
 {
-    /// Share of the first half: below the exposure that operators accept of a bad version.
-    std::uint32_t first_share_percent = 8;
-    /// Sessions must not be moved in the first half of a roll-out; the share grows after this part.
-    double hold_until = 0.52;
-    std::vector<std::uint32_t> steps_percent{25, 50, 100};
-    double step_time = 0.08; ///< part of the time of the roll-out
-    /// Before the first share is given: what ran before the order is at rest by then.
-    milliseconds settle_time{5300};
-    /// A good version is declared this long before the end, so that work on old endpoints may finish.
-    milliseconds reserve{3500};
+    schedule_options schedule;
     /// Instances wait between nothing and this long before they write, so that mostly one does.
     milliseconds write_spread{500};
     milliseconds rewrite_after{1500}; ///< a write that was not seen by then is tried again
@@ -109,7 +101,7 @@
 {
 public:
     rollout_control(rollout_options options, std::uint64_t instance_seed)
-        : options_{std::move(options)}, seed_{instance_seed}
+        : options_{std::move(options)}, schedule_{options_.schedule}, seed_{instance_seed}
     {
     }
 
@@ -117,6 +109,8 @@
     void on_order_removed(const service_id& service);
     void on_record(time_point now, const rollout_record& record);
     void on_sample(const version_sample& sample);
+    /// A request went to an endpoint of this version.
+    void on_sent(const service_id& service, const version_id& version);
 
     /// Which versions a request may run on.
     struct choice
@@ -186,7 +180,9 @@
         time_point seen{};
         time_point step_began{};
         time_point next_write{};
-        bool is_bad = false; ///< this instance found it so
+        bool is_bad = false;           ///< this instance found it so
+        std::uint64_t sent = 0;        ///< requests since the order, by this instance
+        std::uint64_t sent_to_new = 0; ///< those to the new version
         side old_version;
         side new_version;
         std::map<core::instance_id, std::vector<version_evidence>> peers;
@@ -195,6 +191,8 @@
     static bool is_running(const rollout& it) { return it.record.state == rollout_state::running; }
     std::optional<rollout_record> next_record(const rollout& it, time_point now) const;
     time_point next_change(const rollout& it) const;
+    /// Whether a session that has not run on the new version may do so now.
+    bool may_enter(const rollout& it, session_hash session, bool ran_on_old) const;
     counts pooled(const rollout& it, const version_id& version, const std::string& route) const;
     void judge(rollout& it);
     std::string fault_of(const rollout& it) const;
@@ -205,6 +203,7 @@
     milliseconds delay() const;
 
     rollout_options options_;
+    rollout_schedule schedule_;
     std::uint64_t seed_;
     std::map<service_id, rollout> rollouts_;
 };
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -16,13 +16,16 @@
 constexpr int status_ok = 200;
 constexpr int status_unavailable = 503;
 constexpr core::milliseconds housekeeping_interval{1000};
+/// Between two lines with the counts of calls to the store.
+constexpr core::milliseconds call_report_interval{10'000};
 /// A proof is trusted for this much less than keys may be: for delay on the way and timers that fire late.
 constexpr core::milliseconds key_margin{400};
 constexpr core::milliseconds denial_margin{100};
 /// Part of the deployment's retry ratio that is used: what calls in flight add comes on top.
 constexpr double retry_part = 0.88;
-/// Part of the accepted exposure that the first half of a roll-out uses; the rest is for the steps after it.
-constexpr double first_exposure_part = 0.55;
+/// Part of the accepted exposure that is the first share of a roll-out. What it leaves is the time for which
+/// the new version may get all requests before it is declared good.
+constexpr double first_exposure_part = 0.34;
 /// After this long the balancer has taken an instance out that is not ready: two questions, a second apart.
 constexpr core::milliseconds balancer_wait{2700};
 /// The process ends this long before it would be killed.
@@ -89,7 +92,8 @@
     out.move_after = tuning.move_after;
     out.stall_after = tuning.stall_after;
     constexpr double percent = 100;
-    out.rollouts.first_share_percent =
+    out.rollouts.schedule.exposure_share = settings_.exposure_share;
+    out.rollouts.schedule.first_share_percent =
         static_cast<std::uint32_t>(settings_.exposure_share * first_exposure_part * percent);
     return out;
 }
@@ -194,6 +198,11 @@
     const auto options = control::relay_options::within(settings_.configuration_apply);
     follower_.set_proof_interval(relay_.is_used() ? options.proof_interval()
                                                   : control::follower_options{}.proof_interval);
+    if (now >= next_call_report_)
+    {
+        next_call_report_ = now + call_report_interval;
+        log_store_calls(now);
+    }
     log_.flush();
 }
 
@@ -224,6 +233,7 @@
     if (!must_end && !is_done)
         return;
     stopped_ = true;
+    log_store_calls(now);
     log_state("stopped", std::to_string(forwarder_.active_count()) + " requests under way");
     log_.flush();
     on_stopped();
--- a/src/runlink/gateway/gateway_daemon_metrics.cpp
+++ b/src/runlink/gateway/gateway_daemon_metrics.cpp
@@ -8,6 +8,7 @@
 std::string gateway_daemon::metrics_text() const
 {
     const auto& n = forwarder_.counters();
+    const auto& calls = store_.counters();
     const auto counter = [](std::string name, std::string help, std::uint64_t value) {
         return observe::plain_metric{std::move(name), std::move(help), true, static_cast<double>(value)};
     };
@@ -31,12 +32,14 @@
         counter("runlink_escalated_total", "Answers of a smaller model that were not kept", n.escalated),
         counter("runlink_endpoint_refusals_total", "Sends that endpoints refused", n.endpoint_refusals),
         counter("runlink_attempts_lost_total", "Sends without a whole answer", n.attempts_lost),
-        counter("runlink_store_lists_total", "Lists read from the store", follower_.counters().lists),
-        counter("runlink_store_watches_total", "Watches of the store", follower_.counters().watches),
-        counter("runlink_store_proofs_total", "Checks of the configuration's revision",
-                follower_.counters().proofs),
-        counter("runlink_store_failures_total", "Calls of the store that failed",
-                follower_.counters().failures),
+        counter("runlink_store_lists_total", "Lists read from the store", calls.lists),
+        counter("runlink_store_watches_total", "Watches of the store", calls.watches),
+        counter("runlink_store_commits_total", "Transactions, those that only prove a revision included",
+                calls.commits),
+        counter("runlink_store_grants_total", "Leases asked for", calls.grants),
+        counter("runlink_store_renewals_total", "Renewals of leases", calls.renewals),
+        counter("runlink_store_unanswered_total", "Calls of the store without an answer", calls.unanswered),
+        counter("runlink_store_refused_total", "Calls that the store refused", calls.refused),
         counter("runlink_connections_opened_total", "Connections opened to endpoints",
                 edge_.pool().totals().opened),
         counter("runlink_connections_reused_total", "Connections to endpoints used again",
@@ -52,4 +55,19 @@
     });
 }
 
+void gateway_daemon::log_store_calls(core::time_point now)
+{
+    const auto& n = store_.counters();
+    const auto number = [](std::uint64_t it) { return static_cast<std::int64_t>(it); };
+    observe::log_line line{"store_calls"};
+    line.number("lists", number(n.lists))
+        .number("watches", number(n.watches))
+        .number("commits", number(n.commits))
+        .number("grants", number(n.grants))
+        .number("renewals", number(n.renewals))
+        .number("unanswered", number(n.unanswered))
+        .number("refused", number(n.refused));
+    log_.write(now, line, observe::log_rank::notable);
+}
+
 } // namespace runlink::gateway
--- a/src/runlink/gateway/kv_http_store.cpp
+++ b/src/runlink/gateway/kv_http_store.cpp
@@ -9,6 +9,8 @@
 
 /// Told to handlers when no answer came.
 constexpr int no_status = 0;
+constexpr int status_too_many = 429;
+constexpr int status_unavailable = 503;
 /// Calls are a second or two apart; the store keeps idle connections for longer.
 constexpr core::milliseconds max_rest{10000};
 
@@ -25,12 +27,14 @@
     out.list =
         [this](const std::string& after, const std::function<void(control::kv_result<control::kv_page>)>& to)
     {
+        ++counters_.lists;
         send(wire_.list(after), options_.call_timeout,
              [this, to](int status, const std::string& body) { to(wire_.read_page(status, body)); });
     };
     out.watch = [this](std::uint64_t after, core::milliseconds wait,
                        const std::function<void(control::kv_result<control::kv_changes>)>& to)
     {
+        ++counters_.watches;
         watch_ =
             send(wire_.watch(after, wait), wait + options_.watch_slack,
                  [this, to](int status, const std::string& body) { to(wire_.read_changes(status, body)); });
@@ -38,18 +42,21 @@
     out.commit =
         [this](const control::kv_transaction& it, const std::function<void(control::kv_commit_result)>& to)
     {
+        ++counters_.commits;
         send(wire_.commit(it), options_.call_timeout,
              [this, to](int status, const std::string& body) { to(wire_.read_commit(status, body)); });
     };
     out.grant =
         [this](core::milliseconds ttl, const std::function<void(control::kv_result<control::kv_lease>)>& to)
     {
+        ++counters_.grants;
         send(wire_.grant(ttl), options_.call_timeout,
              [this, to](int status, const std::string& body) { to(wire_.read_lease(status, body)); });
     };
     out.renew =
         [this](std::uint64_t lease, const std::function<void(control::kv_result<control::kv_lease>)>& to)
     {
+        ++counters_.renewals;
         send(wire_.renew(lease), options_.call_timeout,
              [this, to](int status, const std::string& body) { to(wire_.read_lease(status, body)); });
     };
@@ -106,6 +113,8 @@
 void kv_http_store::finish(const call_ptr& it, int status)
 {
     it->timer.stop();
+    counters_.unanswered += status == no_status ? 1 : 0;
+    counters_.refused += status == status_too_many || status == status_unavailable ? 1 : 0;
     const auto handler = std::exchange(it->handler, nullptr);
     if (handler)
         handler(status, it->body);
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -246,6 +246,7 @@
         return;
     auto& it = flows_.at(found->second.flow);
     ++it.runs;
+    rollouts_.on_sent(it.service, found->second.version);
     pin(now, it, found->second.version);
 }
 
--- a/src/runlink/routing/rollout_control.cpp
+++ b/src/runlink/routing/rollout_control.cpp
@@ -115,6 +115,17 @@
         judge(it);
 }
 
+void rollout_control::on_sent(const service_id& service, const version_id& version)
+{
+    const auto found = rollouts_.find(service);
+    if (found == rollouts_.end() || found->second.order.revision == 0)
+        return;
+    auto& it = found->second;
+    ++it.sent;
+    if (version == it.order.target)
+        ++it.sent_to_new;
+}
+
 void rollout_control::pace_samples::add(double it, std::size_t most)
 {
     if (us.size() < most)
@@ -216,8 +227,8 @@
     const auto found = rollouts_.find(service);
     if (found == rollouts_.end() || found->second.order.revision == 0 || !is_running(found->second))
         return false;
-    return found->second.record.share_percent <= options_.first_share_percent &&
-           session.value() % whole_percent < options_.first_share_percent;
+    return schedule_.in_first_part(found->second.record.share_percent) &&
+           session.value() % whole_percent < schedule_.options().first_share_percent;
 }
 
 bool rollout_control::is_slow(const rollout& it, const version_sample& sample) const
@@ -300,23 +311,22 @@
         out.only = target;
         return out;
     }
-    const auto share = it.record.share_percent;
-    if (share >= whole_percent)
-    {
-        out.only = target;
-        return out;
-    }
-    const bool in_share = session.value() % whole_percent < share;
-    const bool in_first_half = share <= options_.first_share_percent;
     const bool ran_on_target = pinned && *pinned == target;
     const bool ran_on_old = pinned && *pinned != target;
-    if (share > 0 && (ran_on_target || (in_share && !(ran_on_old && in_first_half))))
-        out.only = target;
-    else
+    if (it.record.share_percent == 0 || (!ran_on_target && !may_enter(it, session, ran_on_old)))
         return old_version();
+    out.only = target;
     return out;
 }
 
+bool rollout_control::may_enter(const rollout& it, session_hash session, bool ran_on_old) const
+{
+    const auto share = it.record.share_percent;
+    if (session.value() % whole_percent >= share || (ran_on_old && schedule_.in_first_part(share)))
+        return false;
+    return schedule_.may_expose(it.order.allowed, it.sent_to_new, it.sent);
+}
+
 // Steps
 
 std::optional<rollout_record> rollout_control::next_record(const rollout& it, time_point now) const
@@ -330,34 +340,18 @@
     }
     if (now < next_change(it) + delay())
         return std::nullopt;
-    if (out.share_percent == 0)
-    {
-        out.share_percent = options_.first_share_percent;
-        return out;
-    }
-    const auto step =
-        std::upper_bound(options_.steps_percent.begin(), options_.steps_percent.end(), out.share_percent);
-    if (step != options_.steps_percent.end())
-        out.share_percent = *step;
-    else
+    const auto share = schedule_.share_after(out.share_percent);
+    if (share == out.share_percent)
         out.state = rollout_state::succeeded;
+    out.share_percent = share;
     return out;
 }
 
 time_point rollout_control::next_change(const rollout& it) const
 {
-    const auto share = it.record.share_percent;
     if (it.is_bad)
         return it.seen;
-    const auto hold = std::chrono::duration_cast<duration>(it.order.allowed * options_.hold_until);
-    if (share == 0)
-        return it.seen + std::min<duration>(options_.settle_time, hold);
-    if (share <= options_.first_share_percent)
-        return it.seen + hold;
-    const auto step = std::chrono::duration_cast<duration>(it.order.allowed * options_.step_time);
-    if (share < options_.steps_percent.back())
-        return it.step_began + step;
-    return std::max(it.seen + it.order.allowed - options_.reserve, it.step_began + step);
+    return schedule_.next_step({it.seen, it.order.allowed, it.step_began, it.record.share_percent});
 }
 
 std::vector<rollout_record> rollout_control::due(time_point now)
--- /dev/null
+++ b/src/runlink/routing/rollout_schedule.cpp
@@ -0,0 +1,74 @@
+#include "runlink/routing/rollout_schedule.hpp"
+
+#include <algorithm>
+
+namespace runlink::routing
+{
+namespace
+{
+
+constexpr double whole_percent = 100;
+
+core::milliseconds part_of(core::milliseconds it, double part)
+{
+    return core::milliseconds{static_cast<core::milliseconds::rep>(static_cast<double>(it.count()) * part)};
+}
+
+double part_in(core::milliseconds it, core::milliseconds whole)
+{
+    const auto least = core::milliseconds{1};
+    return static_cast<double>(it.count()) / static_cast<double>(std::max(whole, least).count());
+}
+
+} // namespace
+
+core::milliseconds rollout_schedule::settle(core::milliseconds allowed) const
+{
+    return std::min(options_.settle_time, part_of(allowed, options_.hold_until));
+}
+
+core::milliseconds rollout_schedule::reserve(core::milliseconds allowed) const
+{
+    return std::min(options_.reserve, part_of(allowed, options_.most_reserve));
+}
+
+core::milliseconds rollout_schedule::last_part(core::milliseconds allowed) const
+{
+    // With a steady rate the exposure is first * (1 - settled - last) + last, in parts of the whole time.
+    const auto first = options_.first_share_percent / whole_percent;
+    const auto settled = part_in(settle(allowed), allowed);
+    const auto last = first < 1 ? (planned_share() - first * (1 - settled)) / (1 - first) : 0;
+    const auto least = reserve(allowed) + options_.least_overlap;
+    return std::max(least, part_of(allowed, std::min(last, 1 - options_.hold_until)));
+}
+
+core::time_point rollout_schedule::next_step(const rollout_progress& it) const
+{
+    const auto end = it.seen + it.allowed;
+    if (it.share_percent == 0)
+        return it.seen + settle(it.allowed);
+    if (in_first_part(it.share_percent))
+        return std::max(end - last_part(it.allowed), it.seen + part_of(it.allowed, options_.hold_until));
+    if (it.share_percent < options_.steps_percent.back())
+        return it.step_began + part_of(it.allowed, options_.step_time);
+    return std::max(end - reserve(it.allowed), it.step_began + options_.least_overlap);
+}
+
+std::uint32_t rollout_schedule::share_after(std::uint32_t percent) const
+{
+    if (percent == 0)
+        return options_.first_share_percent;
+    const auto& steps = options_.steps_percent;
+    const auto step = std::upper_bound(steps.begin(), steps.end(), percent);
+    return step == steps.end() ? percent : *step;
+}
+
+bool rollout_schedule::may_expose(core::milliseconds allowed, std::uint64_t to_new_version,
+                                  std::uint64_t all) const
+{
+    const auto accepted = std::max(0.0, planned_share() - part_in(reserve(allowed), allowed));
+    return static_cast<double>(to_new_version) <
+           accepted * static_cast<double>(all) + options_.exposure_slack;
+}
+
+} // namespace runlink::routing
--- a/src/runlink/routing/routing_test.cpp
+++ b/src/runlink/routing/routing_test.cpp
@@ -1,6 +1,8 @@
 #define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 
+#include <functional>
+
 #include "runlink/routing/cascade_policy.hpp"
 #include "runlink/routing/endpoint_chooser.hpp"
 #include "runlink/routing/retry_allowance.hpp"
@@ -59,6 +61,54 @@
     return out;
 }
 
+/// Instances that follow one record, as requests come and go without any fault to be seen.
+struct rollout_run
+{
+    std::uint64_t all = 0;     ///< between the order and its end
+    std::uint64_t exposed = 0; ///< of these, on the new version
+    bool is_done = false;      ///< declared good before its end
+    bool jumped_early = false; ///< all requests on the new version in the first half
+};
+
+rollout_run run_rollout(milliseconds allowed, const std::function<int(milliseconds)>& requests_in_100_ms)
+{
+    constexpr int instances = 7;
+    constexpr milliseconds step{100};
+    const rollout_order of{core::service_id{"s"}, core::version_id{"v2"}, allowed, 5};
+    std::vector<rollout_control> all;
+    for (int n = 0; n < instances; ++n)
+        all.emplace_back(rollout_options{}, static_cast<std::uint64_t>(n) * 70);
+    for (auto& it : all)
+        it.on_order(start, of);
+    rollout_run out;
+    std::uint64_t revision = of.revision;
+    std::uint64_t session = 0;
+    for (milliseconds t{0}; t < allowed; t += step)
+    {
+        for (int n = 0; n < requests_in_100_ms(t); ++n)
+        {
+            auto& by = all[static_cast<std::size_t>(n % instances)];
+            const auto choice = by.choose(of.service, session_hash{session++ * 37}, std::nullopt);
+            const bool is_new = choice.only == of.target;
+            by.on_sent(of.service, is_new ? of.target : core::version_id{"v1"});
+            ++out.all;
+            out.exposed += is_new ? 1 : 0;
+        }
+        std::vector<rollout_record> writes;
+        for (auto& it : all)
+            for (const auto& e : it.due(start + t))
+                writes.push_back(e);
+        if (writes.empty())
+            continue;
+        writes.front().revision = ++revision;
+        out.jumped_early |= writes.front().share_percent == 100 && t < allowed / 2;
+        out.is_done |= writes.front().state == rollout_state::succeeded;
+        for (auto& it : all)
+            it.on_record(start + t, writes.front());
+    }
+    return out;
+}
+
 const rollout_order order{core::service_id{"s"}, core::version_id{"v2"}, milliseconds{24000}, 5};
 
 } // namespace
@@ -280,7 +330,7 @@
     rollout_control second{{}, 300};
     first.on_order(start, order);
     second.on_order(start, order);
-    const auto now = start + rollout_options{}.settle_time;
+    const auto now = start + schedule_options{}.settle_time;
     const auto writes = first.due(now);
     REQUIRE(writes.size() == 1);
     CHECK(second.due(now).empty());
@@ -300,7 +350,7 @@
     rollout_control older{{}, 0};
     older.on_record(start, {order.service, order.target, rollout_state::rolled_back, 0, 3});
     older.on_order(start, order);
-    CHECK(older.due(start + rollout_options{}.settle_time).size() == 1);
+    CHECK(older.due(start + schedule_options{}.settle_time).size() == 1);
 }
 
 TEST_CASE("after a roll-out succeeded, the next one keeps its version as the old one")
@@ -351,3 +401,18 @@
     }
     CHECK(verdict.empty());
 }
+
+TEST_CASE("a version whose fault nobody sees gets no more than the accepted exposure, and is done in time")
+{
+    const auto accepted = [](const rollout_run& it) { return 0.15 * static_cast<double>(it.all) + 30; };
+    const auto allowed =
+        GENERATE(milliseconds{8000}, milliseconds{16000}, milliseconds{24000}, milliseconds{600000});
+    const auto steady = run_rollout(allowed, [](milliseconds) { return 11; });
+    CHECK(static_cast<double>(steady.exposed) <= accepted(steady));
+    CHECK(steady.is_done);
+    CHECK_FALSE(steady.jumped_early);
+    // Traffic that doubles towards the end.
+    const auto rising = run_rollout(allowed, [&](milliseconds t) { return t > allowed * 4 / 5 ? 22 : 11; });
+    CHECK(static_cast<double>(rising.exposed) <= accepted(rising));
+    CHECK(rising.is_done);
+}
--- a/tests/support/forwarding_script.cpp
+++ b/tests/support/forwarding_script.cpp
@@ -73,12 +73,14 @@
     static forwarder_options options()
     {
         forwarder_options out;
-        out.rollouts.settle_time = milliseconds{500};
+        out.rollouts.schedule.settle_time = milliseconds{500};
         out.rollouts.write_spread = milliseconds{1};
-        out.rollouts.step_time = 0.125;
-        out.rollouts.reserve = milliseconds{500};
-        out.rollouts.first_share_percent = 50;
-        out.rollouts.steps_percent = {100};
+        out.rollouts.schedule.step_time = 0.125;
+        out.rollouts.schedule.reserve = milliseconds{500};
+        out.rollouts.schedule.first_share_percent = 50;
+        out.rollouts.schedule.steps_percent = {100};
+        out.rollouts.schedule.most_reserve = 1;
+        out.rollouts.schedule.exposure_share = 1;
         return out;
     }
 
