One instance of a failure domain follows the store; compressed changes; a list proves the configuration

Change: one direct follower a failure domain, the one with the fastest link, and a stand-by that asks it; datagrams are compressed (zlib through Qt), one message for all who lack the same; a follower asks its relay, the stand-by, then the relays of other failure domains, and the store itself in rounds 1, 2, 4, 8 without any; a list that has the configuration is a proof; changes are gathered for 0.7 s just after the start. A failed renewal no longer keeps a relayed instance 'lost'.

--- a/include/runlink/control/documents.hpp
+++ b/include/runlink/control/documents.hpp
@@ -22,6 +22,7 @@
     core::failure_domain_id failure_domain;
     std::string host;
     std::uint16_t port = 0;
+    std::uint32_t link_mbps = 0; ///< of its link; 0: not known
 };
 
 /// An item of the store, read. Items that do not concern this process are empty.
--- a/include/runlink/control/presence.hpp
+++ b/include/runlink/control/presence.hpp
@@ -32,11 +32,13 @@
     std::optional<core::time_point> next_due() const { return next_; }
     std::function<core::time_point()> clock;
     std::function<void(core::time_point, kv_error)> on_failure = [](auto, auto) {};
+    std::function<void(core::time_point)> on_success = [](auto) {};
 
 private:
     void grant();
     void write();
     void renew();
+    void succeed();
     void fail(kv_error why);
 
     presence_options options_;
--- a/include/runlink/control/store_follower.hpp
+++ b/include/runlink/control/store_follower.hpp
@@ -25,6 +25,10 @@
     /// Changes are gathered for this long before the next watch: each call has a price, and what changes
     /// must be in force within two seconds.
     milliseconds gather{150};
+    /// Instead of that, soon after the start: all instances may start at once, and each one's entry is a
+    /// change.
+    milliseconds first_gather{700};
+    milliseconds start_time{2000};     ///< what counts as soon
     milliseconds proof_interval{1500}; ///< three of them fit into the age that keys allow
     milliseconds first_retry{150};
     milliseconds longest_retry{700};
@@ -63,6 +67,7 @@
     /// The time when answers arrive.
     std::function<time_point()> clock;
 
+    /// Reads everything. A list that has the configuration proves it as a transaction does.
     void start();
     /// Watches and proves by itself, or leaves both to a relay.
     void set_direct(time_point now, bool direct);
@@ -79,6 +84,7 @@
     std::optional<time_point> next_due() const;
     /// Told by whoever else calls the store.
     void on_call_failed(time_point now, kv_error why) { note_failure(now, why); }
+    void on_call_succeeded(time_point now) { note_success(now); }
 
     bool is_connected() const { return !lost_at_; }
     const follower_counters& counters() const { return counters_; }
@@ -94,15 +100,19 @@
     void note_failure(time_point now, kv_error why);
     void note_success(time_point now);
     void remember(const kv_item& item, bool is_deleted);
+    void note_proof(time_point sent_at);
+    milliseconds gather(time_point now) const;
+    /// Until the latest proof is an interval old.
+    milliseconds time_to_proof(time_point now) const;
     milliseconds retry_delay() const;
 
     follower_options options_;
     kv_store store_;
     follower_hooks hooks_;
-    time_point now_{};
     std::vector<kv_item> pages_;
     std::uint64_t revision_ = 0; ///< all changes up to here are known
     std::uint64_t list_revision_ = 0;
+    time_point list_sent_at_{}; ///< of the first page
     std::uint64_t configuration_revision_ = 0;
     bool is_direct_ = true; ///< unless `set_direct` says otherwise
     bool is_listed_ = false;
@@ -110,6 +120,8 @@
     bool is_watching_ = false;
     bool is_proving_ = false;
     std::uint32_t failures_ = 0; ///< in a row
+    time_point started_at_{};
+    std::optional<time_point> proven_at_;
     std::optional<time_point> lost_at_;
     std::optional<time_point> next_list_;
     std::optional<time_point> next_watch_;
--- a/include/runlink/gateway/gateway_settings.hpp
+++ b/include/runlink/gateway/gateway_settings.hpp
@@ -34,6 +34,7 @@
 {
     core::instance_id id;
     core::failure_domain_id failure_domain;
+    std::uint32_t link_mbps = 0; ///< of the instance's link; 0: not known
     net::peer_address callers;
     net::peer_address readiness;
     net::peer_address peers;        ///< datagrams from other instances
--- a/include/runlink/gateway/gossip_link.hpp
+++ b/include/runlink/gateway/gossip_link.hpp
@@ -34,7 +34,7 @@
     void remove_peer(const core::instance_id& id) { peers_.erase(id); }
     std::size_t peer_count() const { return peers_.size(); }
 
-    void send_to(const core::instance_id& to, const proto::datagram& it);
+    void send_to(const std::vector<core::instance_id>& to, const proto::datagram& it);
     void tell(const routing::session_run& it);
     /// What is counted now; asked for with each message.
     std::function<std::vector<routing::version_evidence>()> evidence;
@@ -48,6 +48,8 @@
 
     void send();
     void receive();
+    /// A datagram that is not taken counts as lost.
+    void write(const peer& to, const QByteArray& bytes);
 
     core::instance_id self_;
     handler on_message_;
--- a/src/runlink/control/presence.cpp
+++ b/src/runlink/control/presence.cpp
@@ -34,6 +34,13 @@
     next_ = now + (why == kv_error::lease_gone ? core::milliseconds{0} : options_.retry_after);
 }
 
+void presence::succeed()
+{
+    const auto now = clock();
+    next_ = now + options_.renew_after;
+    on_success(now);
+}
+
 void presence::grant()
 {
     store_.grant(options_.ttl,
@@ -57,7 +64,7 @@
                       if (const auto* why = std::get_if<kv_error>(&it))
                           return fail(*why);
                       is_written_ = true;
-                      next_ = clock() + options_.renew_after;
+                      succeed();
                   });
 }
 
@@ -68,7 +75,7 @@
                  {
                      if (const auto* why = std::get_if<kv_error>(&it))
                          return fail(*why);
-                     next_ = clock() + options_.renew_after;
+                     succeed();
                  });
 }
 
--- a/src/runlink/control/relay.cpp
+++ b/src/runlink/control/relay.cpp
@@ -1,15 +1,26 @@
 #include "runlink/control/relay.hpp"
 
 #include <algorithm>
+#include <bit>
+#include <set>
 #include <utility>
 
 #include "runlink/core/hash.hpp"
 
 namespace runlink::control
 {
+namespace
+{
+
+/// After so many rounds the own failure domain's relays are tried again before those of others.
+constexpr std::uint64_t rounds_to_prefer_near = 16;
+
+} // namespace
 
-relay::relay(relay_options options, instance_id self, core::failure_domain_id domain, relay_hooks hooks)
-    : options_{options}, self_{std::move(self)}, domain_{std::move(domain)}, hooks_{std::move(hooks)}
+relay::relay(relay_options options, instance_id self, core::failure_domain_id domain, std::uint32_t link_mbps,
+             relay_hooks hooks)
+    : options_{options}, self_{std::move(self)}, domain_{std::move(domain)}, hooks_{std::move(hooks)},
+      link_mbps_{link_mbps}
 {
 }
 
@@ -20,6 +31,7 @@
     out.ask_interval = unit * 2;
     out.answer_timeout = unit;
     out.oldest_proof = unit * 9 / 2;
+    out.lost_interval = unit * 4;
     return out;
 }
 
@@ -30,39 +42,70 @@
 
 // Members
 
-void relay::put_peer(const instance_id& id, const core::failure_domain_id& domain)
+void relay::put_peer(const instance_id& id, const core::failure_domain_id& domain, std::uint32_t link_mbps)
 {
-    if (id != self_)
-        peers_[id] = domain;
+    if (id == self_)
+        return;
+    peers_[id] = {domain, link_mbps};
+    choice_ = 0;
 }
 
 void relay::remove_peer(const instance_id& id)
 {
     peers_.erase(id);
     subscribers_.erase(id);
+    choice_ = 0;
 }
 
-std::vector<instance_id> relay::relays() const
+std::vector<instance_id> relay::relays(const core::failure_domain_id& domain) const
 {
-    std::vector<std::pair<std::uint64_t, instance_id>> all{
-        {core::stable_hash(self_.str(), core::stable_hash(domain_.str())), self_}};
-    for (const auto& [id, domain] : peers_)
-        if (domain == domain_)
-            all.emplace_back(core::stable_hash(id.str(), core::stable_hash(domain_.str())), id);
-    std::sort(all.begin(), all.end());
+    struct candidate
+    {
+        std::uint32_t link_mbps = 0;
+        std::uint64_t weight = 0;
+        instance_id id;
+    };
+    std::vector<candidate> all;
+    const auto add = [&](const instance_id& id, std::uint32_t link_mbps) {
+        all.push_back({link_mbps, core::stable_hash(id.str(), core::stable_hash(domain.str())), id});
+    };
+    if (domain == domain_)
+        add(self_, link_mbps_);
+    for (const auto& [id, it] : peers_)
+        if (it.domain == domain)
+            add(id, it.link_mbps);
+    std::sort(all.begin(), all.end(),
+              [](const auto& a, const auto& b)
+              { return a.link_mbps != b.link_mbps ? a.link_mbps > b.link_mbps : a.weight < b.weight; });
     std::vector<instance_id> out;
-    for (const auto& [weight, id] : all)
+    for (const auto& it : all)
         if (out.size() < options_.relays_per_domain)
-            out.push_back(id);
+            out.push_back(it.id);
+    return out;
+}
+
+std::vector<instance_id> relay::sources() const
+{
+    auto out = relays(domain_);
+    std::erase(out, self_);
+    std::set<core::failure_domain_id> others;
+    for (const auto& [id, it] : peers_)
+        if (it.domain != domain_)
+            others.insert(it.domain);
+    for (const auto& it : others)
+        out.push_back(relays(it).front());
     return out;
 }
 
 bool relay::follows_store() const
 {
-    if (!is_used())
-        return true;
-    const auto all = relays();
-    return std::find(all.begin(), all.end(), self_) != all.end();
+    return !is_used() || relays(domain_).front() == self_;
+}
+
+bool relay::has_proof(time_point now) const
+{
+    const auto age = hooks_.view(now).proof_age;
+    return age && *age <= options_.oldest_proof;
 }
 
 // Answering
@@ -124,20 +167,23 @@
     subscribers_[it.sender] = {now, it.store_revision};
     auto out = make_reply(now, it.store_revision);
     out.number = it.number;
-    hooks_.reply(it.sender, out);
+    hooks_.reply({it.sender}, out);
 }
 
 void relay::publish(time_point now, std::uint64_t revision)
 {
     std::erase_if(subscribers_,
                   [&](const auto& it) { return now - it.second.asked > options_.subscription; });
-    for (auto& [id, it] : subscribers_)
+    std::map<std::uint64_t, std::vector<instance_id>> behind; // most have the same revision
+    for (const auto& [id, it] : subscribers_)
+        if (it.revision < revision)
+            behind[it.revision].push_back(id);
+    for (const auto& [since, all] : behind)
     {
-        if (it.revision >= revision)
-            continue;
-        const auto out = make_reply(now, it.revision);
-        hooks_.reply(id, out);
-        it.revision = out.store_revision; // the rest goes with the answer to the next question
+        const auto out = make_reply(now, since);
+        hooks_.reply(all, out);
+        for (const auto& id : all)
+            subscribers_.at(id).revision = out.store_revision; // the rest goes with the next answer
     }
 }
 
@@ -154,64 +200,93 @@
     if (!next_ || now < *next_)
         return;
     if (asked_at_)
-        return on_no_answer(now);
-    ask(now);
+        return on_no_proof(now);
+    begin_round(now);
 }
 
-void relay::ask(time_point now)
+void relay::begin_round(time_point now)
 {
     next_ = now + options_.ask_interval;
-    if (follows_store())
-        return set_direct(now, true);
-    const auto all = relays();
+    tried_ = 0;
+    if (++rounds_ % rounds_to_prefer_near == 0)
+        choice_ = 0;
+    if (!follows_store())
+        return ask(now);
+    set_direct(now, true);
+    // One that has lost the store takes proofs from other relays until it is back.
+    if (is_used() && !has_proof(now))
+        ask(now);
+}
+
+void relay::ask(time_point now)
+{
+    const auto all = sources();
+    if (tried_ >= all.size())
+        return on_all_lost(now);
     sync_request out;
     out.sender = self_;
     out.number = ++number_;
     out.store_revision = hooks_.view(now).store_revision;
     asked_at_ = now;
     next_ = now + options_.answer_timeout;
-    hooks_.ask(all[choice_ % all.size()], out);
+    hooks_.ask(all[(choice_ + tried_) % all.size()], out);
 }
 
-void relay::on_no_answer(time_point now)
+void relay::on_no_proof(time_point now)
 {
     asked_at_.reset();
-    ++choice_;
-    if (++misses_ < options_.relays_per_domain)
-        return ask(now);
-    // No relay answers: the store is asked directly until one does.
-    misses_ = 0;
-    set_direct(now, true);
-    next_ = now + options_.ask_interval;
+    ++tried_;
+    ask(now);
+}
+
+void relay::on_all_lost(time_point now)
+{
+    // All instances see this in an outage of the store: they ask it ever more seldom, and the relays often.
+    next_ = now + options_.lost_interval;
+    ++lost_rounds_;
+    if (!direct_ && std::has_single_bit(lost_rounds_))
+        hooks_.probe(now);
+}
+
+void relay::on_own_proof(time_point now)
+{
+    if (lost_rounds_ > 0)
+        set_direct(now, true);
 }
 
 void relay::on_reply(time_point now, const sync_reply& it)
 {
     const bool is_answer = asked_at_ && it.number == number_;
-    const auto asked_at = asked_at_;
     const bool is_whole = take_events(now, it);
     if (is_whole && it.has_more && !is_answer && !asked_at_)
         next_ = now; // ask for the rest
     if (!is_whole || !is_answer)
         return;
+    if (!it.proof_age || *it.proof_age > options_.oldest_proof)
+        return on_no_proof(now); // it has lost the store itself
+    on_proof(now, it);
+}
+
+void relay::on_proof(time_point now, const sync_reply& it)
+{
+    const auto asked_at = *asked_at_;
     asked_at_.reset();
-    const bool has_proof = it.proof_age && *it.proof_age <= options_.oldest_proof;
-    if (has_proof && it.configuration_revision != hooks_.view(now).configuration_revision)
+    choice_ += tried_;
+    lost_rounds_ = 0;
+    if (it.configuration_revision != hooks_.view(now).configuration_revision)
     {
-        // One of the two has yet to read the newest configuration.
+        // One of the two has yet to read the newest configuration: it comes with the next changes.
         next_ = now + options_.answer_timeout;
+        if (++mismatches_ < options_.patience)
+            return;
+        mismatches_ = 0;
         return hooks_.fetch(now, {});
     }
-    if (!has_proof)
-    {
-        // The relay itself has lost the store.
-        asked_at_ = asked_at;
-        return on_no_answer(now);
-    }
-    misses_ = 0;
+    mismatches_ = 0;
     next_ = it.has_more ? now : now + options_.ask_interval;
-    hooks_.proven(*asked_at - *it.proof_age);
-    set_direct(now, false);
+    hooks_.proven(asked_at - *it.proof_age);
+    if (!follows_store())
+        set_direct(now, false);
 }
 
 bool relay::take_events(time_point now, const sync_reply& it)
@@ -219,9 +294,12 @@
     const auto own = hooks_.view(now).store_revision;
     if (it.history_gone)
     {
-        if (it.number != 0 && it.store_revision > own)
-            hooks_.list_again();
-        return it.number != 0 && it.store_revision <= own;
+        if (it.number == 0 || it.store_revision <= own)
+            return it.number != 0;
+        hooks_.list_again();
+        asked_at_.reset(); // asked again with the list's revision
+        next_ = now + options_.answer_timeout;
+        return false;
     }
     if (it.since > own)
         return false; // there is a gap before these
--- a/src/runlink/control/store_follower.cpp
+++ b/src/runlink/control/store_follower.cpp
@@ -33,6 +33,7 @@
 
 void store_follower::start()
 {
+    started_at_ = clock();
     list();
 }
 
@@ -101,7 +102,7 @@
     if (direct)
     {
         watch();
-        return prove(now);
+        return proven_at_ ? prove_soon(now, time_to_proof(now)) : prove(now);
     }
     ++watch_number_;
     if (std::exchange(is_watching_, false))
@@ -136,6 +137,7 @@
     next_watch_.reset();
     pages_.clear();
     list_revision_ = 0;
+    list_sent_at_ = clock();
     ++counters_.lists;
     store_.list({}, [this](kv_result<kv_page> it) { on_page(std::move(it)); });
 }
@@ -168,13 +170,19 @@
     is_listed_ = true;
     note_success(now);
     revision_ = list_revision_;
+    bool has_configuration = false;
     for (const auto& it : pages_)
+    {
         remember(it, false);
+        has_configuration |= it.key == options_.configuration_key;
+    }
     hooks_.listed(now, std::exchange(pages_, {}));
     hooks_.caught_up(now, revision_);
     watch();
-    if (!is_proving_)
-        prove(now); // also where a relay proves: what was listed is to be used at once
+    if (has_configuration)
+        note_proof(list_sent_at_);
+    if (is_direct_)
+        prove_soon(now, options_.proof_interval);
 }
 
 void store_follower::remember(const kv_item& item, bool is_deleted)
@@ -222,7 +230,24 @@
         hooks_.changed(now, e);
     }
     hooks_.caught_up(now, revision_);
-    next_watch_ = it.events.empty() ? now : now + options_.gather;
+    next_watch_ = it.events.empty() ? now : now + gather(now);
+}
+
+milliseconds store_follower::gather(time_point now) const
+{
+    return now - started_at_ < options_.start_time ? options_.first_gather : options_.gather;
+}
+
+void store_follower::note_proof(time_point sent_at)
+{
+    proven_at_ = std::max(proven_at_.value_or(sent_at), sent_at);
+    hooks_.proven(sent_at);
+}
+
+milliseconds store_follower::time_to_proof(time_point now) const
+{
+    const auto due = *proven_at_ + options_.proof_interval;
+    return std::max(std::chrono::ceil<milliseconds>(due - now), milliseconds{0});
 }
 
 // Proof
@@ -246,7 +271,8 @@
     if (const auto* why = std::get_if<kv_error>(&result))
     {
         note_failure(now, *why);
-        next_proof_ = now + retry_delay();
+        if (is_direct_)
+            next_proof_ = now + retry_delay();
         return;
     }
     note_success(now);
@@ -256,7 +282,7 @@
             remember(it, false);
             hooks_.changed(now, {it, false});
         }
-    hooks_.proven(sent_at);
+    note_proof(sent_at);
     if (is_direct_)
         next_proof_ = sent_at + std::max(options_.proof_interval, milliseconds{1});
 }
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -55,7 +55,7 @@
       follower_{{binding_.documents.configuration_key}, store_port_, follower_hooks()},
       gossip_{settings_.id, [this](const proto::datagram& it) { on_datagram(it); }},
       relay_{control::relay_options::within(settings_.configuration_apply), settings_.id,
-             settings_.failure_domain, relay_hooks()},
+             settings_.failure_domain, settings_.link_mbps, relay_hooks()},
       readiness_{[this](const auto& from, const auto&, const std::string&) { on_readiness(from); },
                  [](const auto& from, net::codec_error) { from->reset(); }},
       metrics_listener_{[this](const auto& from, const auto&, const std::string&) { on_metrics(from); },
--- a/src/runlink/gateway/gateway_daemon_store.cpp
+++ b/src/runlink/gateway/gateway_daemon_store.cpp
@@ -29,6 +29,7 @@
     {
         if (table_is_readable_)
             forwarder_.proven_current(sent_at);
+        relay_.on_own_proof(clock_());
     };
     out.lost = [this](core::time_point, control::kv_error why) { log_state("store_lost", to_string(why)); };
     out.regained = [this](core::time_point now, core::duration away)
@@ -42,12 +43,13 @@
 
 void gateway_daemon::start_presence(core::time_point now, std::uint16_t port)
 {
-    const auto entry =
-        binding_.documents.write_peer({settings_.id, settings_.failure_domain, settings_.peers.host, port});
+    const auto entry = binding_.documents.write_peer(
+        {settings_.id, settings_.failure_domain, settings_.peers.host, port, settings_.link_mbps});
     presence_.emplace(control::presence_options{}, store_port_, entry);
     presence_->clock = clock_;
     presence_->on_failure = [this](core::time_point at, control::kv_error why)
     { follower_.on_call_failed(at, why); };
+    presence_->on_success = [this](core::time_point at) { follower_.on_call_succeeded(at); };
     presence_->start(now);
 }
 
@@ -67,15 +69,13 @@
 {
     control::relay_hooks out;
     out.ask = [this](const core::instance_id& to, const control::sync_request& it)
-    { gossip_.send_to(to, it); };
-    out.reply = [this](const core::instance_id& to, const control::sync_reply& it)
+    { gossip_.send_to({to}, it); };
+    out.reply = [this](const std::vector<core::instance_id>& to, const control::sync_reply& it)
     { gossip_.send_to(to, it); };
     out.view = [this](core::time_point now)
     {
-        control::store_view view{follower_.revision(), follower_.configuration_revision(), std::nullopt};
-        if (follower_.is_connected())
-            view.proof_age = forwarder_.proof_age(now);
-        return view;
+        return control::store_view{follower_.revision(), follower_.configuration_revision(),
+                                   forwarder_.proof_age(now)};
     };
     out.set_direct = [this](core::time_point now, bool direct)
     {
@@ -97,6 +97,7 @@
             follower_.list_again();
     };
     out.list_again = [this] { follower_.list_again(); };
+    out.probe = [this](core::time_point now) { follower_.prove_soon(now, core::milliseconds{0}); };
     out.proven = [this](core::time_point sent_at)
     {
         if (table_is_readable_)
@@ -163,7 +164,7 @@
     else if (const auto* peer = std::get_if<control::peer_entry>(&it))
     {
         gossip_.put_peer(peer->id, peer->host, peer->port);
-        relay_.put_peer(peer->id, peer->failure_domain);
+        relay_.put_peer(peer->id, peer->failure_domain, peer->link_mbps);
     }
     else if (const auto* record = std::get_if<routing::rollout_record>(&it))
     {
--- a/src/runlink/gateway/gateway_settings.cpp
+++ b/src/runlink/gateway/gateway_settings.cpp
@@ -16,6 +16,7 @@
 constexpr std::int64_t max_port = 65535;
 constexpr std::int64_t max_ms = 600'000;
 constexpr double max_s = 3600;
+constexpr double max_mbps = 1'000'000;
 constexpr std::int64_t max_lines = 1'000'000;
 
 net::peer_address read_address(json_object_reader& in, const std::string& name)
@@ -85,6 +86,7 @@
              {
                  out.id = core::instance_id{e.required_string("id")};
                  out.failure_domain = core::failure_domain_id{e.required_string("failure_domain")};
+                 out.link_mbps = static_cast<std::uint32_t>(e.optional_number("link_mbps", 0, 0, max_mbps));
              });
     required("listen",
              [&](auto& e)
--- a/src/runlink/gateway/gossip_link.cpp
+++ b/src/runlink/gateway/gossip_link.cpp
@@ -1,8 +1,11 @@
 #include "runlink/gateway/gossip_link.hpp"
 
+#include <algorithm>
+#include <cstdint>
 #include <utility>
 
 #include <QNetworkDatagram>
+#include <QtEndian>
 
 namespace runlink::gateway
 {
@@ -13,6 +16,37 @@
 constexpr std::chrono::milliseconds gather_time{30};
 /// Bound on one datagram, below what a link carries in one piece.
 constexpr std::size_t max_runs = 50;
+/// Datagrams above this are compressed: configurations and lists of endpoints shrink to a tenth.
+constexpr std::size_t least_to_compress = 600;
+/// Bytes that a compressed datagram may grow to. Larger ones count as damaged.
+constexpr std::uint32_t most_unpacked = 4 * 1024 * 1024;
+/// The compressor's least effort: the links are local and processors small.
+constexpr int compression_level = 1;
+/// The first byte of a datagram says whether the rest is compressed.
+constexpr char plain_mark = 0;
+constexpr char compressed_mark = 1;
+
+QByteArray pack(const std::string& message)
+{
+    const QByteArray plain{message.data(), static_cast<qsizetype>(message.size())};
+    if (message.size() < least_to_compress)
+        return plain_mark + plain;
+    return compressed_mark + qCompress(plain, compression_level);
+}
+
+/// The message of a datagram, or nothing if it is damaged.
+QByteArray unpack(const QByteArray& datagram)
+{
+    const auto body = datagram.sliced(std::min<qsizetype>(1, datagram.size()));
+    if (datagram.startsWith(plain_mark))
+        return body;
+    // Qt's format begins with the length of what was compressed.
+    constexpr qsizetype length_bytes = sizeof(std::uint32_t);
+    if (!datagram.startsWith(compressed_mark) || body.size() < length_bytes ||
+        qFromBigEndian<std::uint32_t>(body.constData()) > most_unpacked)
+        return {};
+    return qUncompress(body);
+}
 
 } // namespace
 
@@ -38,15 +72,17 @@
         peers_[id] = {QHostAddress{QString::fromStdString(host)}, port};
 }
 
-void gossip_link::send_to(const core::instance_id& to, const proto::datagram& it)
+void gossip_link::send_to(const std::vector<core::instance_id>& to, const proto::datagram& it)
 {
-    const auto found = peers_.find(to);
-    if (found == peers_.end())
-        return;
-    const auto bytes = proto::encode(it);
-    // A datagram that is not taken counts as lost.
-    (void)socket_.writeDatagram(bytes.data(), static_cast<qint64>(bytes.size()), found->second.host,
-                                found->second.port);
+    const auto bytes = pack(proto::encode(it));
+    for (const auto& id : to)
+        if (const auto found = peers_.find(id); found != peers_.end())
+            write(found->second, bytes);
+}
+
+void gossip_link::write(const peer& to, const QByteArray& bytes)
+{
+    (void)socket_.writeDatagram(bytes, to.host, to.port);
 }
 
 void gossip_link::tell(const routing::session_run& it)
@@ -67,17 +103,16 @@
     out.sender = self_;
     out.runs = std::exchange(pending_, {});
     out.evidence = evidence();
-    const auto bytes = proto::encode(out);
+    const auto bytes = pack(proto::encode(out));
     for (const auto& [id, it] : peers_)
-        // A datagram that is not taken counts as lost.
-        (void)socket_.writeDatagram(bytes.data(), static_cast<qint64>(bytes.size()), it.host, it.port);
+        write(it, bytes);
 }
 
 void gossip_link::receive()
 {
     while (socket_.hasPendingDatagrams())
     {
-        const auto bytes = socket_.receiveDatagram().data();
+        const auto bytes = unpack(socket_.receiveDatagram().data());
         on_message_(proto::decode_datagram({bytes.data(), static_cast<std::size_t>(bytes.size())}));
     }
 }
