A fault soak: real instances under faults from outside, promises checked from what callers and endpoints see

Stand-ins for the store (leases run out now) and endpoints, a loopback proxy on each way that delays, resets, cuts one way and silences, signals that stop, pause, kill and reload, series that overlap. Checked while it runs: runs an id, truth of refusals, whole and own answers, order of streams, removed keys, leaving endpoints, exposure of a bad version, work after a caller left, exits, recovery; with planned work only, also that nothing is cut.

Found with it: a caller's connection that outlives its listener reported to it (crash of the soak itself; in the daemon the listener lives to the end). Mended; http_test 'a connection that outlives its listener' failed before (the caller's connection stayed open).

Also: a relay keeps one change a key (config_storm filled its memory); relay_test.

--- a/include/runlink/net/http_listener.hpp
+++ b/include/runlink/net/http_listener.hpp
@@ -66,6 +66,8 @@
     std::function<void()> on_left;
     /// Closes or refuses what took too long.
     void check_timeouts(std::chrono::steady_clock::time_point now, const listener_limits& limits);
+    /// The listener is gone: the connection ends and reports nothing more.
+    void leave_listener();
     /// Ends a connection on which nothing is under way.
     void close_if_idle();
 
--- /dev/null
+++ b/soak/fleet.cpp
@@ -0,0 +1,173 @@
+#include "soak/fleet.hpp"
+
+#include <csignal>
+#include <fstream>
+#include <stdexcept>
+#include <utility>
+
+#include <sys/prctl.h>
+
+#include <QTcpServer>
+#include <QTimer>
+#include <QUdpSocket>
+
+#include "operator_documents.hpp"
+
+namespace runlink::soak
+{
+namespace
+{
+
+constexpr int status_ok = 200;
+
+/// A port that nobody listens on now.
+std::uint16_t free_port()
+{
+    QTcpServer probe;
+    if (!probe.listen(QHostAddress::LocalHost, 0))
+        throw std::runtime_error{"no free port: " + probe.errorString().toStdString()};
+    return probe.serverPort();
+}
+
+core::time_point now()
+{
+    return std::chrono::time_point_cast<core::duration>(std::chrono::steady_clock::now());
+}
+
+std::string address(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+} // namespace
+
+fleet::fleet(fleet_options options, promise_checker& checker)
+    : options_{std::move(options)}, checker_{checker}, store_port_{store_.listen()}
+{
+    write_configuration({"key-a", "key-b"});
+    for (int n = 0; n < options_.engines; ++n)
+        add_endpoint("pool", "v1");
+    for (int n = 0; n < options_.services; ++n)
+        add_endpoint("app", "v1");
+    for (int n = 0; n < options_.instances; ++n)
+    {
+        instance it;
+        it.number = n;
+        it.callers = free_port();
+        it.readiness = free_port();
+        it.peers = free_port();
+        it.store = std::make_unique<fault_proxy>(store_port_);
+        write_settings(it);
+        instances_.push_back(std::move(it));
+        start_instance(n);
+    }
+}
+
+fleet::~fleet()
+{
+    is_ending_ = true;
+    for (auto& it : instances_)
+    {
+        if (!it.is_running())
+            continue;
+        it.process->kill();
+        it.process->waitForFinished();
+    }
+}
+
+void fleet::write_configuration(const std::vector<std::string>& keys)
+{
+    store_.put(standins::configuration_key, standins::make_configuration(++configuration_, keys));
+}
+
+void fleet::add_endpoint(const std::string& service, const std::string& version)
+{
+    auto it = std::make_unique<proxied_endpoint>("e" + std::to_string(next_endpoint_++), service, version);
+    it->server.on_run = [this](const auto& by, const auto& run) { checker_.ran(now(), by, run); };
+    store_.put(standins::endpoint_key(it->server.id()), it->server.entry(it->proxy.port(), false));
+    endpoints_.push_back(std::move(it));
+}
+
+void fleet::set_leaving(proxied_endpoint& it)
+{
+    it.leaving = true;
+    checker_.endpoint_leaving(now(), it.server.id());
+    store_.put(standins::endpoint_key(it.server.id()), it.server.entry(it.proxy.port(), true));
+}
+
+void fleet::write_settings(const instance& it) const
+{
+    const nlohmann::json out{
+        {"instance", {{"id", "i" + std::to_string(it.number)}, {"failure_domain", "n"}}},
+        {"listen",
+         {{"callers", address(it.callers)},
+          {"readiness", address(it.readiness)},
+          {"peers", address(it.peers)}}},
+        {"store", address(it.store->port())},
+        {"bounds", {{"stop_grace_s", static_cast<double>(options_.stop_grace.count()) / 1000}}}};
+    std::ofstream{options_.directory + "/i" + std::to_string(it.number) + ".json"} << out.dump(2);
+}
+
+void fleet::start_instance(int n)
+{
+    auto& it = instances_.at(static_cast<std::size_t>(n));
+    const auto base = options_.directory + "/i" + std::to_string(n);
+    it.process = std::make_unique<QProcess>();
+    it.is_paused = false;
+    it.is_expected_to_end = false;
+    it.process->setStandardOutputFile(QString::fromStdString(base + ".log"), QIODevice::Append);
+    it.process->setStandardErrorFile(QString::fromStdString(base + ".err"), QIODevice::Append);
+    QObject::connect(it.process.get(), &QProcess::finished, it.process.get(),
+                     [this, n](int code, QProcess::ExitStatus how) { on_ended(n, code, how); });
+    // Instances do not outlive the soak, also where that is killed itself.
+    it.process->setChildProcessModifier([] { prctl(PR_SET_PDEATHSIG, SIGKILL); });
+    it.process->start(QString::fromStdString(options_.program),
+                      {"--settings", QString::fromStdString(base + ".json")});
+    if (!it.process->waitForStarted())
+        throw std::runtime_error{options_.program + " cannot be started"};
+}
+
+void fleet::signal_instance(int n, int signal)
+{
+    auto& it = instances_.at(static_cast<std::size_t>(n));
+    if (!it.is_running())
+        return;
+    it.is_expected_to_end = it.is_expected_to_end || signal == SIGTERM || signal == SIGKILL;
+    if (signal == SIGSTOP || signal == SIGCONT)
+        it.is_paused = signal == SIGSTOP;
+    ::kill(static_cast<pid_t>(it.process->processId()), signal);
+}
+
+void fleet::on_ended(int n, int code, QProcess::ExitStatus how)
+{
+    auto& it = instances_.at(static_cast<std::size_t>(n));
+    if (is_ending_)
+        return;
+    const auto name = "i" + std::to_string(n);
+    if (!it.is_expected_to_end)
+        checker_.fail("exit: " + name + " ended by itself with code " + std::to_string(code));
+    else if (how == QProcess::NormalExit && code != 0)
+        checker_.fail("exit: " + name + " ended with code " + std::to_string(code) + " after SIGTERM");
+    // Restarted after a moment, as a platform would.
+    constexpr milliseconds restart_delay{400};
+    QTimer::singleShot(restart_delay, &context_, [this, n] { start_instance(n); });
+}
+
+void fleet::ask_readiness(int n, const std::function<void(bool)>& to)
+{
+    net::http_request_head head;
+    head.method = "GET";
+    head.target = "/";
+    head.fields.add("Host", "local");
+    auto status = std::make_shared<int>(0);
+    net::exchange_hooks hooks;
+    hooks.sent = [] {};
+    hooks.head = [status](const net::http_response_head& it) { *status = it.status; };
+    hooks.body = [](std::string_view) {};
+    hooks.end = [status, to] { to(*status == status_ok); };
+    hooks.failed = [to](net::exchange_failure) { to(false); };
+    pool_.send({"127.0.0.1", instances_.at(static_cast<std::size_t>(n)).readiness},
+               net::write_request(head, ""), {}, std::move(hooks));
+}
+
+} // namespace runlink::soak
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,81 @@
+// Runs the real daemon as separate processes, injects faults from outside, and checks the promises.
+
+#include <iostream>
+
+#include <CLI/CLI.hpp>
+#include <QCoreApplication>
+#include <QTemporaryDir>
+
+#include "soak/scenario.hpp"
+
+namespace
+{
+
+using namespace runlink;
+
+void report(const soak::promise_checker& checker, const soak::scenario& run)
+{
+    std::cout << checker.request_count() << " requests, " << checker.served_count() << " served";
+    for (const auto& [name, n] : checker.looked_at())
+        std::cout << ", " << name << " " << n;
+    std::cout << "\n";
+    if (checker.faults().empty())
+        return;
+    for (const auto& it : run.story())
+        std::cout << "  " << it << "\n";
+    for (const auto& it : checker.faults())
+        std::cout << "BROKEN " << it << "\n";
+}
+
+/// Returns whether all promises held.
+bool run_seed(const soak::scenario_options& options, soak::fleet_options deployment, bool keep_logs)
+{
+    QTemporaryDir directory;
+    directory.setAutoRemove(!keep_logs);
+    deployment.directory = directory.path().toStdString();
+    soak::promise_checker checker{{}};
+    soak::fleet fleet{deployment, checker};
+    soak::scenario run{options, fleet, checker};
+    run.run();
+    const bool good = checker.faults().empty();
+    if (!good)
+        directory.setAutoRemove(false);
+    std::cout << "seed " << options.seed << (options.only_planned ? " (planned work only)" : "") << ": "
+              << (good ? "passed" : "FAILED, logs in " + deployment.directory) << "; ";
+    report(checker, run);
+    std::cout.flush();
+    return good;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App cli{"gateway_soak, real instances under faults from outside"};
+    soak::scenario_options options;
+    soak::fleet_options deployment;
+    std::uint64_t first = 1;
+    int seeds = 1;
+    long length_s = 20;
+    bool keep_logs = false;
+    cli.add_option("--program", deployment.program, "The daemon")->required()->check(CLI::ExistingFile);
+    cli.add_option("--seed", first, "The first seed");
+    cli.add_option("--seeds", seeds, "How many, one after the other");
+    cli.add_option("--seconds", length_s, "Time in which faults come, of each seed");
+    cli.add_option("--instances", deployment.instances, "Instances")->check(CLI::Range(1, 60));
+    cli.add_option("--engines", deployment.engines, "Endpoints of the model service")
+        ->check(CLI::Range(1, 60));
+    cli.add_flag("--planned", options.only_planned, "Only stops, reloads and changes that operators plan");
+    cli.add_flag("--keep-logs", keep_logs, "Keep the instances' logs also when all is well");
+    CLI11_PARSE(cli, argc, argv);
+    const QCoreApplication application{argc, argv};
+    options.length = core::milliseconds{length_s * 1000};
+    int failed = 0;
+    for (int n = 0; n < seeds; ++n)
+    {
+        options.seed = first + static_cast<std::uint64_t>(n);
+        failed += run_seed(options, deployment, keep_logs) ? 0 : 1;
+    }
+    std::cout << seeds - failed << " passed, " << failed << " failed\n";
+    return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/soak/promise_checker.cpp
@@ -0,0 +1,154 @@
+#include "soak/promise_checker.hpp"
+
+#include <algorithm>
+
+namespace runlink::soak
+{
+namespace
+{
+
+constexpr int first_success = 200;
+constexpr int first_redirect = 300;
+
+bool is_success(int status)
+{
+    return status >= first_success && status < first_redirect;
+}
+
+/// Statuses that promise that the request did not run and never will.
+bool promises_not_run(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace
+
+void promise_checker::sent(time_point now, const std::string& id, request_kind kind, const std::string& key,
+                           int instance)
+{
+    auto& it = requests_[id];
+    it.kind = kind;
+    it.key = key;
+    it.instance = instance;
+    it.sent = now;
+}
+
+void promise_checker::disturbed(time_point until, std::optional<int> instance)
+{
+    auto& it = instance ? disturbed_until_[*instance] : all_disturbed_until_;
+    it = std::max(it, until);
+}
+
+bool promise_checker::is_calm(time_point now, int instance) const
+{
+    const auto found = disturbed_until_.find(instance);
+    const auto own = found == disturbed_until_.end() ? time_point{} : found->second;
+    return now - std::max(own, all_disturbed_until_) > bounds_.calm;
+}
+
+void promise_checker::bad_version(time_point now, time_point until, const std::string& version)
+{
+    bad_ = roll_out{version, now, until, 0, 0};
+}
+
+void promise_checker::ran(time_point now, const standins::served_endpoint& by,
+                          const standins::served_endpoint::run_ptr& run)
+{
+    const auto found = requests_.find(run->request);
+    if (found == requests_.end())
+        return fail("unasked: " + run->request + " ran at " + by.id() + ", no caller sent it");
+    auto& it = found->second;
+    ++it.runs;
+    it.last_run = run;
+    look("runs");
+    if (it.kind == request_kind::once && it.runs > 1)
+        fail("twice: " + run->request + " ran again at " + by.id());
+    if (it.kind == request_kind::stream && it.runs > bounds_.stream_attempts)
+        fail("attempts: " + run->request + " ran " + std::to_string(it.runs) + " times");
+    if (it.refused)
+        fail("refusal: " + run->request + " runs at " + by.id() + " after it was refused as not run");
+    if (const auto removed = removed_keys_.find(it.key); removed != removed_keys_.end())
+    {
+        look("removed keys");
+        if (it.sent - removed->second > bounds_.key_revocation)
+            fail("key: " + run->request + " ran with a key removed long before it was sent");
+    }
+    if (const auto left = leaving_.find(by.id()); left != leaving_.end() && is_calm(now, it.instance))
+    {
+        look("leaving endpoints");
+        if (now - left->second > bounds_.drain)
+            fail("drain: " + run->request + " ran at " + by.id() + " long after that was leaving");
+    }
+    if (bad_ && now < bad_->until && run->path.starts_with("/llm/"))
+    {
+        ++bad_->all;
+        bad_->exposed += by.version() == bad_->version ? 1 : 0;
+    }
+}
+
+void promise_checker::ended(const std::string& id, const caller_outcome& it)
+{
+    auto& of = requests_.at(id);
+    if (it.left)
+        return;
+    if (promises_not_run(it.status))
+    {
+        of.refused = true;
+        look("refusals");
+        if (of.runs > 0)
+            fail("refusal: " + id + " was refused with " + std::to_string(it.status) +
+                 " as not run, it ran " + std::to_string(of.runs) + " times");
+    }
+    if (is_success(it.status) && it.is_whole)
+        ++served_;
+    if (is_success(it.status))
+        check_answer(id, of, it);
+}
+
+void promise_checker::check_answer(const std::string& id, const request& of, const caller_outcome& it)
+{
+    look("answers");
+    if (!it.has_digest)
+        fail("answer: " + id + " has a success without a digest");
+    if (of.kind == request_kind::stream)
+        return check_stream(id, it);
+    if (it.is_whole && it.body != standins::served_endpoint::body_of(id))
+        fail("answer: " + id + " got another answer: " + it.body);
+}
+
+void promise_checker::check_stream(const std::string& id, const caller_outcome& it)
+{
+    for (std::size_t n = 0; n < it.events.size(); ++n)
+        if (it.events[n] != n + 1)
+            return fail("order: " + id + " got event " + std::to_string(it.events[n]) + " in place " +
+                        std::to_string(n + 1));
+    if (it.is_whole && it.events.size() != standins::served_endpoint::event_count(id))
+        fail("order: " + id + " ended as complete after " + std::to_string(it.events.size()) + " events");
+    for (std::uint64_t n = 1; n <= it.events.size(); ++n)
+        if (it.body.find("data: " + standins::served_endpoint::event_data(id, n) + "\n") == std::string::npos)
+            return fail("order: " + id + " has another stream's event " + std::to_string(n));
+}
+
+void promise_checker::check_left(time_point now, const std::string& id)
+{
+    const auto& it = requests_.at(id);
+    const auto run = it.last_run.lock();
+    if (it.kind == request_kind::once || it.runs == 0 || !is_calm(now, it.instance))
+        return;
+    look("callers that left");
+    if (run && !run->is_over) // a run that nobody holds any more is over
+        fail("cancel: " + id + " is still run though its caller left");
+}
+
+void promise_checker::finish()
+{
+    if (!bad_)
+        return;
+    look("bad versions");
+    const auto allowed = bounds_.exposure_share * static_cast<double>(bad_->all) + bounds_.exposure_slack;
+    if (static_cast<double>(bad_->exposed) > allowed)
+        fail("exposure: " + std::to_string(bad_->exposed) + " of " + std::to_string(bad_->all) +
+             " requests ran on the bad version");
+}
+
+} // namespace runlink::soak
--- a/src/runlink/control/relay.cpp
+++ b/src/runlink/control/relay.cpp
@@ -112,6 +112,8 @@
 
 void relay::remember(const kv_event& it)
 {
+    // Only the newest change of a key is of use: configurations in quick succession would fill the memory.
+    std::erase_if(events_, [&](const auto& e) { return e.item.key == it.item.key; });
     events_.push_back(it);
     while (events_.size() > options_.kept_events)
     {
--- a/src/runlink/control/relay_test.cpp
+++ b/src/runlink/control/relay_test.cpp
@@ -328,3 +328,20 @@
         CHECK(it.proof_interval() < it.oldest_proof);
     }
 }
+
+TEST_CASE("of changes of one key only the newest is kept for those who ask")
+{
+    relayed f{{"n1", "n2", "n3", "n4"}};
+    f.advance(3000);
+    auto& follower = f.follower();
+    for (const auto& name : f.direct())
+    {
+        auto& it = f.members.at(name);
+        for (std::uint64_t n = 11; n <= 13; ++n)
+            it.logic->remember({{"conf", std::to_string(n), n}, false});
+        it.view.store_revision = 13;
+    }
+    f.advance(1000);
+    CHECK(follower.told == std::vector<std::string>{"conf"});
+    CHECK(follower.view.store_revision == 13);
+}
--- a/src/runlink/net/http_exchange_test.cpp
+++ b/src/runlink/net/http_exchange_test.cpp
@@ -228,3 +228,20 @@
     REQUIRE(wait_for([&] { return left; }));
     CHECK(wait_for([&] { return listener.connection_count() == 0; }));
 }
+
+TEST_CASE("a connection that outlives its listener is reset and reports to nobody")
+{
+    std::shared_ptr<caller_connection> kept;
+    auto listener = std::make_unique<http_listener>([&](const auto& from, const auto&, const std::string&)
+                                                    { kept = from; },
+                                                    [](const auto&, codec_error) {});
+    const auto port = listener->listen("127.0.0.1", 0).value();
+    QTcpSocket caller;
+    caller.connectToHost("127.0.0.1", port);
+    REQUIRE(wait_for([&] { return caller.state() == QTcpSocket::ConnectedState; }));
+    caller.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(wait_for([&] { return kept != nullptr; }));
+    listener.reset();
+    CHECK(wait_for([&] { return caller.state() == QTcpSocket::UnconnectedState; }));
+    CHECK_FALSE(kept->is_open());
+}
--- a/src/runlink/net/http_listener.cpp
+++ b/src/runlink/net/http_listener.cpp
@@ -106,6 +106,14 @@
         socket_->abort();
 }
 
+void caller_connection::leave_listener()
+{
+    handlers_.request = [](const auto&, const auto&, const auto&) {};
+    handlers_.bad_request = [](const auto&, codec_error) {};
+    handlers_.closed = [](const caller_connection*) {};
+    reset();
+}
+
 void caller_connection::on_disconnected()
 {
     if (std::exchange(closed_, true))
@@ -149,7 +157,13 @@
     QObject::connect(&sweep_timer_, &QTimer::timeout, &sweep_timer_, [this] { retired_.clear(); });
 }
 
-http_listener::~http_listener() = default;
+http_listener::~http_listener()
+{
+    // Whoever holds a connection may keep it for longer than this.
+    const auto all = std::exchange(connections_, {});
+    for (const auto& [key, it] : all)
+        it->leave_listener();
+}
 
 core::result<std::uint16_t> http_listener::listen(const std::string& host, std::uint16_t port)
 {
--- a/standins/kv_standin.cpp
+++ b/standins/kv_standin.cpp
@@ -128,6 +128,8 @@
     {
         const auto bytes = QByteArray::fromBase64(QByteArray::fromStdString(it.at("value")));
         items_[it.at("key")] = {bytes.toStdString(), ++revision_};
+        if (const auto held = leases_.find(it.value("lease", std::uint64_t{0})); held != leases_.end())
+            held->second.keys.insert(it.at("key").get<std::string>());
         changed(it.at("key"));
     }
     if (answers != mode::lose_answers)
@@ -135,6 +137,35 @@
     from->reset();
 }
 
+void kv_standin::on_grant(const connection_ptr& from, const json& in)
+{
+    const auto id = next_lease_++;
+    auto& it = leases_[id];
+    it.ttl = core::milliseconds{in.at("ttlMs").get<core::milliseconds::rep>()};
+    it.timer = std::make_unique<QTimer>();
+    it.timer->setSingleShot(true);
+    QObject::connect(it.timer.get(), &QTimer::timeout, it.timer.get(), [this, id] { end_lease(id); });
+    it.timer->start(it.ttl);
+    answer(from, status_ok, {{"lease", id}, {"ttlMs", it.ttl.count()}});
+}
+
+void kv_standin::on_renewal(const connection_ptr& from, std::uint64_t id)
+{
+    const auto found = leases_.find(id);
+    if (found == leases_.end())
+        return answer(from, status_not_found, json::object());
+    found->second.timer->start(found->second.ttl);
+    answer(from, status_ok, {{"lease", id}, {"ttlMs", found->second.ttl.count()}});
+}
+
+void kv_standin::end_lease(std::uint64_t id)
+{
+    auto ended = leases_.extract(id);
+    ended.mapped().timer.release()->deleteLater(); // its signal is being delivered
+    for (const auto& key : ended.mapped().keys)
+        remove(key);
+}
+
 void kv_standin::on_request(const connection_ptr& from, const net::http_request_head& head,
                             const std::string& body)
 {
@@ -157,8 +188,10 @@
         return on_watch(from, query.queryItemValue("after").toULongLong());
     if (path == "/-/kv-txn")
         return on_transaction(from, json::parse(body));
-    if (path == "/-/kv-lease" || path.starts_with("/-/kv-keep/"))
-        return answer(from, status_ok, {{"lease", 1}, {"ttlMs", 20000}});
+    if (path == "/-/kv-lease")
+        return on_grant(from, json::parse(body));
+    if (constexpr std::string_view keep = "/-/kv-keep/"; path.starts_with(keep))
+        return on_renewal(from, std::stoull(path.substr(keep.size())));
     answer(from, status_not_found, json::object());
 }
 
--- a/standins/kv_standin.hpp
+++ b/standins/kv_standin.hpp
@@ -6,9 +6,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
+#include <QTimer>
 #include <nlohmann/json.hpp>
 
 #include "runlink/net/http_listener.hpp"
@@ -16,7 +18,7 @@
 namespace runlink::standins
 {
 
-/// Ranges, watches, transactions and leases of one store in memory. Leases never run out by themselves.
+/// Ranges, watches, transactions and leases of one store in memory.
 class kv_standin
 {
 public:
@@ -49,6 +51,12 @@
         std::string value;
         std::uint64_t revision = 0;
     };
+    struct lease
+    {
+        core::milliseconds ttl{};
+        std::set<std::string> keys;
+        std::unique_ptr<QTimer> timer;
+    };
     struct waiting_watch
     {
         connection_ptr connection;
@@ -57,6 +65,9 @@
 
     void on_request(const connection_ptr& from, const net::http_request_head& head, const std::string& body);
     void on_transaction(const connection_ptr& from, const nlohmann::json& in);
+    void on_grant(const connection_ptr& from, const nlohmann::json& in);
+    void on_renewal(const connection_ptr& from, std::uint64_t id);
+    void end_lease(std::uint64_t id);
     void on_watch(const connection_ptr& from, std::uint64_t after);
     void answer(const connection_ptr& to, int status, const nlohmann::json& body);
     nlohmann::json item_json(const std::string& key) const;
@@ -68,6 +79,8 @@
     std::vector<std::pair<std::uint64_t, std::string>> history_;
     std::vector<waiting_watch> watches_;
     std::map<std::string, std::size_t> calls_;
+    std::map<std::uint64_t, lease> leases_;
+    std::uint64_t next_lease_ = 1;
     std::uint64_t revision_ = 1;
     std::uint64_t oldest_ = 0;
 };
--- /dev/null
+++ b/standins/served_endpoint.cpp
@@ -0,0 +1,127 @@
+#include "served_endpoint.hpp"
+
+#include <utility>
+
+#include <QTimer>
+
+#include "runlink/core/hash.hpp"
+
+namespace runlink::standins
+{
+namespace
+{
+
+constexpr int status_ok = 200;
+constexpr int status_misdirected = 421;
+constexpr int status_error = 500;
+constexpr int status_unavailable = 503;
+constexpr std::uint64_t most_events = 12;
+constexpr std::uint64_t whole_percent = 100;
+
+} // namespace
+
+served_endpoint::served_endpoint(std::string id, std::string service, std::string version)
+    : id_{std::move(id)}, service_{std::move(service)}, version_{std::move(version)},
+      listener_{[this](const connection_ptr& from, const net::http_request_head& head, const std::string&)
+                { on_request(from, head); },
+                [](const connection_ptr& from, net::codec_error) { from->reset(); }},
+      port_{listener_.listen("127.0.0.1", 0).value()}
+{
+}
+
+nlohmann::json served_endpoint::entry(std::uint16_t port, bool leaving) const
+{
+    return {{"service", service_}, {"address", "127.0.0.1:" + std::to_string(port)},
+            {"zone", "n"},         {"version", version_},
+            {"slots", 16},         {"state", leaving ? "draining" : "ready"},
+            {"sequence", 1}};
+}
+
+std::uint64_t served_endpoint::event_count(const std::string& request)
+{
+    return 1 + core::stable_hash(request) % most_events;
+}
+
+net::http_fields served_endpoint::fields_for(const std::string& request) const
+{
+    net::http_fields out;
+    out.add("X-Runlink-Attempt-Id", request);
+    out.add("X-Runlink-Server-Seal", id_);
+    return out;
+}
+
+void served_endpoint::on_request(const connection_ptr& from, const net::http_request_head& head)
+{
+    const auto* request = head.fields.find("X-Runlink-Attempt-Id");
+    const auto* expected = head.fields.find("X-Runlink-Expect-Instance");
+    if (request == nullptr)
+        return from->reset();
+    const bool is_other = expected != nullptr && *expected != id_;
+    if (is_other || answers == mode::refuse)
+    {
+        auto fields = fields_for(*request);
+        fields.add("X-Runlink-Not-Executed", "1");
+        from->write(net::write_response(is_other ? status_misdirected : status_unavailable, fields, ""));
+        return from->finish(false);
+    }
+    auto it = std::make_shared<run>();
+    it->request = *request;
+    it->path = head.target;
+    if (const auto* last = head.fields.find("Last-Event-Id"))
+        it->first_event = std::stoull(*last) + 1;
+    from->on_left = [it] { it->is_over = true; };
+    on_run(*this, it);
+    serve(from, head, it);
+}
+
+void served_endpoint::serve(const connection_ptr& to, const net::http_request_head& head, const run_ptr& it)
+{
+    if (answers == mode::hang)
+        return;
+    if (answers == mode::lose)
+    {
+        it->is_over = true;
+        return to->reset();
+    }
+    if (head.target.starts_with("/llm/") && answers == mode::normal)
+        return begin_stream(to, it);
+    const bool fails = answers == mode::fail;
+    QTimer::singleShot(pace, &context_,
+                       [this, to, it, fails]
+                       {
+                           if (std::exchange(it->is_over, true))
+                               return;
+                           to->write(net::write_response(fails ? status_error : status_ok,
+                                                         fields_for(it->request), body_of(it->request)));
+                           to->finish(false);
+                       });
+}
+
+void served_endpoint::begin_stream(const connection_ptr& to, const run_ptr& it)
+{
+    auto fields = fields_for(it->request);
+    fields.add("X-Runlink-Confidence", std::to_string(core::stable_hash(it->request, 1) % whole_percent));
+    fields.add("Content-Type", "text/event-stream");
+    fields.add("Transfer-Encoding", "chunked");
+    to->write(net::write_response_head(status_ok, "OK", fields));
+    step(to, it, it->first_event);
+}
+
+void served_endpoint::step(const connection_ptr& to, const run_ptr& it, std::uint64_t n)
+{
+    if (it->is_over)
+        return;
+    if (n > event_count(it->request))
+    {
+        it->is_over = true;
+        to->write(net::write_chunk({}));
+        return to->finish(false);
+    }
+    const auto event = "id: " + std::to_string(n) + "\ndata: " + event_data(it->request, n) + "\n\n";
+    // In two pieces, so that a break may come in the middle of an event.
+    to->write(net::write_chunk(event.substr(0, event.size() / 2)));
+    to->write(net::write_chunk(event.substr(event.size() / 2)));
+    QTimer::singleShot(pace, &context_, [this, to, it, n] { step(to, it, n + 1); });
+}
+
+} // namespace runlink::standins
--- /dev/null
+++ b/standins/served_endpoint.hpp
@@ -0,0 +1,82 @@
+/// \file
+/// Plays an endpoint of the users' platform: a plain service, or an engine with event streams. It tells of
+/// each run.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <QObject>
+#include <nlohmann/json.hpp>
+
+#include "runlink/core/units.hpp"
+#include "runlink/net/http_listener.hpp"
+
+namespace runlink::standins
+{
+
+/// One life of an endpoint.
+class served_endpoint
+{
+public:
+    /// What it does with requests.
+    enum class mode
+    {
+        normal,
+        refuse, ///< 503, not run
+        fail,   ///< runs and answers 500
+        lose,   ///< runs and resets
+        hang,   ///< runs and never answers
+    };
+    /// A request that is being run.
+    struct run
+    {
+        std::string request;
+        std::string path;
+        std::uint64_t first_event = 1;
+        bool is_over = false;
+    };
+    using run_ptr = std::shared_ptr<run>;
+
+    served_endpoint(std::string id, std::string service, std::string version);
+
+    std::uint16_t port() const { return port_; }
+    const std::string& id() const { return id_; }
+    const std::string& service() const { return service_; }
+    const std::string& version() const { return version_; }
+    /// Its item in the store, reached at a port that may be a proxy's.
+    nlohmann::json entry(std::uint16_t port, bool leaving) const;
+    /// The body of a plain answer to a request.
+    static std::string body_of(const std::string& request) { return "answer to " + request; }
+    /// The data of one event of a stream.
+    static std::string event_data(const std::string& request, std::uint64_t n)
+    {
+        return request + "/" + std::to_string(n);
+    }
+    /// How many events answer a request.
+    static std::uint64_t event_count(const std::string& request);
+
+    mode answers = mode::normal;
+    core::milliseconds pace{8}; ///< of plain answers and between two events
+    std::function<void(const served_endpoint&, const run_ptr&)> on_run = [](const auto&, const auto&) {};
+
+private:
+    using connection_ptr = std::shared_ptr<net::caller_connection>;
+
+    void on_request(const connection_ptr& from, const net::http_request_head& head);
+    void serve(const connection_ptr& to, const net::http_request_head& head, const run_ptr& it);
+    void begin_stream(const connection_ptr& to, const run_ptr& it);
+    void step(const connection_ptr& to, const run_ptr& it, std::uint64_t n);
+    net::http_fields fields_for(const std::string& request) const;
+
+    std::string id_;
+    std::string service_;
+    std::string version_;
+    net::http_listener listener_;
+    std::uint16_t port_ = 0;
+    QObject context_; ///< answers that are due end with the endpoint
+};
+
+} // namespace runlink::standins
