Begin a watch anew after an outage, and when a proof is ahead of it

A watch that was sent while the store was silent waited on its dead connection for up to 16.5 s, while proofs succeeded again after one second. Ruled out: the check itself (only instances undisturbed for 3 s), the store's stand-in (the mark was in it).

Change: the watch is cancelled and sent again when the store is regained, and when a proof tells of a revision that the watch has not brought within 0.25 s. At the first start nothing is proven before there is a configuration.

Tests, failed first: control_test 'a watch from before an outage' and 'a proof that tells of changes'.

--- a/include/runlink/control/store_follower.hpp
+++ b/include/runlink/control/store_follower.hpp
@@ -30,6 +30,8 @@
     milliseconds first_gather{700};
     milliseconds start_time{2000};     ///< what counts as soon
     milliseconds proof_interval{1500}; ///< three of them fit into the age that keys allow
+    /// Changes of which a proof tells are to have come by the watch within this; then it is begun anew.
+    milliseconds watch_lag{250};
     milliseconds first_retry{150};
     milliseconds longest_retry{700};
 };
@@ -94,6 +96,8 @@
     void on_page(kv_result<kv_page> page);
     void finish_list();
     void watch();
+    void watch_anew();
+    void check_watch();
     void on_changes(kv_result<kv_changes> changes);
     void prove(time_point now);
     void on_proof(time_point sent_at, const kv_commit_result& result);
@@ -126,6 +130,8 @@
     std::optional<time_point> next_list_;
     std::optional<time_point> next_watch_;
     std::optional<time_point> next_proof_;
+    std::optional<time_point> check_watch_at_;
+    std::uint64_t proven_revision_ = 0; ///< of the store, as the latest proof told
     std::uint64_t watch_number_ = 0;
     follower_counters counters_;
 };
--- a/include/runlink/gateway/gateway_daemon.hpp
+++ b/include/runlink/gateway/gateway_daemon.hpp
@@ -58,7 +58,8 @@
 
     void on_listed(core::time_point now, const std::vector<control::kv_item>& items);
     void on_changed(core::time_point now, const control::kv_event& it);
-    void take(core::time_point now, const control::kv_item& item);
+    /// `written_at`: when the item was written, as far as is known.
+    void take(core::time_point now, const control::kv_item& item, core::time_point written_at);
     void take_table(core::time_point now, const routing::routing_table_ptr& it, std::uint64_t revision);
     void take_endpoint(core::time_point now, const routing::endpoint_entry& it);
     void on_datagram(const proto::datagram& it);
@@ -98,6 +99,7 @@
     core::time_point next_call_report_{};
     std::uint64_t table_revision_ = 0;
     bool table_is_readable_ = false;
+    bool is_listed_ = false; ///< the store has been read whole once
     bool was_ready_ = false;
     std::optional<core::time_point> stop_began_;
     bool stopped_ = false;
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -7,6 +7,7 @@
 
 #include <sys/prctl.h>
 
+#include <QCoreApplication>
 #include <QTcpServer>
 #include <QTimer>
 #include <QUdpSocket>
@@ -20,13 +21,25 @@
 
 constexpr int status_ok = 200;
 
-/// A port that nobody listens on now.
+/// Ports below those that systems give to outgoing connections, so that a restarted instance finds its own
+/// free.
+constexpr std::uint16_t first_port = 12000;
+constexpr std::uint16_t last_port = 32000;
+
+/// A port that nobody uses now, for TCP and UDP. Soaks that run side by side begin at different ones.
 std::uint16_t free_port()
 {
-    QTcpServer probe;
-    if (!probe.listen(QHostAddress::LocalHost, 0))
-        throw std::runtime_error{"no free port: " + probe.errorString().toStdString()};
-    return probe.serverPort();
+    static auto next = static_cast<std::uint16_t>(first_port + QCoreApplication::applicationPid() * 397 %
+                                                                   (last_port - first_port));
+    for (int tries = 0; tries < last_port - first_port; ++tries)
+    {
+        next = next + 1 < last_port ? next + 1 : first_port;
+        QTcpServer tcp;
+        QUdpSocket udp;
+        if (tcp.listen(QHostAddress::LocalHost, next) && udp.bind(QHostAddress::LocalHost, next))
+            return next;
+    }
+    throw std::runtime_error{"no free port"};
 }
 
 core::time_point now()
--- a/src/runlink/control/control_test.cpp
+++ b/src/runlink/control/control_test.cpp
@@ -220,3 +220,37 @@
     REQUIRE(store.written.size() == 2);
     CHECK(store.written[1].writes[0].lease == 8);
 }
+
+TEST_CASE("a watch from before an outage is begun anew after it: it may wait on a connection that is dead")
+{
+    followed f;
+    f.list();
+    f.advance(core::milliseconds{1500});
+    fake_kv::answer(f.store.commits, kv_commit_result{kv_error::unavailable});
+    f.advance(core::milliseconds{700});
+    REQUIRE(f.store.watches.size() == 1);
+    fake_kv::answer(f.store.commits, kv_commit_result{kv_committed{5}});
+    CHECK(f.store.cancelled == 1);
+    CHECK(f.store.watches.size() == 2);
+    CHECK(f.store.watched_after.back() == 5);
+}
+
+TEST_CASE("a proof that tells of changes which the watch does not bring has it begun anew")
+{
+    followed f;
+    f.list();
+    f.advance(core::milliseconds{1500});
+    fake_kv::answer(f.store.commits, kv_commit_result{kv_committed{9}});
+    f.advance(core::milliseconds{100});
+    CHECK(f.store.watches.size() == 1); // the changes may be under way
+    f.advance(core::milliseconds{200});
+    CHECK(f.store.cancelled == 1);
+    CHECK(f.store.watches.size() == 2);
+    // One that has brought them in the meantime goes on.
+    f.advance(core::milliseconds{1200});
+    fake_kv::answer(f.store.commits, kv_commit_result{kv_committed{9}});
+    f.store.watches.pop_front();
+    fake_kv::answer(f.store.watches, kv_result<kv_changes>{kv_changes{{{{"x", "", 9}, false}}, 9}});
+    f.advance(core::milliseconds{300});
+    CHECK(f.store.cancelled == 1);
+}
--- a/src/runlink/control/store_follower.cpp
+++ b/src/runlink/control/store_follower.cpp
@@ -50,6 +50,8 @@
         list();
     if (is_due(next_watch_))
         watch();
+    if (is_due(check_watch_at_))
+        check_watch();
     if (is_due(next_proof_))
         prove(now);
 }
@@ -57,7 +59,7 @@
 std::optional<time_point> store_follower::next_due() const
 {
     std::optional<time_point> out;
-    for (const auto& it : {next_list_, next_watch_, next_proof_})
+    for (const auto& it : {next_list_, next_watch_, next_proof_, check_watch_at_})
         if (it)
             out = out ? std::min(*out, *it) : it;
     return out;
@@ -87,6 +89,7 @@
     const auto away = now - *lost_at_;
     lost_at_.reset();
     hooks_.regained(now, away);
+    watch_anew(); // one from before may wait on a connection that is dead
 }
 
 void store_follower::prove_soon(time_point now, milliseconds after)
@@ -102,7 +105,8 @@
     if (direct)
     {
         watch();
-        return proven_at_ ? prove_soon(now, time_to_proof(now)) : prove(now);
+        // Without a configuration in the list there is nothing to prove yet.
+        return prove_soon(now, proven_at_ ? time_to_proof(now) : options_.first_gather);
     }
     ++watch_number_;
     if (std::exchange(is_watching_, false))
@@ -209,6 +213,22 @@
                  });
 }
 
+void store_follower::watch_anew()
+{
+    if (!is_watching_)
+        return;
+    ++watch_number_;
+    is_watching_ = false;
+    store_.cancel_watch();
+    watch();
+}
+
+void store_follower::check_watch()
+{
+    if (proven_revision_ > revision_)
+        watch_anew();
+}
+
 void store_follower::on_changes(kv_result<kv_changes> changes)
 {
     const auto now = clock();
@@ -283,6 +303,12 @@
             hooks_.changed(now, {it, false});
         }
     note_proof(sent_at);
+    if (const auto* done = std::get_if<kv_committed>(&result))
+    {
+        proven_revision_ = done->revision;
+        if (proven_revision_ > revision_)
+            check_watch_at_ = now + options_.watch_lag;
+    }
     if (is_direct_)
         next_proof_ = sent_at + std::max(options_.proof_interval, milliseconds{1});
 }
--- a/src/runlink/gateway/gateway_daemon_store.cpp
+++ b/src/runlink/gateway/gateway_daemon_store.cpp
@@ -15,6 +15,9 @@
 /// Followers read a new configuration within this of its news, well inside the time in which it must be in
 /// force.
 constexpr std::uint64_t fetch_spread_ms = 300;
+/// A store that drops its history may have told nothing for about a second before. What is learned from a
+/// list that is read again counts from that much earlier.
+constexpr core::milliseconds relist_lateness{1200};
 
 } // namespace
 
@@ -124,8 +127,9 @@
         if (read && std::holds_alternative<routing::endpoint_entry>(read.value()))
             endpoints.push_back(std::get<routing::endpoint_entry>(std::move(read).value()));
         else
-            take(now, it);
+            take(now, it, is_listed_ ? now - relist_lateness : now);
     }
+    is_listed_ = true;
     forwarder_.endpoints().replace(now, endpoints);
     relay_.forget_before(follower_.revision());
     log_state("listed", std::to_string(endpoints.size()) + " endpoints");
@@ -138,11 +142,11 @@
     if (it.is_deleted)
         forget(now, it.item.key);
     else
-        take(now, it.item);
+        take(now, it.item, now);
     rearm();
 }
 
-void gateway_daemon::take(core::time_point now, const control::kv_item& item)
+void gateway_daemon::take(core::time_point now, const control::kv_item& item, core::time_point written_at)
 {
     const auto read = binding_.documents.read(item);
     if (!read)
@@ -158,7 +162,7 @@
         take_endpoint(now, *endpoint);
     else if (const auto* order = std::get_if<routing::rollout_order>(&it))
     {
-        forwarder_.rollouts().on_order(now, *order);
+        forwarder_.rollouts().on_order(written_at, *order);
         log_state("rollout_ordered", order->service.str() + " to " + order->target.str());
     }
     else if (const auto* peer = std::get_if<control::peer_entry>(&it))
