Spread prompts that many ask for at once over more endpoints

Ruled out: the endpoint itself (its other streams were as slow, its connection good), retries.

Change: the endpoint that keeps a prompt is used while this instance has at most 1.5 times its mean in flight there (two are always accepted); else the next one in the same order.

Test, failed first by construction (40 of 40 at one endpoint): routing_test 'a prompt that many ask for at once'.

--- a/include/runlink/gateway/gateway_settings.hpp
+++ b/include/runlink/gateway/gateway_settings.hpp
@@ -22,6 +22,8 @@
     int accept_confidence = routing::cascade_options{}.accept_confidence;
     double latest_escalation = routing::cascade_options{}.latest_escalation;
     std::uint32_t affinity_tokens = routing::chooser_options{}.affinity_tokens;
+    double affinity_load = routing::chooser_options{}.affinity_load;
+    std::uint32_t affinity_least = routing::chooser_options{}.affinity_least;
     double hedge_after = routing::forwarder_options{}.hedge_after;
     double move_after = routing::forwarder_options{}.move_after;
     double stall_after = routing::forwarder_options{}.stall_after;
--- a/include/runlink/routing/endpoint_chooser.hpp
+++ b/include/runlink/routing/endpoint_chooser.hpp
@@ -26,6 +26,10 @@
     /// Prompt tokens that this instance may have waiting at the endpoint that keeps the prompt's parts before
     /// another one is taken.
     std::uint32_t affinity_tokens = 9000;
+    /// Requests in flight that this instance may have at that endpoint, as a multiple of its mean over all:
+    /// prompts that many ask for at the same time are kept by more than one.
+    double affinity_load = 1.5;
+    std::uint32_t affinity_least = 2; ///< requests in flight that are always accepted there
     /// Requests in flight at an endpoint of the own failure domain, over the least loaded one, that are
     /// accepted for the shorter way.
     std::uint32_t near_bonus = 1;
@@ -79,7 +83,9 @@
     void eject(time_point now, load& it);
     candidates allowed(time_point now, const endpoint_directory& from, const endpoint_need& need) const;
     candidates sound(time_point now, const candidates& from) const;
+    /// The one that keeps the prompt's parts, or the next in the same order that has room; null if none has.
     const endpoint_entry* by_affinity(const candidates& from, const endpoint_need& need) const;
+    std::uint32_t most_in_flight(const candidates& from) const;
     const endpoint_entry* least_loaded(const candidates& from);
 
     chooser_options options_;
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -88,6 +88,8 @@
     out.cascade.accept_confidence = tuning.accept_confidence;
     out.cascade.latest_escalation = tuning.latest_escalation;
     out.chooser.affinity_tokens = tuning.affinity_tokens;
+    out.chooser.affinity_load = tuning.affinity_load;
+    out.chooser.affinity_least = tuning.affinity_least;
     out.hedge_after = tuning.hedge_after;
     out.move_after = tuning.move_after;
     out.stall_after = tuning.stall_after;
--- a/src/runlink/gateway/gateway_settings.cpp
+++ b/src/runlink/gateway/gateway_settings.cpp
@@ -69,6 +69,10 @@
     out.latest_escalation = in.optional_number("latest_escalation", out.latest_escalation, 0, most_of_target);
     out.affinity_tokens = static_cast<std::uint32_t>(
         in.optional_integer("affinity_tokens", out.affinity_tokens, 0, 1'000'000'000));
+    constexpr double most_load = 1000;
+    out.affinity_load = in.optional_number("affinity_load", out.affinity_load, 1, most_load);
+    out.affinity_least =
+        static_cast<std::uint32_t>(in.optional_integer("affinity_least", out.affinity_least, 1, 1'000'000));
     out.hedge_after = in.optional_number("hedge_after", out.hedge_after, 0, most_of_target);
     out.move_after = in.optional_number("move_after", out.move_after, 0, most_of_target);
     out.stall_after = in.optional_number("stall_after", out.stall_after, 0, most_of_target);
--- a/src/runlink/routing/endpoint_chooser.cpp
+++ b/src/runlink/routing/endpoint_chooser.cpp
@@ -117,14 +117,26 @@
     return out;
 }
 
+std::uint32_t endpoint_chooser::most_in_flight(const candidates& from) const
+{
+    std::uint32_t sum = 0;
+    for (const auto* it : from)
+        sum += at(it->id).in_flight;
+    const auto mean = static_cast<double>(sum) / static_cast<double>(from.size());
+    return std::max(options_.affinity_least, static_cast<std::uint32_t>(options_.affinity_load * mean));
+}
+
 const endpoint_entry* endpoint_chooser::by_affinity(const candidates& from, const endpoint_need& need) const
 {
+    const auto most = most_in_flight(from);
     const endpoint_entry* best = nullptr;
     std::uint64_t highest = 0;
     for (const auto* it : from)
     {
+        const auto& load = at(it->id);
         const auto weight = core::stable_hash(it->id.str(), need.affinity);
-        if (best == nullptr || weight > highest)
+        const bool has_room = load.waiting_tokens <= options_.affinity_tokens && load.in_flight <= most;
+        if (has_room && (best == nullptr || weight > highest))
         {
             best = it;
             highest = weight;
@@ -164,16 +176,8 @@
     const auto& usable = good.empty() ? all : good;
     if (need.affinity == 0)
         return least_loaded(usable);
-    const auto* first = by_affinity(usable, need);
-    if (at(first->id).waiting_tokens <= options_.affinity_tokens)
-        return first;
-    candidates others;
-    std::copy_if(usable.begin(), usable.end(), std::back_inserter(others),
-                 [&](const auto* it) { return it != first; });
-    const auto* second = others.empty() ? nullptr : by_affinity(others, need);
-    if (second != nullptr && at(second->id).waiting_tokens <= options_.affinity_tokens)
-        return second;
-    return least_loaded(usable);
+    const auto* keeper = by_affinity(usable, need);
+    return keeper != nullptr ? keeper : least_loaded(usable);
 }
 
 } // namespace runlink::routing
--- a/src/runlink/routing/routing_test.cpp
+++ b/src/runlink/routing/routing_test.cpp
@@ -416,3 +416,26 @@
     CHECK(static_cast<double>(rising.exposed) <= accepted(rising));
     CHECK(rising.is_done);
 }
+
+TEST_CASE("a prompt that many ask for at once is spread over endpoints, always in the same order")
+{
+    endpoint_directory directory;
+    for (int n = 0; n < 8; ++n)
+        directory.put(make_endpoint("e" + std::to_string(n)));
+    endpoint_chooser it{{}, core::failure_domain_id{"n"}};
+    endpoint_need need;
+    need.service = core::service_id{"s"};
+    need.affinity = 77;
+    std::map<endpoint_id, std::uint32_t> in_flight;
+    for (int n = 0; n < 40; ++n)
+    {
+        const auto* chosen = it.choose(start, directory, need);
+        REQUIRE(chosen != nullptr);
+        it.started(chosen->id, 500);
+        it.prompt_read(chosen->id, 500);
+        ++in_flight[chosen->id];
+    }
+    for (const auto& [id, n] : in_flight)
+        CHECK(n <= 8); // one and a half times the mean of five
+    CHECK(in_flight.size() >= 4);
+}
--- a/standins/served_endpoint.cpp
+++ b/standins/served_endpoint.cpp
@@ -17,6 +17,9 @@
 constexpr int status_unavailable = 503;
 constexpr std::uint64_t most_events = 12;
 constexpr std::uint64_t whole_percent = 100;
+/// Some streams take seconds, so that callers leave and instances stop in their middle.
+constexpr std::uint64_t slow_one_in = 6;
+constexpr core::milliseconds slow_pace{250};
 
 } // namespace
 
@@ -121,7 +124,8 @@
     // In two pieces, so that a break may come in the middle of an event.
     to->write(net::write_chunk(event.substr(0, event.size() / 2)));
     to->write(net::write_chunk(event.substr(event.size() / 2)));
-    QTimer::singleShot(pace, &context_, [this, to, it, n] { step(to, it, n + 1); });
+    const auto pause = core::stable_hash(it->request, 2) % slow_one_in == 0 ? slow_pace : pace;
+    QTimer::singleShot(pause, &context_, [this, to, it, n] { step(to, it, n + 1); });
 }
 
 } // namespace runlink::standins
