--- a/soak/fleet.hpp
+++ b/soak/fleet.hpp
@@ -28,7 +28,7 @@
     int instances = 5;
     int engines = 4;
     int services = 3;
-    milliseconds stop_grace{4000};
+    milliseconds stop_grace{8000}; ///< above the time that callers wait, or streams are cut as planned
 };
 
 /// An endpoint behind a proxy.
