A first share of 8 % again, and slow from 15 % of the answers

With the first share of 5 % a version of which half of the answers are eight times slower was found 13 s after its first request (8 of 39 flagged), or not at all before the last part.

Change: first share 55 % of the accepted exposure (8 %) as before; the last part is shorter for it. A version is slow when 15 % of its answers are, not 20 %.

Test, failed first with 20 %: routing_test 'a version is slow where every sixth answer is'.

--- a/include/runlink/routing/rollout_control.hpp
+++ b/include/runlink/routing/rollout_control.hpp
@@ -90,7 +90,7 @@
     /// seen about eight times slower, for a part of their answers.
     double slow_answer = 6.0;
     std::uint32_t slow_to_stop = 5;
-    double slow_rate_to_stop = 0.2;
+    double slow_rate_to_stop = 0.15;
 };
 
 /// Decides which version a request may get, and when the roll-out goes on or back.
--- a/include/runlink/routing/rollout_schedule.hpp
+++ b/include/runlink/routing/rollout_schedule.hpp
@@ -14,7 +14,7 @@
 struct schedule_options
 {
     /// Share of the requests that the new version gets until the last part of the roll-out.
-    std::uint32_t first_share_percent = 5;
+    std::uint32_t first_share_percent = 8;
     /// Shares of the last part.
     std::vector<std::uint32_t> steps_percent{100};
     double step_time = 0.02; ///< between the steps of the last part, as a part of the time of the roll-out
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -25,7 +25,7 @@
 constexpr double retry_part = 0.88;
 /// Part of the accepted exposure that is the first share of a roll-out. What it leaves is the time for which
 /// the new version may get all requests before it is declared good.
-constexpr double first_exposure_part = 0.34;
+constexpr double first_exposure_part = 0.55;
 /// After this long the balancer has taken an instance out that is not ready: two questions, a second apart.
 constexpr core::milliseconds balancer_wait{2700};
 /// The process ends this long before it would be killed.
--- a/src/runlink/routing/routing_test.cpp
+++ b/src/runlink/routing/routing_test.cpp
@@ -439,3 +439,23 @@
         CHECK(n <= 8); // one and a half times the mean of five
     CHECK(in_flight.size() >= 4);
 }
+
+TEST_CASE("a version is slow where every sixth answer is, as half of an eightfold slowness shows")
+{
+    std::string verdict;
+    auto it = make_rollout(&verdict);
+    it.on_order(start, order);
+    for (int n = 0; n < 40; ++n)
+    {
+        auto old = make_sample("v1", "e1", false);
+        old.first = milliseconds{80};
+        it.on_sample(old);
+    }
+    for (int n = 0; n < 36; ++n)
+    {
+        auto fresh = make_sample("v2", n % 4 < 2 ? "e2" : "e3", false);
+        fresh.first = milliseconds{n % 6 == 5 ? 700 : 90};
+        it.on_sample(fresh);
+    }
+    CHECK_FALSE(verdict.empty());
+}
