--- a/soak/fault_proxy.cpp
+++ b/soak/fault_proxy.cpp
@@ -35,7 +35,10 @@
 void fault_proxy::reset_all()
 {
     while (!links_.empty())
-        end(links_.begin()->second, false);
+    {
+        const auto it = links_.begin()->second; // outlives its place in the map
+        end(it, false);
+    }
 }
 
 void fault_proxy::accept()
@@ -102,7 +105,7 @@
                        });
 }
 
-void fault_proxy::end(link_ptr it, bool in_order)
+void fault_proxy::end(const link_ptr& it, bool in_order)
 {
     links_.erase(it.get());
     for (auto* socket : {it->near.get(), it->far.get()})
--- a/soak/fault_proxy.hpp
+++ b/soak/fault_proxy.hpp
@@ -53,7 +53,7 @@
     void pass(const link_ptr& it, bool to_far);
     void write_later(const link_ptr& it, bool to_far, const QByteArray& bytes);
     bool holds(bool to_far) const;
-    void end(link_ptr it, bool in_order);
+    void end(const link_ptr& it, bool in_order);
 
     std::uint16_t target_;
     QTcpServer server_;
--- a/src/runlink/gateway/gossip_link.cpp
+++ b/src/runlink/gateway/gossip_link.cpp
@@ -38,7 +38,7 @@
 /// The message of a datagram, or nothing if it is damaged.
 QByteArray unpack(const QByteArray& datagram)
 {
-    const auto body = datagram.sliced(std::min<qsizetype>(1, datagram.size()));
+    auto body = datagram.sliced(std::min<qsizetype>(1, datagram.size()));
     if (datagram.startsWith(plain_mark))
         return body;
     // Qt's format begins with the length of what was compressed.
