--- a/src/runlink/routing/routing_test.cpp
+++ b/src/runlink/routing/routing_test.cpp
@@ -1,7 +1,6 @@
 #define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 
-
 #include "runlink/routing/cascade_policy.hpp"
 #include "runlink/routing/endpoint_chooser.hpp"
 #include "runlink/routing/retry_allowance.hpp"
