Keys hold through an outage of the store where they do not expire

The setting was not read. Change: bounds.keys_expire; without it the last known configuration holds, readiness included. Ruled out: waiting for the proof in the outage (it does not come before the deadline).

--- a/include/runlink/gateway/gateway_daemon.hpp
+++ b/include/runlink/gateway/gateway_daemon.hpp
@@ -52,6 +52,8 @@
     std::uint16_t readiness_port() const { return readiness_port_; }
 
 private:
+    /// Age of the configuration from which no key admits a request; nothing where keys do not expire.
+    std::optional<core::milliseconds> max_key_age() const;
     routing::forwarder_options forwarder_options() const;
     control::follower_hooks follower_hooks();
     control::relay_hooks relay_hooks();
--- a/include/runlink/gateway/gateway_settings.hpp
+++ b/include/runlink/gateway/gateway_settings.hpp
@@ -44,6 +44,9 @@
     net::peer_address store;
     core::milliseconds stop_grace{8000};     ///< the process is killed this long after it was told to stop
     core::milliseconds key_revocation{5000}; ///< a removed key admits nothing after this
+    /// Whether keys admit nothing once the configuration was not proved for that long, as while the store is
+    /// away. Otherwise the last known ones hold until the store is heard again.
+    bool keys_expire = true;
     core::milliseconds configuration_apply{2000}; ///< a change is in force everywhere after this
     core::milliseconds session_ttl{5000};
     core::milliseconds retry_window{10000};
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -26,8 +26,10 @@
 /// Parameters of the forwarder.
 struct forwarder_options
 {
-    /// Oldest proof of the configuration with which a request with a key is dispatched.
-    milliseconds max_key_age{4500};
+    /// Oldest proof of the configuration with which a request with a key is dispatched. Without it the last
+    /// known configuration holds however old it is: an outage of the store does not become one of the service,
+    /// and a key that is taken away meanwhile admits until the store is heard again.
+    std::optional<milliseconds> max_key_age = milliseconds{4500};
     /// Oldest proof with which an unknown route or key is refused for good.
     milliseconds max_denial_age{1900};
     milliseconds session_ttl{5000};
@@ -212,6 +214,8 @@
     std::optional<refusal> check_key(time_point now, flow& it);
     void place(flow& it) const;
     bool is_fresh(time_point now, milliseconds max_age) const;
+    /// Whether keys of the table in force may admit requests.
+    bool keys_hold(time_point now) const;
 
     // Attempts
     /// Whether the key of a request still holds, by a table that is known to be new enough.
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -75,10 +75,15 @@
 
 gateway_daemon::~gateway_daemon() = default;
 
+std::optional<core::milliseconds> gateway_daemon::max_key_age() const
+{
+    return settings_.keys_expire ? std::optional{settings_.key_revocation - key_margin} : std::nullopt;
+}
+
 routing::forwarder_options gateway_daemon::forwarder_options() const
 {
     routing::forwarder_options out;
-    out.max_key_age = settings_.key_revocation - key_margin;
+    out.max_key_age = max_key_age();
     out.max_denial_age = settings_.configuration_apply - denial_margin;
     out.session_ttl = settings_.session_ttl;
     out.retries.window = std::chrono::duration_cast<core::seconds>(settings_.retry_window);
@@ -127,7 +132,8 @@
     if (stop_began_ || !forwarder_.table() || forwarder_.endpoints().size() == 0)
         return false;
     const auto age = forwarder_.proof_age(clock_());
-    return age && *age < settings_.key_revocation - key_margin;
+    const auto oldest = max_key_age();
+    return age && (!oldest || *age < *oldest);
 }
 
 // Readiness and metrics
--- a/src/runlink/gateway/gateway_test.cpp
+++ b/src/runlink/gateway/gateway_test.cpp
@@ -25,7 +25,7 @@
   "instance": {"id": "a-1", "failure_domain": "north"},
   "listen": {"callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "peers": "127.0.0.1:0"},
   "store": "127.0.0.1:9",
-  "bounds": {"key_revocation_ms": 4000, "stop_grace_s": 7.5}
+  "bounds": {"key_revocation_ms": 4000, "keys_expire": false, "stop_grace_s": 7.5}
 })";
 
 } // namespace
@@ -131,6 +131,7 @@
     REQUIRE(good);
     CHECK(good.value().stop_grace == core::milliseconds{7500});
     CHECK(good.value().key_revocation == core::milliseconds{4000});
+    CHECK_FALSE(good.value().keys_expire);
     const auto bad = parse_gateway_settings(
         R"({"instance": {"id": "a"}, "listen": {"callers": "here", "extra": 1}, "tuning": {"move_after": "x"}})");
     REQUIRE_FALSE(bad);
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -53,6 +53,11 @@
     return proven_at_ && now - *proven_at_ < max_age;
 }
 
+bool request_forwarder::keys_hold(time_point now) const
+{
+    return !options_.max_key_age || is_fresh(now, *options_.max_key_age);
+}
+
 // Arrival
 
 void request_forwarder::on_request(time_point now, flow_id id, inbound_request request)
@@ -117,7 +122,7 @@
     if (needs_key)
     {
         const refusal stale{status_unavailable, true, {core::errc::cut_off, "keys", options_.retry_after}};
-        if (!is_fresh(now, options_.max_key_age))
+        if (!keys_hold(now))
             return stale;
         if (account == nullptr && !is_fresh(now, options_.max_denial_age))
             return stale;
@@ -188,7 +193,7 @@
 {
     const bool needs_key = table_->has_accounts() && !it.via->is_public;
     return !needs_key ||
-           (is_fresh(now, options_.max_key_age) && table_->find_account(it.request.key) != nullptr);
+           (keys_hold(now) && table_->find_account(it.request.key) != nullptr);
 }
 
 bool request_forwarder::dispatch(time_point now, flow& it)
--- a/tests/support/forwarding_script.cpp
+++ b/tests/support/forwarding_script.cpp
@@ -16,6 +16,26 @@
 using namespace routing;
 using words = std::vector<std::string>;
 
+words split(const std::string& line)
+{
+    std::istringstream in{line};
+    words out;
+    for (std::string it; in >> it;)
+        out.push_back(it);
+    return out;
+}
+
+/// The lines of a session without comments and empty ones.
+std::vector<std::string> commands_of(const std::string& text)
+{
+    std::istringstream in{text};
+    std::vector<std::string> out;
+    for (std::string it; std::getline(in, it);)
+        if (!it.empty() && it.front() != '#')
+            out.push_back(it);
+    return out;
+}
+
 /// The value of a word `name=value`, or the fallback.
 std::string option(const words& from, const std::string& name, const std::string& fallback = {})
 {
@@ -46,14 +66,14 @@
 class world
 {
 public:
-    world() : forwarder_{options(), core::failure_domain_id{"north"}, 0, hooks()} {}
+    explicit world(const words& settings)
+        : forwarder_{options(settings), core::failure_domain_id{"north"}, 0, hooks()}
+    {
+    }
 
     void run(const std::string& line)
     {
-        std::istringstream in{line};
-        words all;
-        for (std::string it; in >> it;)
-            all.push_back(it);
+        const auto all = split(line);
         const auto found = commands_.find(all.at(0));
         if (found == commands_.end())
             throw std::runtime_error{"no such command: " + line};
@@ -70,9 +90,12 @@
     std::ostringstream out;
 
 private:
-    static forwarder_options options()
+    /// `options [keys=last_known]`, the first line of a session that has it.
+    static forwarder_options options(const words& all)
     {
         forwarder_options out;
+        if (option(all, "keys") == "last_known")
+            out.max_key_age.reset();
         out.rollouts.schedule.settle_time = milliseconds{500};
         out.rollouts.write_spread = milliseconds{1};
         out.rollouts.schedule.step_time = 0.125;
@@ -294,11 +317,14 @@
 
 std::string run_forwarding_script(const std::string& text)
 {
-    world it;
-    std::istringstream in{text};
-    for (std::string line; std::getline(in, line);)
+    const auto lines = commands_of(text);
+    words settings;
+    if (!lines.empty() && lines.front().starts_with("options "))
+        settings = split(lines.front());
+    world it{settings};
+    for (const auto& line : lines)
     {
-        if (line.empty() || line.front() == '#')
+        if (!settings.empty() && line == lines.front())
             continue;
         it.out << "> " << line << "\n";
         it.run(line);
