Place prompts by time: what waits, what is read again, the way, and what is late

Load was counted in requests and tokens of the own instance only, and tokens of the largest model cost ten times those of the smallest. Change: prompt_speed learns the reading time by model, endpoint_backlog keeps a queue in time for each endpoint, kept_prompts knows where shared parts are, prompt_placement weighs them; instances tell each other of prompts above 20 ms by datagram. Keepers by hash and the bounds on tokens and counts go.

--- a/include/runlink/gateway/gossip_link.hpp
+++ b/include/runlink/gateway/gossip_link.hpp
@@ -36,6 +36,7 @@
 
     void send_to(const std::vector<core::instance_id>& to, const proto::datagram& it);
     void tell(const routing::session_run& it);
+    void tell(const routing::prompt_sent& it);
     /// What is counted now; asked for with each message.
     std::function<std::vector<routing::version_evidence>()> evidence;
 
@@ -47,6 +48,8 @@
     };
 
     void send();
+    void send_prompts();
+    void send_to_all(const proto::datagram& it);
     void receive();
     /// A datagram that is not taken counts as lost.
     void write(const peer& to, const QByteArray& bytes);
@@ -55,8 +58,10 @@
     handler on_message_;
     QUdpSocket socket_;
     QTimer timer_;
+    QTimer prompts_timer_;
     std::map<core::instance_id, peer> peers_;
     std::vector<routing::session_run> pending_;
+    std::vector<routing::prompt_sent> pending_prompts_;
 };
 
 } // namespace runlink::gateway
--- a/include/runlink/routing/endpoint_chooser.hpp
+++ b/include/runlink/routing/endpoint_chooser.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// Which endpoint runs an attempt: kept prompts, own requests in flight, and recent failures.
+/// Which endpoint runs an attempt: where its prompt is read soonest, own requests in flight, recent failures.
 #pragma once
 
 #include <cstdint>
@@ -11,6 +11,7 @@
 
 #include "runlink/routing/endpoint_directory.hpp"
 #include "runlink/routing/messages.hpp"
+#include "runlink/routing/prompt_placement.hpp"
 #include "runlink/routing/rollout_control.hpp"
 
 namespace runlink::routing
@@ -23,23 +24,17 @@
     milliseconds first_ejection{800}; ///< after a connection did not come up, or answers broke in a row
     milliseconds longest_ejection{6000};
     std::uint32_t failures_to_eject = 2; ///< broken answers in a row
-    /// Prompt tokens that this instance may have waiting at the endpoint that keeps the prompt's parts before
-    /// another one is taken.
-    std::uint32_t affinity_tokens = 9000;
-    /// Requests in flight that this instance may have at that endpoint, as a multiple of its mean over all:
-    /// prompts that many ask for at the same time are kept by more than one.
-    double affinity_load = 1.5;
-    std::uint32_t affinity_least = 2; ///< requests in flight that are always accepted there
     /// Requests in flight at an endpoint of the own failure domain, over the least loaded one, that are
     /// accepted for the shorter way.
     std::uint32_t near_bonus = 1;
+    placement_options placement;
 };
 
 /// What an attempt needs.
 struct endpoint_need
 {
     service_id service;
-    std::uint64_t affinity = 0; ///< hash of the shared prompt parts; 0: none
+    std::optional<prompt_need> prompt; ///< of services that run models
     rollout_control::choice versions;
     const std::set<endpoint_id>* tried = nullptr;
 };
@@ -49,16 +44,16 @@
 {
 public:
     endpoint_chooser(chooser_options options, failure_domain_id own_domain)
-        : options_{options}, own_domain_{std::move(own_domain)}
+        : options_{options}, own_domain_{own_domain}, placement_{options.placement, std::move(own_domain)}
     {
     }
 
     /// An endpoint, or null if none may be used.
     const endpoint_entry* choose(time_point now, const endpoint_directory& from, const endpoint_need& need);
 
-    void started(const endpoint_id& id, std::uint32_t prompt_tokens);
-    /// The first byte of an answer came: the prompt is read.
-    void prompt_read(const endpoint_id& id, std::uint32_t prompt_tokens);
+    prompt_placement& placement() { return placement_; }
+
+    void started(const endpoint_id& id);
     void finished(const endpoint_id& id);
     void answered(const endpoint_id& id);
     void refused(time_point now, const endpoint_id& id);
@@ -73,8 +68,7 @@
     struct load
     {
         std::uint32_t in_flight = 0;
-        std::uint32_t waiting_tokens = 0; ///< of prompts that are not read yet
-        std::uint32_t failures = 0;       ///< in a row
+        std::uint32_t failures = 0; ///< in a row
         time_point aside_until = time_point::min();
     };
     using candidates = std::vector<const endpoint_entry*>;
@@ -83,13 +77,12 @@
     void eject(time_point now, load& it);
     candidates allowed(time_point now, const endpoint_directory& from, const endpoint_need& need) const;
     candidates sound(time_point now, const candidates& from) const;
-    /// The one that keeps the prompt's parts, or the next in the same order that has room; null if none has.
-    const endpoint_entry* by_affinity(const candidates& from, const endpoint_need& need) const;
-    std::uint32_t most_in_flight(const candidates& from) const;
+    const endpoint_entry* soonest(time_point now, const candidates& from, const prompt_need& need);
     const endpoint_entry* least_loaded(const candidates& from);
 
     chooser_options options_;
     failure_domain_id own_domain_;
+    prompt_placement placement_;
     std::map<endpoint_id, load> loads_;
     std::uint64_t turn_ = 0;
 };
--- a/include/runlink/routing/gossip_messages.hpp
+++ b/include/runlink/routing/gossip_messages.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// What forwarding instances tell each other while a roll-out is under way.
+/// What forwarding instances tell each other: of versions while a roll-out is under way, and of prompts sent.
 #pragma once
 
 #include <cstdint>
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "runlink/core/ids.hpp"
+#include "runlink/core/units.hpp"
 
 namespace runlink::routing
 {
@@ -14,6 +15,23 @@
 /// Hash of a session's name, the same at every instance.
 using session_hash = core::strong_number<struct session_hash_tag>;
 
+/// The lower 32 bits of the hash of an endpoint's id: short on the wire, and a collision costs little.
+using endpoint_hash = core::strong_number<struct endpoint_hash_tag>;
+/// The same of the shared parts of a prompt and the model that reads them.
+using prompt_hash = core::strong_number<struct prompt_hash_tag>;
+
+endpoint_hash hash_of(const core::endpoint_id& id);
+/// `parts`: hash of the shared parts.
+prompt_hash hash_of(std::uint64_t parts, const core::model_id& model);
+
+/// A prompt was sent to an endpoint.
+struct prompt_sent
+{
+    endpoint_hash endpoint;
+    prompt_hash prompt;
+    core::milliseconds work{}; ///< expected time to read what is not kept there
+};
+
 /// A session ran on a version just now.
 struct session_run
 {
@@ -39,6 +57,7 @@
     core::instance_id sender;
     std::vector<session_run> runs;
     std::vector<version_evidence> evidence;
+    std::vector<prompt_sent> prompts;
 };
 
 } // namespace runlink::routing
--- a/include/runlink/routing/messages.hpp
+++ b/include/runlink/routing/messages.hpp
@@ -39,6 +39,7 @@
     model_id model;                 ///< empty where the router chooses
     std::uint32_t prompt_tokens = 0;
     std::uint32_t max_new_tokens = 0;
+    std::uint32_t body_bytes = 0;
     std::vector<prompt_part> prompt;         ///< in order; the last one is the request's own
     std::optional<std::uint64_t> last_event; ///< the caller has the stream up to here
 };
--- /dev/null
+++ b/include/runlink/routing/prompt_placement.hpp
@@ -0,0 +1,103 @@
+/// \file
+/// At which endpoint a prompt is read soonest and at the least cost.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "runlink/routing/endpoint_backlog.hpp"
+#include "runlink/routing/endpoint_directory.hpp"
+#include "runlink/routing/gossip_messages.hpp"
+#include "runlink/routing/kept_prompts.hpp"
+#include "runlink/routing/prompt_speed.hpp"
+
+namespace runlink::routing
+{
+
+/// Parameters of the placement.
+struct placement_options
+{
+    /// What it is worth to keep 1,000 bytes in the own failure domain, as time that a request may wait for
+    /// it: bytes between failure domains are paid for.
+    duration far_per_kb{60'000};
+    /// Part of the time to read the shared parts by which endpoints are ranked, by hash, for a prompt that
+    /// none keeps: instances that have not heard of each other's choice yet make the same.
+    double rank_part = 1;
+    /// What reading shared parts again costs, as a multiple of its time: those that come behind wait as well.
+    double again_weight = 8;
+    /// What each unit of time counts that the first token is expected after the target latency: an answer
+    /// that comes late is worth a third or less, so little else outweighs it.
+    int late_weight = 20;
+    /// What each of the own requests in flight adds, for the tokens that it takes part in generating.
+    duration per_request{5000};
+    /// Work below this is not told to other instances: datagrams cost more than they would gain.
+    milliseconds least_told{20};
+    backlog_options backlog;
+    kept_prompts_options kept;
+    prompt_speed_options speed;
+};
+
+/// A prompt that is to be read.
+struct prompt_need
+{
+    core::model_id model;
+    prompt_hash shared;              ///< of the parts that requests share, and the model
+    std::uint32_t shared_tokens = 0; ///< of these parts
+    std::uint32_t own_tokens = 0;    ///< of the rest
+    std::uint32_t request_bytes = 0;
+    duration time_to_target = duration::max(); ///< until the answer is late
+};
+
+/// A prompt that was sent.
+struct placed_prompt
+{
+    endpoint_hash endpoint;
+    core::model_id model;
+    time_point sent_at{};
+    std::uint32_t unread_tokens = 0;
+    duration wait{}; ///< expected before the reading began
+    duration work{}; ///< expected for the reading
+};
+
+/// Weighs, in time: what waits at an endpoint, what it has to read, the way to it, and what runs there.
+///
+/// Answers long prompts beside short ones (a short one goes where nothing waits), hot prompts (the endpoint
+/// that keeps one is used until reading it again elsewhere is sooner), and bursts (all instances know what
+/// the others have sent). One unit, time of an endpoint, holds for all of them; there is no count to be
+/// exceeded.
+class prompt_placement
+{
+public:
+    explicit prompt_placement(placement_options options, core::failure_domain_id own_domain)
+        : options_{options}, own_domain_{std::move(own_domain)}, backlog_{options.backlog},
+          kept_{options.kept}, speed_{options.speed}
+    {
+    }
+
+    /// What a prompt costs at an endpoint. `in_flight`: own requests there.
+    duration cost(time_point now, const endpoint_entry& at, const prompt_need& need,
+                  std::uint32_t in_flight) const;
+
+    placed_prompt sent(time_point now, const endpoint_entry& to, const prompt_need& need);
+    /// The answer has begun.
+    void answered(time_point now, const placed_prompt& it);
+    /// The attempt ended before its answer began.
+    void withdrawn(time_point now, const placed_prompt& it);
+    /// Another instance sent a prompt.
+    void on_peer_sent(time_point now, const prompt_sent& it);
+    /// Whether other instances are to know of it.
+    bool is_told(const placed_prompt& it) const { return it.work >= options_.least_told; }
+    /// Forgets what is over; about once a second.
+    void expire(time_point now);
+
+private:
+    std::uint32_t unread_tokens(time_point now, endpoint_hash at, const prompt_need& need) const;
+
+    placement_options options_;
+    core::failure_domain_id own_domain_;
+    endpoint_backlog backlog_;
+    kept_prompts kept_;
+    prompt_speed speed_;
+};
+
+} // namespace runlink::routing
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -27,8 +27,8 @@
 struct forwarder_options
 {
     /// Oldest proof of the configuration with which a request with a key is dispatched. Without it the last
-    /// known configuration holds however old it is: an outage of the store does not become one of the service,
-    /// and a key that is taken away meanwhile admits until the store is heard again.
+    /// known configuration holds however old it is: an outage of the store does not become one of the
+    /// service, and a key that is taken away meanwhile admits until the store is heard again.
     std::optional<milliseconds> max_key_age = milliseconds{4500};
     /// Oldest proof with which an unknown route or key is refused for good.
     milliseconds max_denial_age{1900};
@@ -73,6 +73,8 @@
     std::int64_t time_left_ms = -1;
     std::int64_t proof_age_ms = -1;
     std::int64_t table_version = -1;
+    std::int64_t expected_wait_ms = -1; ///< for what is read before this prompt
+    std::int64_t expected_read_ms = -1; ///< for the prompt
 };
 
 /// What the forwarder tells the edge. For each request: one `forward_answer`, or `forward_head`, any
@@ -91,6 +93,8 @@
     std::function<void(flow_id, const refusal&)> refuse;
     /// A session of the first part of a roll-out ran: other instances are to know.
     std::function<void(const session_run&)> session_ran;
+    /// A prompt was sent to an endpoint: other instances are to know.
+    std::function<void(const prompt_sent&)> prompt_went;
     std::function<void(const decision&)> log;
     /// A request has ended: its account, route and time, for the metrics.
     std::function<void(const decision&, core::duration)> ended;
@@ -159,6 +163,9 @@
     /// A session ran at another instance.
     void on_peer_run(time_point now, const session_run& it) { pins_.ran(now, it.session, it.version); }
 
+    /// Another instance sent a prompt to an endpoint.
+    void on_peer_prompt(time_point now, const prompt_sent& it) { chooser_.placement().on_peer_sent(now, it); }
+
     /// Does what is due.
     void tick(time_point now);
     /// Forgets what nobody asks for any more; about once a second.
@@ -178,8 +185,9 @@
         service_id service;
         account_id account;
         int priority = 0;
-        session_hash session;       ///< or hash of the request without one
-        std::uint64_t affinity = 0; ///< hash of the shared prompt parts
+        session_hash session;            ///< or hash of the request without one
+        std::uint64_t shared_parts = 0;  ///< hash of the prompt parts that requests share
+        std::uint32_t shared_tokens = 0; ///< of these parts
         time_point arrived{};
         time_point deadline{};
         std::set<attempt_id> attempts;
@@ -203,7 +211,7 @@
         model_id model;
         std::uint32_t number = 0;
         bool may_have_run = false;
-        bool prompt_read = false;
+        std::optional<placed_prompt> prompt; ///< while it is not read
         time_point started{};
         std::optional<time_point> first_event;
         std::uint32_t events = 0;
@@ -221,12 +229,17 @@
     /// Whether the key of a request still holds, by a table that is known to be new enough.
     bool may_still_run(time_point now, const flow& it) const;
     bool dispatch(time_point now, flow& it);
-    endpoint_need need_of(const flow& it) const;
+    endpoint_need need_of(time_point now, const flow& it) const;
+    /// The model that the request's next attempt asks for; empty where the caller named it.
+    model_id model_of(const flow& it) const;
+    std::optional<placed_prompt> place_prompt(time_point now, const endpoint_entry& to,
+                                              const endpoint_need& need);
+    void prompt_read(time_point now, attempt& it);
     bool may_send_again(time_point now, const flow& it) const;
     /// Sends the request again, or ends it for the reason.
     void again_or_end(time_point now, flow& it, core::errc why, bool costs_budget);
-    std::optional<attempt> take_attempt(attempt_id id);
-    void cancel_attempts(flow& it);
+    std::optional<attempt> take_attempt(time_point now, attempt_id id);
+    void cancel_attempts(time_point now, flow& it);
     /// Notes the version of a session's latest run.
     void pin(time_point now, const flow& it, const version_id& version);
     void sample(time_point now, const flow& it, const attempt& from, bool is_bad);
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -48,6 +48,7 @@
             refuse(it->connection, why, it->request_id);
     };
     out.session_ran = [this](const routing::session_run& it) { on_session_ran(it); };
+    out.prompt_went = [this](const routing::prompt_sent& it) { on_prompt_went(it); };
     out.log = [this](const routing::decision& it) { log(it); };
     out.ended = [this](const routing::decision& it, core::duration after) { on_ended(it, after); };
     return out;
@@ -60,6 +61,7 @@
     auto request = read_request(names_, head);
     if (!request)
         return refuse(from, {status_bad_request, true, request.error()}, {});
+    request.value().body_bytes = static_cast<std::uint32_t>(body.size());
     const routing::flow_id flow{next_flow_++};
     const auto& id = request.value().id.str();
     calls_.emplace(flow, call{from, head, std::move(body), id});
@@ -296,6 +298,8 @@
     number("time_left_ms", it.time_left_ms);
     number("proof_age_ms", it.proof_age_ms);
     number("table", it.table_version);
+    number("expected_wait_ms", it.expected_wait_ms);
+    number("expected_read_ms", it.expected_read_ms);
     const bool is_routine = it.event == "dispatched" || it.event == "stream_began" ||
                             it.event == "endpoint_answered" ||
                             (it.event == "ended" && it.reason == "answered");
--- a/src/runlink/gateway/gateway_daemon_store.cpp
+++ b/src/runlink/gateway/gateway_daemon_store.cpp
@@ -113,7 +113,10 @@
 {
     for (const auto& e : it.runs)
         forwarder_.on_peer_run(now, e);
-    forwarder_.rollouts().on_peer_evidence(it.sender, it.evidence);
+    for (const auto& e : it.prompts)
+        forwarder_.on_peer_prompt(now, e);
+    if (!it.sender.str().empty()) // one with prompts alone names no sender
+        forwarder_.rollouts().on_peer_evidence(it.sender, it.evidence);
 }
 
 // The store's documents
--- a/src/runlink/gateway/gossip_link.cpp
+++ b/src/runlink/gateway/gossip_link.cpp
@@ -14,6 +14,8 @@
 
 /// What is told within this time goes into one datagram. A session's next request is seldom this close.
 constexpr std::chrono::milliseconds gather_time{30};
+/// The same for prompts: an endpoint reads a long one for several times as long.
+constexpr std::chrono::milliseconds prompts_gather_time{60};
 /// Bound on one datagram, below what a link carries in one piece.
 constexpr std::size_t max_runs = 50;
 /// Datagrams above this are compressed: configurations shrink to a fifth or less, lists of endpoints to a
@@ -56,6 +58,8 @@
 {
     timer_.setSingleShot(true);
     QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] { send(); });
+    prompts_timer_.setSingleShot(true);
+    QObject::connect(&prompts_timer_, &QTimer::timeout, &prompts_timer_, [this] { send_prompts(); });
     QObject::connect(&socket_, &QUdpSocket::readyRead, &socket_, [this] { receive(); });
 }
 
@@ -97,6 +101,30 @@
         timer_.start(gather_time);
 }
 
+void gossip_link::tell(const routing::prompt_sent& it)
+{
+    if (peers_.empty())
+        return;
+    pending_prompts_.push_back(it);
+    if (!prompts_timer_.isActive())
+        prompts_timer_.start(prompts_gather_time);
+}
+
+void gossip_link::send_prompts()
+{
+    // Without the rest: evidence is larger than these, and has its own times.
+    routing::gossip_message out;
+    out.prompts = std::exchange(pending_prompts_, {});
+    send_to_all(out);
+}
+
+void gossip_link::send_to_all(const proto::datagram& it)
+{
+    const auto bytes = pack(proto::encode(it));
+    for (const auto& [id, to] : peers_)
+        write(to, bytes);
+}
+
 void gossip_link::send()
 {
     timer_.stop();
@@ -104,9 +132,7 @@
     out.sender = self_;
     out.runs = std::exchange(pending_, {});
     out.evidence = evidence();
-    const auto bytes = pack(proto::encode(out));
-    for (const auto& [id, it] : peers_)
-        write(it, bytes);
+    send_to_all(out);
 }
 
 void gossip_link::receive()
--- a/src/runlink/proto/gossip_codec.cpp
+++ b/src/runlink/proto/gossip_codec.cpp
@@ -31,6 +31,13 @@
         for (const auto n : e.bad_endpoints)
             evidence->add_bad_endpoints(n);
     }
+    for (const auto& e : it.prompts)
+    {
+        auto* prompt = out.add_prompts();
+        prompt->set_endpoint(static_cast<std::uint32_t>(e.endpoint.value()));
+        prompt->set_prompt(static_cast<std::uint32_t>(e.prompt.value()));
+        prompt->set_work_ms(static_cast<std::uint32_t>(e.work.count()));
+    }
 }
 
 void write(const control::sync_request& it, wire::Datagram& to)
@@ -79,6 +86,9 @@
                                 e.bad(),
                                 e.slow(),
                                 {e.bad_endpoints().begin(), e.bad_endpoints().end()}});
+    for (const auto& e : in.prompts())
+        out.prompts.push_back({routing::endpoint_hash{e.endpoint()}, routing::prompt_hash{e.prompt()},
+                               core::milliseconds{e.work_ms()}});
     return out;
 }
 
--- a/src/runlink/routing/endpoint_chooser.cpp
+++ b/src/runlink/routing/endpoint_chooser.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "runlink/core/hash.hpp"
-
 namespace runlink::routing
 {
 namespace
@@ -28,17 +26,9 @@
 
 // Events
 
-void endpoint_chooser::started(const endpoint_id& id, std::uint32_t prompt_tokens)
+void endpoint_chooser::started(const endpoint_id& id)
 {
-    auto& it = loads_[id];
-    ++it.in_flight;
-    it.waiting_tokens += prompt_tokens;
-}
-
-void endpoint_chooser::prompt_read(const endpoint_id& id, std::uint32_t prompt_tokens)
-{
-    auto& it = loads_[id];
-    it.waiting_tokens -= std::min(it.waiting_tokens, prompt_tokens);
+    ++loads_[id].in_flight;
 }
 
 void endpoint_chooser::finished(const endpoint_id& id)
@@ -117,29 +107,20 @@
     return out;
 }
 
-std::uint32_t endpoint_chooser::most_in_flight(const candidates& from) const
+const endpoint_entry* endpoint_chooser::soonest(time_point now, const candidates& from,
+                                                const prompt_need& need)
 {
-    std::uint32_t sum = 0;
-    for (const auto* it : from)
-        sum += at(it->id).in_flight;
-    const auto mean = static_cast<double>(sum) / static_cast<double>(from.size());
-    return std::max(options_.affinity_least, static_cast<std::uint32_t>(options_.affinity_load * mean));
-}
-
-const endpoint_entry* endpoint_chooser::by_affinity(const candidates& from, const endpoint_need& need) const
-{
-    const auto most = most_in_flight(from);
+    ++turn_;
     const endpoint_entry* best = nullptr;
-    std::uint64_t highest = 0;
-    for (const auto* it : from)
+    duration lowest{};
+    for (std::size_t n = 0; n < from.size(); ++n)
     {
-        const auto& load = at(it->id);
-        const auto weight = core::stable_hash(it->id.str(), need.affinity);
-        const bool has_room = load.waiting_tokens <= options_.affinity_tokens && load.in_flight <= most;
-        if (has_room && (best == nullptr || weight > highest))
+        const auto* it = from[(n + turn_) % from.size()];
+        const auto cost = placement_.cost(now, *it, need, at(it->id).in_flight);
+        if (best == nullptr || cost < lowest)
         {
             best = it;
-            highest = weight;
+            lowest = cost;
         }
     }
     return best;
@@ -155,8 +136,7 @@
         const auto* it = from[(n + turn_) % from.size()];
         const auto& load = at(it->id);
         const auto far = it->failure_domain == own_domain_ ? 0U : options_.near_bonus;
-        const std::uint64_t cost =
-            (static_cast<std::uint64_t>(load.in_flight) + far) * 1000 + load.waiting_tokens;
+        const std::uint64_t cost = static_cast<std::uint64_t>(load.in_flight) + far;
         if (best == nullptr || cost < lowest)
         {
             best = it;
@@ -174,10 +154,7 @@
         return nullptr;
     const auto good = sound(now, all);
     const auto& usable = good.empty() ? all : good;
-    if (need.affinity == 0)
-        return least_loaded(usable);
-    const auto* keeper = by_affinity(usable, need);
-    return keeper != nullptr ? keeper : least_loaded(usable);
+    return need.prompt ? soonest(now, usable, *need.prompt) : least_loaded(usable);
 }
 
 } // namespace runlink::routing
--- /dev/null
+++ b/src/runlink/routing/placement_test.cpp
@@ -0,0 +1,258 @@
+// Where prompts are read: load patterns replayed on a clock that the test advances.
+
+#include <deque>
+#include <map>
+
+#include <catch2/catch.hpp>
+
+#include "runlink/routing/endpoint_chooser.hpp"
+
+using namespace runlink;
+using namespace runlink::routing;
+
+namespace
+{
+
+constexpr time_point start{core::seconds{1000}};
+const core::model_id small{"small"};
+const core::model_id large{"large"};
+/// Tokens a millisecond that the endpoints of these tests read.
+constexpr std::uint32_t small_speed = 100;
+constexpr std::uint32_t large_speed = 10;
+
+endpoint_entry make_endpoint(int n, const std::string& domain = "n")
+{
+    endpoint_entry out;
+    out.id = core::endpoint_id{"e" + std::to_string(n)};
+    out.service = core::service_id{"s"};
+    out.failure_domain = core::failure_domain_id{domain};
+    return out;
+}
+
+prompt_need make_prompt(const core::model_id& model, std::uint64_t subject, std::uint32_t shared,
+                        std::uint32_t own)
+{
+    prompt_need out;
+    out.model = model;
+    out.shared = hash_of(subject, model);
+    out.shared_tokens = shared;
+    out.own_tokens = own;
+    out.time_to_target = milliseconds{4000};
+    return out;
+}
+
+duration reading(const core::model_id& model, std::uint32_t tokens)
+{
+    return milliseconds{tokens / (model == large ? large_speed : small_speed)};
+}
+
+/// Instances before endpoints that read one prompt after the other and keep what they read.
+struct fleet
+{
+    explicit fleet(int instances, int endpoints, placement_options options = {})
+    {
+        for (int n = 0; n < endpoints; ++n)
+            directory.put(make_endpoint(n));
+        chooser_options chooser;
+        chooser.placement = options;
+        for (int n = 0; n < instances; ++n)
+            choosers.emplace_back(chooser, core::failure_domain_id{"n"});
+        for (auto& it : choosers)
+        {
+            teach(it, small, 10'000);
+            teach(it, large, 10'000);
+        }
+    }
+
+    /// One answer of an endpoint that does nothing else.
+    void teach(endpoint_chooser& it, const core::model_id& model, std::uint32_t tokens)
+    {
+        constexpr int first_idle_endpoint = 1000;
+        auto& placement = it.placement();
+        const auto idle = make_endpoint(first_idle_endpoint + (model == large ? 1 : 0));
+        const auto sent = placement.sent(start, idle, make_prompt(model, 0, 0, tokens));
+        placement.answered(start + reading(model, tokens), sent);
+    }
+
+    struct chosen
+    {
+        endpoint_id endpoint;
+        duration first_byte{}; ///< from the sending
+    };
+
+    /// Sends a prompt through an instance; what it tells reaches the others at once.
+    chosen send(time_point now, std::size_t instance, const prompt_need& prompt)
+    {
+        settle(now);
+        endpoint_need need;
+        need.service = core::service_id{"s"};
+        need.prompt = prompt;
+        const auto* to = choosers[instance].choose(now, directory, need);
+        REQUIRE(to != nullptr);
+        const auto placed = choosers[instance].placement().sent(now, *to, prompt);
+        if (choosers[instance].placement().is_told(placed))
+            for (std::size_t n = 0; n < choosers.size(); ++n)
+                if (n != instance)
+                    choosers[n].placement().on_peer_sent(
+                        now, {placed.endpoint, prompt.shared, std::chrono::ceil<milliseconds>(placed.work)});
+        auto& engine = engines[to->id];
+        const bool is_kept = engine.kept[prompt.shared];
+        engine.kept[prompt.shared] = true;
+        const auto unread = prompt.own_tokens + (is_kept ? 0 : prompt.shared_tokens);
+        again += is_kept ? 0 : prompt.shared_tokens;
+        engine.free_at = std::max(engine.free_at, now) + reading(prompt.model, unread);
+        reads.push_back({engine.free_at, instance, placed});
+        return {to->id, engine.free_at - now};
+    }
+
+    /// Lets the instances see the answers that have begun.
+    void settle(time_point now)
+    {
+        for (const auto& it : reads)
+            if (it.done <= now)
+                choosers[it.instance].placement().answered(it.done, it.placed);
+        std::erase_if(reads, [&](const auto& it) { return it.done <= now; });
+    }
+
+    struct engine
+    {
+        time_point free_at{};
+        std::map<prompt_hash, bool> kept;
+    };
+    struct read
+    {
+        time_point done{};
+        std::size_t instance = 0;
+        placed_prompt placed;
+    };
+    endpoint_directory directory;
+    std::deque<endpoint_chooser> choosers;
+    std::map<endpoint_id, engine> engines;
+    std::vector<read> reads;
+    std::uint64_t again = 0; ///< shared tokens read where the endpoint did not keep them
+};
+
+} // namespace
+
+TEST_CASE("the speed of a model is learned from a few answers, long prompts counting most")
+{
+    prompt_speed it;
+    CHECK(it.time_to_read(large, 1000) == milliseconds{20});
+    it.observe(large, 100, milliseconds{500}); // mostly the first token's own time
+    CHECK(it.time_to_read(large, 1000) == milliseconds{20});
+    it.observe(large, 10'000, milliseconds{1000});
+    it.observe(large, 2'000, milliseconds{260});
+    CHECK(it.time_to_read(large, 1000) == milliseconds{105});
+    for (int n = 0; n < 16; ++n)
+        it.observe(large, 4'000, milliseconds{200});
+    CHECK(it.time_to_read(large, 1000) == milliseconds{50});
+    CHECK(it.time_to_read(small, 1000) == milliseconds{20});
+}
+
+TEST_CASE("a backlog drains with time, and an answer takes out what was sent before")
+{
+    endpoint_backlog it;
+    const endpoint_hash e{7};
+    it.sent(start, e, milliseconds{300}, false);
+    it.sent(start + milliseconds{10}, e, milliseconds{500}, true);
+    it.sent(start + milliseconds{20}, e, milliseconds{100}, false);
+    CHECK(it.left(start + milliseconds{20}, e) == milliseconds{880});
+    CHECK(it.left(start + milliseconds{200}, e) == milliseconds{700});
+    it.answered(start + milliseconds{210}, e, start + milliseconds{10});
+    CHECK(it.left(start + milliseconds{210}, e) == milliseconds{100});
+    CHECK(it.left(start + milliseconds{400}, e) == milliseconds{0});
+    CHECK(it.left(start, endpoint_hash{8}) == milliseconds{0});
+}
+
+TEST_CASE("own work counts until its answer, however slow the endpoint is")
+{
+    endpoint_backlog it;
+    const endpoint_hash e{7};
+    it.sent(start, e, milliseconds{100}, true);
+    CHECK(it.left(start + milliseconds{900}, e) == milliseconds{100});
+    it.withdrawn(start + milliseconds{900}, e, start);
+    CHECK(it.left(start + milliseconds{900}, e) == milliseconds{0});
+    it.sent(start, e, milliseconds{100}, true);
+    it.expire(start + milliseconds{10'000});
+    CHECK(it.left(start + milliseconds{10'000}, e) == milliseconds{0});
+}
+
+TEST_CASE("kept parts are forgotten after their time, by model")
+{
+    kept_prompts it{{milliseconds{8000}}};
+    it.sent(start, endpoint_hash{1}, hash_of(5, small));
+    CHECK(it.has(start + milliseconds{7999}, endpoint_hash{1}, hash_of(5, small)));
+    CHECK_FALSE(it.has(start, endpoint_hash{1}, hash_of(5, large)));
+    CHECK_FALSE(it.has(start + milliseconds{8000}, endpoint_hash{1}, hash_of(5, small)));
+    it.expire(start + milliseconds{8000});
+    CHECK(it.size() == 0);
+}
+
+TEST_CASE("short prompts beside long ones: they go where nothing waits, also for what other instances sent")
+{
+    fleet it{6, 6};
+    // A long prompt for the largest model at four of six endpoints, each sent by another instance.
+    std::map<endpoint_id, bool> busy;
+    for (std::size_t n = 0; n < 4; ++n)
+        busy[it.send(start, n, make_prompt(large, 100 + n, 0, 17'000)).endpoint] = true;
+    CHECK(busy.size() == 4);
+    duration worst{};
+    for (std::uint64_t n = 0; n < 24; ++n)
+    {
+        const auto now = start + milliseconds{20 * n + 10};
+        worst = std::max(worst, it.send(now, n % 6, make_prompt(small, 200 + n, 300, 1'000)).first_byte);
+    }
+    // Behind one of the long ones it would be up to 1,700 ms.
+    CHECK(worst <= milliseconds{50});
+}
+
+TEST_CASE("a hot prompt is read at its keeper until reading it again elsewhere is worth it")
+{
+    fleet it{6, 8};
+    std::map<endpoint_id, int> used;
+    // Five a second, 75 ms each where it is kept: one endpoint carries that.
+    for (std::uint64_t n = 0; n < 50; ++n)
+        ++used[it.send(start + milliseconds{200 * n}, n % 6, make_prompt(large, 1, 13'000, 750)).endpoint];
+    CHECK(used.size() == 1);
+    // Forty a second for eight seconds: three times what one endpoint reads.
+    duration worst{};
+    for (std::uint64_t n = 0; n < 320; ++n)
+    {
+        const auto now = start + core::seconds{20} + milliseconds{25 * n};
+        const auto sent = it.send(now, n % 6, make_prompt(large, 1, 13'000, 750));
+        worst = std::max(worst, sent.first_byte);
+        ++used[sent.endpoint];
+    }
+    CHECK(used.size() >= 3);
+    CHECK(used.size() <= 7);
+    CHECK(worst <= milliseconds{4'500});
+}
+
+TEST_CASE("instances that have not heard of each other's choice rank endpoints for a cold prompt alike")
+{
+    fleet it{6, 8};
+    std::map<endpoint_id, int> used;
+    endpoint_need need;
+    need.service = core::service_id{"s"};
+    need.prompt = make_prompt(large, 77, 13'000, 750);
+    for (auto& chooser : it.choosers)
+        ++used[chooser.choose(start, it.directory, need)->id];
+    CHECK(used.size() == 1);
+}
+
+TEST_CASE("a request stays in its own failure domain until the wait there is worth the way")
+{
+    endpoint_directory directory;
+    directory.put(make_endpoint(1, "n"));
+    directory.put(make_endpoint(2, "f"));
+    endpoint_chooser it{{}, core::failure_domain_id{"n"}};
+    endpoint_need need;
+    need.service = core::service_id{"s"};
+    need.prompt = make_prompt(small, 1, 0, 5'000);
+    need.prompt->request_bytes = 5'000;
+    CHECK(it.choose(start, directory, need)->id.str() == "e1");
+    it.placement().on_peer_sent(start, {hash_of(core::endpoint_id{"e1"}), {}, milliseconds{250}});
+    CHECK(it.choose(start, directory, need)->id.str() == "e1");
+    it.placement().on_peer_sent(start, {hash_of(core::endpoint_id{"e1"}), {}, milliseconds{250}});
+    CHECK(it.choose(start, directory, need)->id.str() == "e2");
+}
--- /dev/null
+++ b/src/runlink/routing/prompt_placement.cpp
@@ -0,0 +1,98 @@
+#include "runlink/routing/prompt_placement.hpp"
+
+#include <algorithm>
+
+#include "runlink/core/hash.hpp"
+
+namespace runlink::routing
+{
+namespace
+{
+
+constexpr std::int64_t bytes_per_kb = 1000;
+/// The speed is learned from prompts for which this part of the reading, or this time, was expected to wait
+/// before them: the rest of the time is their own.
+constexpr int least_work_over_wait = 2;
+constexpr milliseconds little_wait{15};
+/// An answer that comes sooner than expected still took this long to read.
+constexpr milliseconds least_reading{1};
+
+/// Between 0 and 1, the same at every instance.
+double rank_of(const core::endpoint_id& endpoint, prompt_hash prompt)
+{
+    constexpr std::uint64_t steps = 1024;
+    const auto hash = core::stable_hash(endpoint.str(), prompt.value());
+    return static_cast<double>(hash % steps) / static_cast<double>(steps);
+}
+
+duration part_of(duration it, double share)
+{
+    return duration{static_cast<duration::rep>(static_cast<double>(it.count()) * share)};
+}
+
+} // namespace
+
+std::uint32_t prompt_placement::unread_tokens(time_point now, endpoint_hash at, const prompt_need& need) const
+{
+    return need.own_tokens + (kept_.has(now, at, need.shared) ? 0 : need.shared_tokens);
+}
+
+duration prompt_placement::cost(time_point now, const endpoint_entry& at, const prompt_need& need,
+                                std::uint32_t in_flight) const
+{
+    const auto id = hash_of(at.id);
+    const auto first_token =
+        backlog_.left(now, id) + speed_.time_to_read(need.model, unread_tokens(now, id, need));
+    auto out = backlog_.left(now, id) + options_.per_request * in_flight;
+    if (first_token > need.time_to_target)
+        out += (first_token - need.time_to_target) * options_.late_weight;
+    out += speed_.time_to_read(need.model, need.own_tokens);
+    if (!kept_.has(now, id, need.shared))
+        out += part_of(speed_.time_to_read(need.model, need.shared_tokens),
+                       options_.again_weight + options_.rank_part * rank_of(at.id, need.shared));
+    if (at.failure_domain != own_domain_)
+        out += options_.far_per_kb * static_cast<std::int64_t>(need.request_bytes) / bytes_per_kb;
+    return out;
+}
+
+placed_prompt prompt_placement::sent(time_point now, const endpoint_entry& to, const prompt_need& need)
+{
+    placed_prompt out;
+    out.endpoint = hash_of(to.id);
+    out.model = need.model;
+    out.sent_at = now;
+    out.unread_tokens = unread_tokens(now, out.endpoint, need);
+    out.wait = backlog_.left(now, out.endpoint);
+    out.work = speed_.time_to_read(need.model, out.unread_tokens);
+    backlog_.sent(now, out.endpoint, out.work, true);
+    if (need.shared_tokens > 0)
+        kept_.sent(now, out.endpoint, need.shared);
+    return out;
+}
+
+void prompt_placement::answered(time_point now, const placed_prompt& it)
+{
+    backlog_.answered(now, it.endpoint, it.sent_at);
+    if (it.wait < little_wait || it.wait * least_work_over_wait < it.work)
+        speed_.observe(it.model, it.unread_tokens,
+                       std::max<duration>(now - it.sent_at - it.wait, least_reading));
+}
+
+void prompt_placement::withdrawn(time_point now, const placed_prompt& it)
+{
+    backlog_.withdrawn(now, it.endpoint, it.sent_at);
+}
+
+void prompt_placement::on_peer_sent(time_point now, const prompt_sent& it)
+{
+    backlog_.sent(now, it.endpoint, it.work, false);
+    kept_.sent(now, it.endpoint, it.prompt);
+}
+
+void prompt_placement::expire(time_point now)
+{
+    backlog_.expire(now);
+    kept_.expire(now);
+}
+
+} // namespace runlink::routing
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -1,6 +1,7 @@
 #include "runlink/routing/request_forwarder.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "runlink/core/hash.hpp"
@@ -14,15 +15,6 @@
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
 
-/// Prompt parts that requests share come before the last one, which is the request's own.
-std::uint64_t affinity_of(const std::vector<prompt_part>& prompt)
-{
-    std::uint64_t out = 0;
-    for (std::size_t n = 0; n + 1 < prompt.size(); ++n)
-        out = core::stable_hash(prompt[n].id, out);
-    return out;
-}
-
 } // namespace
 
 request_forwarder::request_forwarder(forwarder_options options, failure_domain_id own_domain,
@@ -142,7 +134,12 @@
     const auto& request = it.request;
     const auto& name = request.session.empty() ? request.id.str() : request.session.str();
     it.session = session_hash{core::stable_hash(name)};
-    it.affinity = affinity_of(request.prompt);
+    // The last part is the request's own.
+    for (std::size_t n = 0; n + 1 < request.prompt.size(); ++n)
+    {
+        it.shared_parts = core::stable_hash(request.prompt[n].id, it.shared_parts);
+        it.shared_tokens += request.prompt[n].tokens;
+    }
     it.last_event = request.last_event;
     if (!it.via->model_sizes.empty() && request.model.empty())
         it.size = cascade_.first_size(*it.via);
@@ -165,7 +162,7 @@
     if (found == flows_.end())
         return;
     ++counters_.callers_left;
-    cancel_attempts(found->second);
+    cancel_attempts(now, found->second);
     finish(now, found->second, "caller_left", -1);
 }
 
@@ -174,33 +171,69 @@
     pins_.expire(now);
     endpoints_.forget_vanished(now);
     chooser_.keep_only(endpoints_);
+    chooser_.placement().expire(now);
     liveness_.keep_only(endpoints_);
 }
 
 // Attempts
 
-endpoint_need request_forwarder::need_of(const flow& it) const
+endpoint_need request_forwarder::need_of(time_point now, const flow& it) const
 {
     endpoint_need out;
     out.service = it.service;
-    out.affinity = it.affinity;
     out.versions = rollouts_.choose(it.service, it.session, pins_.find(it.arrived, it.session));
     out.tried = &it.tried;
+    if (it.request.prompt_tokens == 0)
+        return out;
+    prompt_need prompt;
+    const auto model = model_of(it);
+    prompt.model = model.empty() ? it.request.model : model;
+    prompt.shared = hash_of(it.shared_parts, prompt.model);
+    prompt.shared_tokens = std::min(it.shared_tokens, it.request.prompt_tokens);
+    prompt.own_tokens = it.request.prompt_tokens - prompt.shared_tokens;
+    prompt.request_bytes = it.request.body_bytes;
+    prompt.time_to_target = it.arrived + it.via->target_latency - now;
+    out.prompt = prompt;
     return out;
 }
 
+model_id request_forwarder::model_of(const flow& it) const
+{
+    return it.via->model_sizes.empty() || !it.request.model.empty() ? model_id{}
+                                                                    : it.via->model_sizes[it.size];
+}
+
+std::optional<placed_prompt> request_forwarder::place_prompt(time_point now, const endpoint_entry& to,
+                                                             const endpoint_need& need)
+{
+    if (!need.prompt)
+        return std::nullopt;
+    auto& placement = chooser_.placement();
+    const auto out = placement.sent(now, to, *need.prompt);
+    if (placement.is_told(out))
+        hooks_.prompt_went({out.endpoint, need.prompt->shared, std::chrono::ceil<milliseconds>(out.work)});
+    return out;
+}
+
+void request_forwarder::prompt_read(time_point now, attempt& it)
+{
+    if (it.prompt)
+        chooser_.placement().answered(now, *it.prompt);
+    it.prompt.reset();
+}
+
 bool request_forwarder::may_still_run(time_point now, const flow& it) const
 {
     const bool needs_key = table_->has_accounts() && !it.via->is_public;
-    return !needs_key ||
-           (keys_hold(now) && table_->find_account(it.request.key) != nullptr);
+    return !needs_key || (keys_hold(now) && table_->find_account(it.request.key) != nullptr);
 }
 
 bool request_forwarder::dispatch(time_point now, flow& it)
 {
     if (!may_still_run(now, it))
         return false;
-    const auto* endpoint = chooser_.choose(now, endpoints_, need_of(it));
+    const auto need = need_of(now, it);
+    const auto* endpoint = chooser_.choose(now, endpoints_, need);
     if (endpoint == nullptr)
         return false;
     attempt_order order;
@@ -215,8 +248,7 @@
     const auto* service = table_->find_service(it.service);
     order.runs_models = service != nullptr && service->runs_models;
     order.fresh_connection = !it.via->is_idempotent();
-    if (!it.via->model_sizes.empty() && it.request.model.empty())
-        order.model = it.via->model_sizes[it.size];
+    order.model = model_of(it);
     ++it.sends;
     ++counters_.attempts;
     it.tried.insert(endpoint->id);
@@ -230,8 +262,8 @@
     record.model = order.model;
     record.number = it.sends;
     record.started = now;
-    attempts_.emplace(order.id, record);
-    chooser_.started(endpoint->id, it.request.prompt_tokens);
+    record.prompt = place_prompt(now, *endpoint, need);
+    chooser_.started(endpoint->id);
     auto line = describe(now, it, "dispatched");
     line.endpoint = endpoint->id.str();
     line.version = endpoint->version.str();
@@ -239,6 +271,12 @@
     line.session = it.request.session.str();
     line.attempt = it.sends;
     line.time_left_ms = order.time_left.count();
+    if (record.prompt)
+    {
+        line.expected_wait_ms = std::chrono::floor<milliseconds>(record.prompt->wait).count();
+        line.expected_read_ms = std::chrono::floor<milliseconds>(record.prompt->work).count();
+    }
+    attempts_.emplace(order.id, std::move(record));
     hooks_.log(line);
     hooks_.start(order);
     return true;
@@ -270,7 +308,7 @@
     return found == attempts_.end() ? nullptr : &flows_.at(found->second.flow);
 }
 
-std::optional<request_forwarder::attempt> request_forwarder::take_attempt(attempt_id id)
+std::optional<request_forwarder::attempt> request_forwarder::take_attempt(time_point now, attempt_id id)
 {
     const auto found = attempts_.find(id);
     if (found == attempts_.end())
@@ -279,18 +317,18 @@
     attempts_.erase(found);
     auto& it = flows_.at(out.flow);
     it.attempts.erase(id);
-    if (!out.prompt_read)
-        chooser_.prompt_read(out.endpoint, it.request.prompt_tokens);
+    if (out.prompt)
+        chooser_.placement().withdrawn(now, *out.prompt);
     chooser_.finished(out.endpoint);
     return out;
 }
 
-void request_forwarder::cancel_attempts(flow& it)
+void request_forwarder::cancel_attempts(time_point now, flow& it)
 {
     const auto all = it.attempts;
     for (const auto id : all)
     {
-        take_attempt(id);
+        take_attempt(now, id);
         hooks_.cancel(id);
     }
 }
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -32,7 +32,7 @@
     auto* it = find(id);
     if (it == nullptr)
         return;
-    const auto from = take_attempt(id);
+    const auto from = take_attempt(now, id);
     liveness_.heard(now, from->endpoint);
     const bool refused = head.not_run || head.status == status_misdirected;
     auto line = describe(now, *it, refused ? "endpoint_refused" : "endpoint_answered");
@@ -70,7 +70,7 @@
     }
     if (it->head_forwarded)
         return end_without_answer(now, *it, core::errc::endpoint_answer_invalid);
-    cancel_attempts(*it);
+    cancel_attempts(now, *it);
     ++counters_.answered;
     hooks_.forward_answer(it->id, id);
     finish(now, *it, "answered", head.status);
@@ -89,12 +89,11 @@
     if (!head.is_sealed)
     {
         chooser_.broke(now, from.endpoint);
-        take_attempt(id);
+        take_attempt(now, id);
         hooks_.cancel(id);
         return again_or_end(now, *it, core::errc::endpoint_answer_invalid, true);
     }
-    chooser_.prompt_read(from.endpoint, it->request.prompt_tokens);
-    from.prompt_read = true;
+    prompt_read(now, from);
     it->last_progress = now;
     sample_head(now, *it, from);
     if (it->head_forwarded)
@@ -129,7 +128,7 @@
     line.endpoint = attempts_.at(from).endpoint.str();
     hooks_.log(line);
     ++counters_.escalated;
-    take_attempt(from);
+    take_attempt(now, from);
     hooks_.cancel(from);
     cascade_input in;
     in.sizes = it.via->model_sizes.size();
@@ -163,7 +162,7 @@
     auto* it = find(id);
     if (it == nullptr)
         return;
-    const auto from = take_attempt(id);
+    const auto from = take_attempt(now, id);
     sample(now, *it, *from, false);
     pin(now, *it, from->version);
     chooser_.answered(from->endpoint);
@@ -179,7 +178,7 @@
     auto* it = find(id);
     if (it == nullptr)
         return;
-    const auto from = take_attempt(id);
+    const auto from = take_attempt(now, id);
     ++counters_.attempts_lost;
     auto line = describe(now, *it, "attempt_lost");
     line.endpoint = from->endpoint.str();
@@ -230,7 +229,7 @@
 
 void request_forwarder::end_without_answer(time_point now, flow& it, core::errc why)
 {
-    cancel_attempts(it);
+    cancel_attempts(now, it);
     if (it.head_forwarded)
     {
         ++counters_.broken;
--- a/src/runlink/routing/request_forwarder_timers.cpp
+++ b/src/runlink/routing/request_forwarder_timers.cpp
@@ -94,7 +94,7 @@
 {
     // Only where another endpoint may take it; otherwise the one that has it is the best there is.
     const bool can_move = may_send_again(now, it) && retries_.at(it.service).left(now) >= 1 &&
-                          chooser_.choose(now, endpoints_, need_of(it)) != nullptr;
+                          chooser_.choose(now, endpoints_, need_of(now, it)) != nullptr;
     if (!can_move)
     {
         it.last_progress = now;
@@ -106,7 +106,7 @@
     const auto attempts = it.attempts;
     for (const auto id : attempts)
         chooser_.broke(now, attempts_.at(id).endpoint);
-    cancel_attempts(it);
+    cancel_attempts(now, it);
     again_or_end(now, it, core::errc::endpoint_lost, true);
 }
 
--- a/src/runlink/routing/routing_test.cpp
+++ b/src/runlink/routing/routing_test.cpp
@@ -121,25 +121,6 @@
     CHECK(it.size() == 0);
 }
 
-TEST_CASE("the same prompt goes to the same endpoint until that one has too much to read")
-{
-    endpoint_directory directory;
-    for (const auto* id : {"e1", "e2", "e3", "e4"})
-        directory.put(make_endpoint(id));
-    endpoint_chooser it{{}, core::failure_domain_id{"n"}};
-    endpoint_need need;
-    need.service = core::service_id{"s"};
-    need.affinity = 42;
-    const auto* first = it.choose(start, directory, need);
-    REQUIRE(first != nullptr);
-    CHECK(it.choose(start, directory, need) == first);
-    it.started(first->id, 10000);
-    const auto* second = it.choose(start, directory, need);
-    CHECK(second != first);
-    it.prompt_read(first->id, 10000);
-    CHECK(it.choose(start, directory, need) == first);
-}
-
 TEST_CASE("an endpoint that cannot be reached is put aside, and used again if there is no other")
 {
     endpoint_directory directory;
@@ -165,8 +146,8 @@
     need.service = core::service_id{"s"};
     for (int n = 0; n < 4; ++n)
         CHECK(it.choose(start, directory, need)->id.str() == "near");
-    it.started(core::endpoint_id{"near"}, 0);
-    it.started(core::endpoint_id{"near"}, 0);
+    it.started(core::endpoint_id{"near"});
+    it.started(core::endpoint_id{"near"});
     CHECK(it.choose(start, directory, need)->id.str() == "far");
 }
 
@@ -208,26 +189,3 @@
     in.size = 2;
     CHECK(it.accepts(in));
 }
-
-TEST_CASE("a prompt that many ask for at once is spread over endpoints, always in the same order")
-{
-    endpoint_directory directory;
-    for (int n = 0; n < 8; ++n)
-        directory.put(make_endpoint("e" + std::to_string(n)));
-    endpoint_chooser it{{}, core::failure_domain_id{"n"}};
-    endpoint_need need;
-    need.service = core::service_id{"s"};
-    need.affinity = 77;
-    std::map<endpoint_id, std::uint32_t> in_flight;
-    for (int n = 0; n < 40; ++n)
-    {
-        const auto* chosen = it.choose(start, directory, need);
-        REQUIRE(chosen != nullptr);
-        it.started(chosen->id, 500);
-        it.prompt_read(chosen->id, 500);
-        ++in_flight[chosen->id];
-    }
-    for (const auto& [id, n] : in_flight)
-        CHECK(n <= 8); // one and a half times the mean of five
-    CHECK(in_flight.size() >= 4);
-}
