Answers told between instances, a home for cold prompts, and a threshold that falls with the wait

The expected wait against the real one, by log: 2,000 to 4,000 ms expected, 1,000 to 1,500 ms real. Change: instances tell each other of answers too; a prompt that none keeps goes to the same endpoint by hash; work is taken out once (a test found it subtracted twice); the larger model is asked less the longer the request would wait for it, which replaces the fixed part of the target latency after which it was not asked.

--- a/include/runlink/gateway/gateway.hpp
+++ b/include/runlink/gateway/gateway.hpp
@@ -58,6 +58,7 @@
     /// Called for sessions whose runs other instances are to know.
     std::function<void(const routing::session_run&)> on_session_ran = [](const auto&) {};
     std::function<void(const routing::prompt_sent&)> on_prompt_went = [](const auto&) {};
+    std::function<void(const routing::prompt_answered&)> on_prompt_came = [](const auto&) {};
 
 private:
     using connection_ptr = std::shared_ptr<net::caller_connection>;
--- a/include/runlink/gateway/gateway_settings.hpp
+++ b/include/runlink/gateway/gateway_settings.hpp
@@ -20,13 +20,12 @@
 {
     bool start_small = routing::cascade_options{}.start_small;
     int accept_confidence = routing::cascade_options{}.accept_confidence;
-    double latest_escalation = routing::cascade_options{}.latest_escalation;
+    int accept_confidence_late = routing::cascade_options{}.accept_confidence_late;
     core::milliseconds far_per_kb =
         std::chrono::floor<core::milliseconds>(routing::placement_options{}.far_per_kb);
     int late_weight = routing::placement_options{}.late_weight;
     core::milliseconds least_told = routing::placement_options{}.least_told;
     double again_weight = routing::placement_options{}.again_weight;
-    double rank_part = routing::placement_options{}.rank_part;
     core::milliseconds prompts_kept_for = routing::kept_prompts_options{}.kept_for;
     double hedge_after = routing::forwarder_options{}.hedge_after;
     double move_after = routing::forwarder_options{}.move_after;
--- a/include/runlink/gateway/gossip_link.hpp
+++ b/include/runlink/gateway/gossip_link.hpp
@@ -37,6 +37,7 @@
     void send_to(const std::vector<core::instance_id>& to, const proto::datagram& it);
     void tell(const routing::session_run& it);
     void tell(const routing::prompt_sent& it);
+    void tell(const routing::prompt_answered& it);
     /// What is counted now; asked for with each message.
     std::function<std::vector<routing::version_evidence>()> evidence;
 
@@ -49,6 +50,7 @@
 
     void send();
     void send_prompts();
+    void start_prompts_timer();
     void send_to_all(const proto::datagram& it);
     void receive();
     /// A datagram that is not taken counts as lost.
@@ -62,6 +64,7 @@
     std::map<core::instance_id, peer> peers_;
     std::vector<routing::session_run> pending_;
     std::vector<routing::prompt_sent> pending_prompts_;
+    std::vector<routing::prompt_answered> pending_answers_;
 };
 
 } // namespace runlink::gateway
--- a/include/runlink/routing/endpoint_backlog.hpp
+++ b/include/runlink/routing/endpoint_backlog.hpp
@@ -33,9 +33,9 @@
 
     /// Work for an endpoint was sent, by this instance or another. Own work counts until its answer begins.
     void sent(time_point now, endpoint_hash to, duration work, bool is_own);
-    /// The answer to what was sent then has begun.
+    /// The answer to what was sent then, by any instance, has begun. Own work is taken out with `withdrawn`.
     void answered(time_point now, endpoint_hash from, time_point sent_at);
-    /// What was sent then was cancelled before its answer began.
+    /// Own work that was sent then is over: its answer has begun, or it was cancelled before.
     void withdrawn(time_point now, endpoint_hash from, time_point sent_at);
     /// Time until the endpoint has read all that is known to be waiting there.
     duration left(time_point now, endpoint_hash of) const;
@@ -54,6 +54,9 @@
         time_point busy_until = time_point::min();
     };
 
+    /// No more is left than all entries together.
+    static void shorten(time_point now, queue& it);
+
     backlog_options options_;
     std::map<endpoint_hash, queue> queues_;
 };
--- a/include/runlink/routing/gossip_messages.hpp
+++ b/include/runlink/routing/gossip_messages.hpp
@@ -32,6 +32,13 @@
     core::milliseconds work{}; ///< expected time to read what is not kept there
 };
 
+/// An endpoint began an answer: what it was sent before that request has been read.
+struct prompt_answered
+{
+    endpoint_hash endpoint;
+    core::milliseconds age{}; ///< since that request was sent
+};
+
 /// A session ran on a version just now.
 struct session_run
 {
@@ -58,6 +65,7 @@
     std::vector<session_run> runs;
     std::vector<version_evidence> evidence;
     std::vector<prompt_sent> prompts;
+    std::vector<prompt_answered> answers;
 };
 
 } // namespace runlink::routing
--- a/include/runlink/routing/prompt_placement.hpp
+++ b/include/runlink/routing/prompt_placement.hpp
@@ -20,11 +20,8 @@
     /// What it is worth to keep 1,000 bytes in the own failure domain, as time that a request may wait for
     /// it: bytes between failure domains are paid for.
     duration far_per_kb{60'000};
-    /// Part of the time to read the shared parts by which endpoints are ranked, by hash, for a prompt that
-    /// none keeps: instances that have not heard of each other's choice yet make the same.
-    double rank_part = 1;
     /// What reading shared parts again costs, as a multiple of its time: those that come behind wait as well.
-    double again_weight = 8;
+    double again_weight = 4;
     /// What each unit of time counts that the first token is expected after the target latency: an answer
     /// that comes late is worth a third or less, so little else outweighs it.
     int late_weight = 20;
@@ -74,10 +71,18 @@
     {
     }
 
-    /// What a prompt costs at an endpoint. `in_flight`: own requests there.
-    duration cost(time_point now, const endpoint_entry& at, const prompt_need& need,
-                  std::uint32_t in_flight) const;
+    /// Own requests at an endpoint that may be chosen.
+    struct candidate
+    {
+        const endpoint_entry* endpoint = nullptr;
+        std::uint32_t in_flight = 0;
+    };
+    /// The endpoint at which the prompt costs least, or null if there is none.
+    const endpoint_entry* choose(time_point now, const std::vector<candidate>& from,
+                                 const prompt_need& need) const;
 
+    /// What is expected of a prompt if it is sent now.
+    placed_prompt expect(time_point now, const endpoint_entry& to, const prompt_need& need) const;
     placed_prompt sent(time_point now, const endpoint_entry& to, const prompt_need& need);
     /// The answer has begun.
     void answered(time_point now, const placed_prompt& it);
@@ -85,12 +90,18 @@
     void withdrawn(time_point now, const placed_prompt& it);
     /// Another instance sent a prompt.
     void on_peer_sent(time_point now, const prompt_sent& it);
+    /// An endpoint began its answer to a prompt of another instance.
+    void on_peer_answered(time_point now, const prompt_answered& it);
     /// Whether other instances are to know of it.
     bool is_told(const placed_prompt& it) const { return it.work >= options_.least_told; }
     /// Forgets what is over; about once a second.
     void expire(time_point now);
 
 private:
+    /// The first of all in an order by hash: instances send a prompt that none is known to keep to the same
+    /// endpoint, without having heard of each other.
+    static const endpoint_entry* home_of(const std::vector<candidate>& from, const prompt_need& need);
+    duration cost(time_point now, const candidate& at, const prompt_need& need, bool is_home) const;
     std::uint32_t unread_tokens(time_point now, endpoint_hash at, const prompt_need& need) const;
 
     placement_options options_;
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -95,6 +95,8 @@
     std::function<void(const session_run&)> session_ran;
     /// A prompt was sent to an endpoint: other instances are to know.
     std::function<void(const prompt_sent&)> prompt_went;
+    /// An endpoint began the answer to a prompt: other instances are to know.
+    std::function<void(const prompt_answered&)> prompt_came;
     std::function<void(const decision&)> log;
     /// A request has ended: its account, route and time, for the metrics.
     std::function<void(const decision&, core::duration)> ended;
@@ -116,6 +118,8 @@
     std::uint64_t escalated = 0;
     std::uint64_t endpoint_refusals = 0;
     std::uint64_t attempts_lost = 0;
+    std::uint64_t prompts_told = 0;  ///< to other instances
+    std::uint64_t prompts_heard = 0; ///< of other instances
 };
 
 /// Takes requests and what becomes of their attempts, and decides.
@@ -164,7 +168,17 @@
     void on_peer_run(time_point now, const session_run& it) { pins_.ran(now, it.session, it.version); }
 
     /// Another instance sent a prompt to an endpoint.
-    void on_peer_prompt(time_point now, const prompt_sent& it) { chooser_.placement().on_peer_sent(now, it); }
+    void on_peer_prompt(time_point now, const prompt_sent& it)
+    {
+        ++counters_.prompts_heard;
+        chooser_.placement().on_peer_sent(now, it);
+    }
+
+    /// An endpoint began its answer to a prompt of another instance.
+    void on_peer_answer(time_point now, const prompt_answered& it)
+    {
+        chooser_.placement().on_peer_answered(now, it);
+    }
 
     /// Does what is due.
     void tick(time_point now);
@@ -244,6 +258,7 @@
     void pin(time_point now, const flow& it, const version_id& version);
     void sample(time_point now, const flow& it, const attempt& from, bool is_bad);
     void sample_head(time_point now, const flow& it, const attempt& from);
+    cascade_input cascade_input_of(time_point now, const flow& it, int confidence);
     void escalate(time_point now, flow& it, attempt_id from, int confidence);
 
     // Endings
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -49,6 +49,7 @@
     };
     out.session_ran = [this](const routing::session_run& it) { on_session_ran(it); };
     out.prompt_went = [this](const routing::prompt_sent& it) { on_prompt_went(it); };
+    out.prompt_came = [this](const routing::prompt_answered& it) { on_prompt_came(it); };
     out.log = [this](const routing::decision& it) { log(it); };
     out.ended = [this](const routing::decision& it, core::duration after) { on_ended(it, after); };
     return out;
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -65,6 +65,7 @@
     edge_.on_activity = [this] { rearm(); };
     edge_.on_session_ran = [this](const routing::session_run& it) { gossip_.tell(it); };
     edge_.on_prompt_went = [this](const routing::prompt_sent& it) { gossip_.tell(it); };
+    edge_.on_prompt_came = [this](const routing::prompt_answered& it) { gossip_.tell(it); };
     gossip_.evidence = [this] { return forwarder_.rollouts().evidence(); };
     follower_.clock = clock_;
     forwarder_.rollouts().on_verdict = [this](const core::service_id& service, const std::string& why)
@@ -92,12 +93,11 @@
     const auto& tuning = settings_.tuning;
     out.cascade.start_small = tuning.start_small;
     out.cascade.accept_confidence = tuning.accept_confidence;
-    out.cascade.latest_escalation = tuning.latest_escalation;
+    out.cascade.accept_confidence_late = tuning.accept_confidence_late;
     out.chooser.placement.far_per_kb = tuning.far_per_kb;
     out.chooser.placement.again_weight = tuning.again_weight;
     out.chooser.placement.late_weight = tuning.late_weight;
     out.chooser.placement.least_told = tuning.least_told;
-    out.chooser.placement.rank_part = tuning.rank_part;
     out.chooser.placement.kept.kept_for = tuning.prompts_kept_for;
     out.hedge_after = tuning.hedge_after;
     out.move_after = tuning.move_after;
--- a/src/runlink/gateway/gateway_daemon_metrics.cpp
+++ b/src/runlink/gateway/gateway_daemon_metrics.cpp
@@ -32,6 +32,9 @@
         counter("runlink_escalated_total", "Answers of a smaller model that were not kept", n.escalated),
         counter("runlink_endpoint_refusals_total", "Sends that endpoints refused", n.endpoint_refusals),
         counter("runlink_attempts_lost_total", "Sends without a whole answer", n.attempts_lost),
+        counter("runlink_prompts_told_total", "Prompts sent that other instances were told of",
+                n.prompts_told),
+        counter("runlink_prompts_heard_total", "Prompts that other instances sent", n.prompts_heard),
         counter("runlink_store_lists_total", "Lists read from the store", calls.lists),
         counter("runlink_store_watches_total", "Watches of the store", calls.watches),
         counter("runlink_store_commits_total", "Transactions, those that only prove a revision included",
@@ -68,6 +71,11 @@
         .number("unanswered", number(n.unanswered))
         .number("refused", number(n.refused));
     log_.write(now, line, observe::log_rank::notable);
+    observe::log_line shared{"load_shared"};
+    shared.number("peers", number(gossip_.peer_count()))
+        .number("prompts_told", number(forwarder_.counters().prompts_told))
+        .number("prompts_heard", number(forwarder_.counters().prompts_heard));
+    log_.write(now, shared, observe::log_rank::notable);
 }
 
 } // namespace runlink::gateway
--- a/src/runlink/gateway/gateway_daemon_store.cpp
+++ b/src/runlink/gateway/gateway_daemon_store.cpp
@@ -115,6 +115,8 @@
         forwarder_.on_peer_run(now, e);
     for (const auto& e : it.prompts)
         forwarder_.on_peer_prompt(now, e);
+    for (const auto& e : it.answers)
+        forwarder_.on_peer_answer(now, e);
     if (!it.sender.str().empty()) // one with prompts alone names no sender
         forwarder_.rollouts().on_peer_evidence(it.sender, it.evidence);
 }
--- a/src/runlink/gateway/gateway_settings.cpp
+++ b/src/runlink/gateway/gateway_settings.cpp
@@ -67,13 +67,13 @@
     out.start_small = in.optional_bool("start_small", out.start_small);
     out.accept_confidence =
         static_cast<int>(in.optional_integer("accept_confidence", out.accept_confidence, 0, 101));
-    out.latest_escalation = in.optional_number("latest_escalation", out.latest_escalation, 0, most_of_target);
+    out.accept_confidence_late =
+        static_cast<int>(in.optional_integer("accept_confidence_late", out.accept_confidence_late, 0, 101));
     out.far_per_kb = read_ms(in, "far_ms_per_kb", out.far_per_kb);
     out.again_weight = in.optional_number("again_weight", out.again_weight, 0, most_of_target);
     constexpr std::int64_t most_weight = 1000;
     out.late_weight = static_cast<int>(in.optional_integer("late_weight", out.late_weight, 0, most_weight));
     out.least_told = read_ms(in, "least_told_ms", out.least_told);
-    out.rank_part = in.optional_number("rank_part", out.rank_part, 0, 1);
     out.prompts_kept_for = read_ms(in, "prompts_kept_for_ms", out.prompts_kept_for);
     out.hedge_after = in.optional_number("hedge_after", out.hedge_after, 0, most_of_target);
     out.move_after = in.optional_number("move_after", out.move_after, 0, most_of_target);
--- a/src/runlink/gateway/gossip_link.cpp
+++ b/src/runlink/gateway/gossip_link.cpp
@@ -106,6 +106,19 @@
     if (peers_.empty())
         return;
     pending_prompts_.push_back(it);
+    start_prompts_timer();
+}
+
+void gossip_link::tell(const routing::prompt_answered& it)
+{
+    if (peers_.empty())
+        return;
+    pending_answers_.push_back(it);
+    start_prompts_timer();
+}
+
+void gossip_link::start_prompts_timer()
+{
     if (!prompts_timer_.isActive())
         prompts_timer_.start(prompts_gather_time);
 }
@@ -115,6 +128,7 @@
     // Without the rest: evidence is larger than these, and has its own times.
     routing::gossip_message out;
     out.prompts = std::exchange(pending_prompts_, {});
+    out.answers = std::exchange(pending_answers_, {});
     send_to_all(out);
 }
 
--- a/src/runlink/proto/gossip_codec.cpp
+++ b/src/runlink/proto/gossip_codec.cpp
@@ -38,6 +38,12 @@
         prompt->set_prompt(static_cast<std::uint32_t>(e.prompt.value()));
         prompt->set_work_ms(static_cast<std::uint32_t>(e.work.count()));
     }
+    for (const auto& e : it.answers)
+    {
+        auto* answer = out.add_answers();
+        answer->set_endpoint(static_cast<std::uint32_t>(e.endpoint.value()));
+        answer->set_age_ms(static_cast<std::uint32_t>(e.age.count()));
+    }
 }
 
 void write(const control::sync_request& it, wire::Datagram& to)
@@ -89,6 +95,8 @@
     for (const auto& e : in.prompts())
         out.prompts.push_back({routing::endpoint_hash{e.endpoint()}, routing::prompt_hash{e.prompt()},
                                core::milliseconds{e.work_ms()}});
+    for (const auto& e : in.answers())
+        out.answers.push_back({routing::endpoint_hash{e.endpoint()}, core::milliseconds{e.age_ms()}});
     return out;
 }
 
--- a/src/runlink/routing/endpoint_backlog.cpp
+++ b/src/runlink/routing/endpoint_backlog.cpp
@@ -17,14 +17,9 @@
     const auto found = queues_.find(from);
     if (found == queues_.end())
         return;
-    auto& it = found->second;
     // Answers may overtake each other: own work that is still without one stays.
-    std::erase_if(it.entries,
-                  [&](const entry& e) { return e.sent_at == sent_at || (e.sent_at < sent_at && !e.is_own); });
-    duration rest{};
-    for (const auto& e : it.entries)
-        rest += e.work;
-    it.busy_until = std::min(it.busy_until, now + rest);
+    std::erase_if(found->second.entries, [&](const entry& e) { return e.sent_at <= sent_at && !e.is_own; });
+    shorten(now, found->second);
 }
 
 void endpoint_backlog::withdrawn(time_point now, endpoint_hash from, time_point sent_at)
@@ -32,13 +27,21 @@
     const auto found = queues_.find(from);
     if (found == queues_.end())
         return;
-    auto& it = found->second;
-    const auto gone = std::find_if(it.entries.begin(), it.entries.end(),
+    auto& entries = found->second.entries;
+    const auto gone = std::find_if(entries.begin(), entries.end(),
                                    [&](const entry& e) { return e.is_own && e.sent_at == sent_at; });
-    if (gone == it.entries.end())
+    if (gone == entries.end())
         return;
-    it.busy_until = std::max(now, it.busy_until - gone->work);
-    it.entries.erase(gone);
+    entries.erase(gone);
+    shorten(now, found->second);
+}
+
+void endpoint_backlog::shorten(time_point now, queue& it)
+{
+    duration rest{};
+    for (const auto& e : it.entries)
+        rest += e.work;
+    it.busy_until = std::min(it.busy_until, now + rest);
 }
 
 duration endpoint_backlog::left(time_point now, endpoint_hash of) const
--- a/src/runlink/routing/endpoint_chooser.cpp
+++ b/src/runlink/routing/endpoint_chooser.cpp
@@ -110,20 +110,14 @@
 const endpoint_entry* endpoint_chooser::soonest(time_point now, const candidates& from,
                                                 const prompt_need& need)
 {
-    ++turn_;
-    const endpoint_entry* best = nullptr;
-    duration lowest{};
+    ++turn_; // where costs are equal, the first is taken
+    std::vector<prompt_placement::candidate> all;
     for (std::size_t n = 0; n < from.size(); ++n)
     {
         const auto* it = from[(n + turn_) % from.size()];
-        const auto cost = placement_.cost(now, *it, need, at(it->id).in_flight);
-        if (best == nullptr || cost < lowest)
-        {
-            best = it;
-            lowest = cost;
-        }
+        all.push_back({it, at(it->id).in_flight});
     }
-    return best;
+    return placement_.choose(now, all, need);
 }
 
 const endpoint_entry* endpoint_chooser::least_loaded(const candidates& from)
--- a/src/runlink/routing/prompt_placement.cpp
+++ b/src/runlink/routing/prompt_placement.cpp
@@ -17,14 +17,6 @@
 /// An answer that comes sooner than expected still took this long to read.
 constexpr milliseconds least_reading{1};
 
-/// Between 0 and 1, the same at every instance.
-double rank_of(const core::endpoint_id& endpoint, prompt_hash prompt)
-{
-    constexpr std::uint64_t steps = 1024;
-    const auto hash = core::stable_hash(endpoint.str(), prompt.value());
-    return static_cast<double>(hash % steps) / static_cast<double>(steps);
-}
-
 duration part_of(duration it, double share)
 {
     return duration{static_cast<duration::rep>(static_cast<double>(it.count()) * share)};
@@ -37,25 +29,57 @@
     return need.own_tokens + (kept_.has(now, at, need.shared) ? 0 : need.shared_tokens);
 }
 
-duration prompt_placement::cost(time_point now, const endpoint_entry& at, const prompt_need& need,
-                                std::uint32_t in_flight) const
+const endpoint_entry* prompt_placement::home_of(const std::vector<candidate>& from, const prompt_need& need)
+{
+    const endpoint_entry* best = nullptr;
+    std::uint64_t highest = 0;
+    for (const auto& it : from)
+    {
+        const auto score = core::stable_hash(it.endpoint->id.str(), need.shared.value());
+        if (best != nullptr && score <= highest)
+            continue;
+        best = it.endpoint;
+        highest = score;
+    }
+    return best;
+}
+
+duration prompt_placement::cost(time_point now, const candidate& at, const prompt_need& need,
+                                bool is_home) const
 {
-    const auto id = hash_of(at.id);
-    const auto first_token =
-        backlog_.left(now, id) + speed_.time_to_read(need.model, unread_tokens(now, id, need));
-    auto out = backlog_.left(now, id) + options_.per_request * in_flight;
+    const auto id = hash_of(at.endpoint->id);
+    const auto wait = backlog_.left(now, id);
+    const auto first_token = wait + speed_.time_to_read(need.model, unread_tokens(now, id, need));
+    auto out = wait + options_.per_request * at.in_flight;
     if (first_token > need.time_to_target)
         out += (first_token - need.time_to_target) * options_.late_weight;
     out += speed_.time_to_read(need.model, need.own_tokens);
-    if (!kept_.has(now, id, need.shared))
-        out += part_of(speed_.time_to_read(need.model, need.shared_tokens),
-                       options_.again_weight + options_.rank_part * rank_of(at.id, need.shared));
-    if (at.failure_domain != own_domain_)
+    if (!is_home && !kept_.has(now, id, need.shared))
+        out += part_of(speed_.time_to_read(need.model, need.shared_tokens), options_.again_weight);
+    if (at.endpoint->failure_domain != own_domain_)
         out += options_.far_per_kb * static_cast<std::int64_t>(need.request_bytes) / bytes_per_kb;
     return out;
 }
 
-placed_prompt prompt_placement::sent(time_point now, const endpoint_entry& to, const prompt_need& need)
+const endpoint_entry* prompt_placement::choose(time_point now, const std::vector<candidate>& from,
+                                               const prompt_need& need) const
+{
+    const auto* home = home_of(from, need);
+    const endpoint_entry* best = nullptr;
+    duration lowest{};
+    for (const auto& it : from)
+    {
+        const auto costs = cost(now, it, need, it.endpoint == home);
+        if (best != nullptr && costs >= lowest)
+            continue;
+        best = it.endpoint;
+        lowest = costs;
+    }
+    return best;
+}
+
+placed_prompt prompt_placement::expect(time_point now, const endpoint_entry& to,
+                                       const prompt_need& need) const
 {
     placed_prompt out;
     out.endpoint = hash_of(to.id);
@@ -64,6 +88,12 @@
     out.unread_tokens = unread_tokens(now, out.endpoint, need);
     out.wait = backlog_.left(now, out.endpoint);
     out.work = speed_.time_to_read(need.model, out.unread_tokens);
+    return out;
+}
+
+placed_prompt prompt_placement::sent(time_point now, const endpoint_entry& to, const prompt_need& need)
+{
+    const auto out = expect(now, to, need);
     backlog_.sent(now, out.endpoint, out.work, true);
     if (need.shared_tokens > 0)
         kept_.sent(now, out.endpoint, need.shared);
@@ -72,6 +102,7 @@
 
 void prompt_placement::answered(time_point now, const placed_prompt& it)
 {
+    backlog_.withdrawn(now, it.endpoint, it.sent_at);
     backlog_.answered(now, it.endpoint, it.sent_at);
     if (it.wait < little_wait || it.wait * least_work_over_wait < it.work)
         speed_.observe(it.model, it.unread_tokens,
@@ -89,6 +120,11 @@
     kept_.sent(now, it.endpoint, it.prompt);
 }
 
+void prompt_placement::on_peer_answered(time_point now, const prompt_answered& it)
+{
+    backlog_.answered(now, it.endpoint, now - it.age);
+}
+
 void prompt_placement::expire(time_point now)
 {
     backlog_.expire(now);
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -210,15 +210,19 @@
         return std::nullopt;
     auto& placement = chooser_.placement();
     const auto out = placement.sent(now, to, *need.prompt);
-    if (placement.is_told(out))
-        hooks_.prompt_went({out.endpoint, need.prompt->shared, std::chrono::ceil<milliseconds>(out.work)});
+    if (!placement.is_told(out))
+        return out;
+    ++counters_.prompts_told;
+    hooks_.prompt_went({out.endpoint, need.prompt->shared, std::chrono::ceil<milliseconds>(out.work)});
     return out;
 }
 
 void request_forwarder::prompt_read(time_point now, attempt& it)
 {
-    if (it.prompt)
-        chooser_.placement().answered(now, *it.prompt);
+    if (!it.prompt)
+        return;
+    chooser_.placement().answered(now, *it.prompt);
+    hooks_.prompt_came({it.prompt->endpoint, std::chrono::floor<milliseconds>(now - it.prompt->sent_at)});
     it.prompt.reset();
 }
 
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -100,14 +100,7 @@
         return; // a resumed stream keeps the head of its first endpoint
     if (head.confidence && !it->via->model_sizes.empty() && it->request.model.empty())
     {
-        cascade_input in;
-        in.size = it->size;
-        in.sizes = it->via->model_sizes.size();
-        in.confidence = *head.confidence;
-        in.elapsed = now - it->arrived;
-        in.target_latency = it->via->target_latency;
-        in.may_retry = may_send_again(now, *it) && retries_.at(it->service).left(now) >= 1;
-        if (!cascade_.accepts(in))
+        if (!cascade_.accepts(cascade_input_of(now, *it, *head.confidence)))
             return escalate(now, *it, id, *head.confidence);
     }
     auto line = describe(now, *it, "stream_began");
@@ -121,6 +114,30 @@
     arm(*it, next_check(*it)); // a pause between events is noticed sooner than a late first one
 }
 
+cascade_input request_forwarder::cascade_input_of(time_point now, const flow& it, int confidence)
+{
+    cascade_input out;
+    out.size = it.size;
+    out.sizes = it.via->model_sizes.size();
+    out.confidence = confidence;
+    out.elapsed = now - it.arrived;
+    out.target_latency = it.via->target_latency;
+    out.may_retry = may_send_again(now, it) && retries_.at(it.service).left(now) >= 1;
+    if (out.size + 1 >= out.sizes)
+        return out;
+    auto larger = it;
+    larger.size = cascade_policy::next_size(out);
+    larger.tried.clear();
+    const auto need = need_of(now, larger);
+    const auto* endpoint = chooser_.choose(now, endpoints_, need);
+    if (endpoint == nullptr || !need.prompt)
+        return out;
+    const auto expected = chooser_.placement().expect(now, *endpoint, *need.prompt);
+    out.larger_wait = expected.wait;
+    out.larger_read = expected.work;
+    return out;
+}
+
 void request_forwarder::escalate(time_point now, flow& it, attempt_id from, int confidence)
 {
     auto line = describe(now, it, "escalated");
--- a/tests/forwarding_property_test.cpp
+++ b/tests/forwarding_property_test.cpp
@@ -159,6 +159,7 @@
         to.ask = [this](const endpoint_entry& it) { asked_.push_back(it.id); };
         to.session_ran = [](const session_run&) {};
         to.prompt_went = [](const prompt_sent&) {};
+        to.prompt_came = [](const prompt_answered&) {};
         to.log = [](const decision&) {};
         to.ended = [](const decision&, core::duration) {};
         return to;
--- a/tests/support/forwarding_script.cpp
+++ b/tests/support/forwarding_script.cpp
@@ -149,6 +149,7 @@
         to.session_ran = [this](const session_run& it)
         { trace() << "tell peers: ran on " << it.version << "\n"; };
         to.prompt_went = [](const prompt_sent&) {};
+        to.prompt_came = [](const prompt_answered&) {};
         to.log = [](const decision&) {};
         to.ended = [](const decision&, core::duration) {};
         return to;
