A request that was admitted goes on when its key is taken away, for as long as the key may still admit

Trace by the log: stream of an account whose key was revoked at 24.08 s, cut with its old endpoint at 24.62 s as the roll-out succeeded, not sent again because the key was gone. Ruled out: retry allowance (repeats left), no endpoint (others were free). Change: the key's last proof counts; within the revocation bound from it a request under way may be sent again.

--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -30,6 +30,9 @@
     /// known configuration holds however old it is: an outage of the store does not become one of the
     /// service, and a key that is taken away meanwhile admits until the store is heard again.
     std::optional<milliseconds> max_key_age = milliseconds{4500};
+    /// A request under way whose key is taken away may be sent again for this long after the key was last
+    /// known to hold: the time within which a removed key must admit nothing, less a margin.
+    milliseconds key_grace{4500};
     /// Oldest proof with which an unknown route or key is refused for good.
     milliseconds max_denial_age{1900};
     milliseconds session_ttl{5000};
@@ -135,6 +138,7 @@
     request_forwarder(const request_forwarder&) = delete;
     request_forwarder& operator=(const request_forwarder&) = delete;
 
+    /// A newer table is in force.
     void apply(routing_table_ptr table);
     const routing_table_ptr& table() const { return table_; }
     /// A call that was sent at this time proved the table to be the newest.
@@ -198,6 +202,8 @@
         const route* via = nullptr;
         service_id service;
         account_id account;
+        /// When the key was last known to hold, if the table in force has it no more.
+        std::optional<time_point> key_held_at;
         int priority = 0;
         session_hash session;            ///< or hash of the request without one
         std::uint64_t shared_parts = 0;  ///< hash of the prompt parts that requests share
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -86,6 +86,7 @@
 {
     routing::forwarder_options out;
     out.max_key_age = max_key_age();
+    out.key_grace = settings_.key_revocation - key_margin;
     out.max_denial_age = settings_.configuration_apply - denial_margin;
     out.session_ttl = settings_.session_ttl;
     out.retries.window = std::chrono::duration_cast<core::seconds>(settings_.retry_window);
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -27,6 +27,9 @@
 
 void request_forwarder::apply(routing_table_ptr table)
 {
+    for (auto& [id, it] : flows_)
+        if (!it.account.empty() && !it.key_held_at && table->find_account(it.request.key) == nullptr)
+            it.key_held_at = proven_at_;
     table_ = std::move(table);
 }
 
@@ -229,7 +232,11 @@
 bool request_forwarder::may_still_run(time_point now, const flow& it) const
 {
     const bool needs_key = table_->has_accounts() && !it.via->is_public;
-    return !needs_key || (keys_hold(now) && table_->find_account(it.request.key) != nullptr);
+    if (!needs_key)
+        return true;
+    if (table_->find_account(it.request.key) != nullptr)
+        return keys_hold(now);
+    return it.key_held_at && now - *it.key_held_at < options_.key_grace;
 }
 
 bool request_forwarder::dispatch(time_point now, flow& it)
