Refuse at once what a backlog outlasts, with the time in which it drains; probe connections that rest

Admission: a request whose deadline passes while it would wait is refused as not run before it waits; Retry-After is the drain of what waits, spread so that callers do not come back together. Only the wait counts, so that a wrong estimate of the speed cannot refuse for good. Speeds leave out samples far above the median (frozen processes).

--- a/include/runlink/net/http_exchange.hpp
+++ b/include/runlink/net/http_exchange.hpp
@@ -61,8 +61,8 @@
     core::milliseconds connect_timeout{250};
     /// Kept connections that have rested for longer are not used.
     core::milliseconds max_rest{1000};
-    /// The kernel gives the connection up when sent bytes stay unacknowledged for this long.
-    core::milliseconds unacknowledged_timeout{3000};
+    /// The kernel gives the connection up when the peer acknowledges nothing for this long.
+    core::milliseconds silence_timeout{3000};
 };
 
 /// One connection to a peer.
@@ -106,7 +106,7 @@
     std::unique_ptr<exchange_hooks> spent_hooks_; ///< of an exchange that was abandoned
     std::function<void(bool)> asked_;
     std::string request_;
-    core::milliseconds unacknowledged_timeout_{};
+    core::milliseconds silence_timeout_{};
     std::chrono::steady_clock::time_point rested_since_{};
     core::milliseconds keep_alive_{}; ///< what the peer allows an idle connection
     bool reusable_ = true;
--- a/include/runlink/net/tcp_stream.hpp
+++ b/include/runlink/net/tcp_stream.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -52,8 +53,12 @@
     /// Ends the connection at once; no handler is called any more.
     void abort();
     bool is_open() const { return fd_ >= 0 && connected_; }
-    /// The kernel gives up when sent bytes stay unacknowledged for this long.
-    void set_unacknowledged_timeout(core::milliseconds it);
+    /// The kernel gives up when the peer acknowledges nothing for this long, sent bytes or the probes that it
+    /// sends while the connection rests: a connection may go silent for good without a reset, also while this
+    /// side only waits for an answer.
+    void set_silence_timeout(core::milliseconds it);
+    /// The time that the kernel has in force, with its probes on; nothing where they are off.
+    std::optional<core::milliseconds> silence_timeout() const;
 
 private:
     void on_writable();
--- a/include/runlink/routing/endpoint_chooser.hpp
+++ b/include/runlink/routing/endpoint_chooser.hpp
@@ -50,8 +50,12 @@
 
     /// An endpoint, or null if none may be used.
     const endpoint_entry* choose(time_point now, const endpoint_directory& from, const endpoint_need& need);
+    /// The one that `choose` would give.
+    const endpoint_entry* peek(time_point now, const endpoint_directory& from,
+                               const endpoint_need& need) const;
 
     prompt_placement& placement() { return placement_; }
+    const prompt_placement& placement() const { return placement_; }
 
     void started(const endpoint_id& id);
     void finished(const endpoint_id& id);
@@ -77,14 +81,14 @@
     void eject(time_point now, load& it);
     candidates allowed(time_point now, const endpoint_directory& from, const endpoint_need& need) const;
     candidates sound(time_point now, const candidates& from) const;
-    const endpoint_entry* soonest(time_point now, const candidates& from, const prompt_need& need);
-    const endpoint_entry* least_loaded(const candidates& from);
+    const endpoint_entry* soonest(time_point now, const candidates& from, const prompt_need& need) const;
+    const endpoint_entry* least_loaded(const candidates& from) const;
 
     chooser_options options_;
     failure_domain_id own_domain_;
     prompt_placement placement_;
     std::map<endpoint_id, load> loads_;
-    std::uint64_t turn_ = 0;
+    std::uint64_t turn_ = 0; ///< where costs are equal, endpoints take turns
 };
 
 } // namespace runlink::routing
--- a/include/runlink/routing/prompt_speed.hpp
+++ b/include/runlink/routing/prompt_speed.hpp
@@ -44,6 +44,8 @@
     {
         std::uint32_t tokens = 0;
         core::duration time{};
+
+        core::duration rate() const; ///< for 1,000 tokens
     };
     struct samples
     {
@@ -51,6 +53,9 @@
         core::duration per_1k_tokens{};
     };
 
+    /// Time for 1,000 tokens over all samples but those that are far off.
+    static core::duration rate_of(const std::deque<sample>& samples);
+
     prompt_speed_options options_;
     std::map<core::model_id, samples> models_;
 };
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "runlink/routing/admission.hpp"
 #include "runlink/routing/cascade_policy.hpp"
 #include "runlink/routing/endpoint_chooser.hpp"
 #include "runlink/routing/liveness.hpp"
@@ -48,7 +49,7 @@
     double move_after = 2.0;
     /// Part of the target gap without an event after which a stream is resumed elsewhere.
     double stall_after = 0.9;
-    milliseconds retry_after{300}; ///< told to callers where nothing better is known
+    admission_options admission;
     retry_options retries;
     rollout_options rollouts;
     liveness_options liveness;
@@ -241,6 +242,10 @@
     std::optional<refusal> admit(time_point now, flow& it);
     std::optional<refusal> check_key(time_point now, flow& it);
     void place(flow& it) const;
+    /// What is expected of the request's prompt at the endpoint where it would go now, if it has one.
+    std::optional<placed_prompt> expect(time_point now, const flow& it) const;
+    /// When a caller that is refused now is to come back.
+    milliseconds retry_after(time_point now, const flow& it) const;
     bool is_fresh(time_point now, milliseconds max_age) const;
     /// Whether keys of the table in force may admit requests.
     bool keys_hold(time_point now) const;
@@ -299,6 +304,7 @@
     rollout_control rollouts_;
     session_pins pins_;
     cascade_policy cascade_;
+    admission admission_;
     std::map<service_id, retry_allowance> retries_;
     std::map<flow_id, flow> flows_;
     std::map<attempt_id, attempt> attempts_;
--- a/src/runlink/net/http_exchange.cpp
+++ b/src/runlink/net/http_exchange.cpp
@@ -78,7 +78,7 @@
         return;
     }
     request_ = std::move(request);
-    unacknowledged_timeout_ = options.unacknowledged_timeout;
+    silence_timeout_ = options.silence_timeout;
     const bool began = stream_.connect(peer_.host, peer_.port);
     connect_timer_.start(began ? options.connect_timeout : core::milliseconds{0});
 }
@@ -103,7 +103,7 @@
         return to(true);
     }
 
-    stream_.set_unacknowledged_timeout(unacknowledged_timeout_);
+    stream_.set_silence_timeout(silence_timeout_);
     if (!hooks_)
         return;
     const auto guard = shared_from_this();
--- a/src/runlink/net/http_exchange_test.cpp
+++ b/src/runlink/net/http_exchange_test.cpp
@@ -245,3 +245,13 @@
     CHECK(wait_for([&] { return caller.state() == QTcpSocket::UnconnectedState; }));
     CHECK_FALSE(kept->is_open());
 }
+
+TEST_CASE("the kernel is told to probe a connection that rests, and for how long it may stay silent")
+{
+    raw_peer peer;
+    tcp_stream it{{}};
+    REQUIRE(it.connect("127.0.0.1", peer.address().port));
+    CHECK_FALSE(it.silence_timeout());
+    it.set_silence_timeout(core::milliseconds{1700});
+    CHECK(it.silence_timeout() == core::milliseconds{1700});
+}
--- a/src/runlink/net/tcp_stream.cpp
+++ b/src/runlink/net/tcp_stream.cpp
@@ -18,6 +18,9 @@
 
 constexpr std::size_t read_bytes = 64 * 1024;
 
+/// Between two probes of a connection that rests, in seconds, the kernel's least unit for it.
+constexpr int probe_interval_s = 1;
+
 bool would_block(int error)
 {
     return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
@@ -54,11 +57,31 @@
     return true;
 }
 
-void tcp_stream::set_unacknowledged_timeout(core::milliseconds it)
+void tcp_stream::set_silence_timeout(core::milliseconds it)
 {
     const auto ms = static_cast<unsigned>(it.count());
-    // Without the option a silent peer is noticed by the caller's own timeouts.
-    (void)setsockopt(fd_, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
+    const int on = 1;
+    const auto set = [this](int level, int name, const auto& value)
+    {
+        // Without the options a silent peer is noticed by the caller's own timeouts.
+        (void)setsockopt(fd_, level, name, &value, sizeof value);
+    };
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, ms); // goes before the count of probes
+    set(IPPROTO_TCP, TCP_KEEPIDLE, probe_interval_s);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, probe_interval_s);
+    set(SOL_SOCKET, SO_KEEPALIVE, on);
+}
+
+std::optional<core::milliseconds> tcp_stream::silence_timeout() const
+{
+    int probes = 0;
+    unsigned ms = 0;
+    socklen_t probes_size = sizeof probes;
+    socklen_t ms_size = sizeof ms;
+    if (getsockopt(fd_, SOL_SOCKET, SO_KEEPALIVE, &probes, &probes_size) != 0 || probes == 0 ||
+        getsockopt(fd_, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, &ms_size) != 0)
+        return std::nullopt;
+    return core::milliseconds{ms};
 }
 
 bool tcp_stream::finish_connect()
--- a/src/runlink/routing/endpoint_chooser.cpp
+++ b/src/runlink/routing/endpoint_chooser.cpp
@@ -108,9 +108,8 @@
 }
 
 const endpoint_entry* endpoint_chooser::soonest(time_point now, const candidates& from,
-                                                const prompt_need& need)
+                                                const prompt_need& need) const
 {
-    ++turn_; // where costs are equal, the first is taken
     std::vector<prompt_placement::candidate> all;
     for (std::size_t n = 0; n < from.size(); ++n)
     {
@@ -120,9 +119,8 @@
     return placement_.choose(now, all, need);
 }
 
-const endpoint_entry* endpoint_chooser::least_loaded(const candidates& from)
+const endpoint_entry* endpoint_chooser::least_loaded(const candidates& from) const
 {
-    ++turn_;
     const endpoint_entry* best = nullptr;
     std::uint64_t lowest = 0;
     for (std::size_t n = 0; n < from.size(); ++n)
@@ -142,6 +140,13 @@
 
 const endpoint_entry* endpoint_chooser::choose(time_point now, const endpoint_directory& from,
                                                const endpoint_need& need)
+{
+    ++turn_;
+    return peek(now, from, need);
+}
+
+const endpoint_entry* endpoint_chooser::peek(time_point now, const endpoint_directory& from,
+                                             const endpoint_need& need) const
 {
     const auto all = allowed(now, from, need);
     if (all.empty())
--- a/src/runlink/routing/placement_test.cpp
+++ b/src/runlink/routing/placement_test.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "runlink/routing/admission.hpp"
 #include "runlink/routing/endpoint_chooser.hpp"
 
 using namespace runlink;
@@ -155,6 +156,16 @@
     CHECK(it.time_to_read(small, 1000) == milliseconds{20});
 }
 
+TEST_CASE("a process that was frozen does not take its sleep for the speed of a model")
+{
+    prompt_speed it;
+    for (int n = 0; n < 5; ++n)
+        it.observe(large, 10'000, milliseconds{1000});
+    it.observe(large, 10'000, milliseconds{9000});
+    it.observe(large, 10'000, milliseconds{9000});
+    CHECK(it.time_to_read(large, 1000) == milliseconds{100});
+}
+
 TEST_CASE("a backlog drains with time, and an answer takes out what was sent before")
 {
     endpoint_backlog it;
@@ -278,3 +289,33 @@
     it.placement().on_peer_sent(start, {hash_of(core::endpoint_id{"e1"}), {}, milliseconds{250}});
     CHECK(it.choose(start, directory, need)->id.str() == "e2");
 }
+
+TEST_CASE("what waits longer than a request's deadline is refused at once, with times that differ")
+{
+    const admission it;
+    CHECK_FALSE(it.refuse_for({}, milliseconds{20}, 1));
+    CHECK_FALSE(it.refuse_for(milliseconds{1999}, milliseconds{2000}, 1));
+    const auto first = it.refuse_for(milliseconds{2000}, milliseconds{2000}, 0);
+    const auto second = it.refuse_for(milliseconds{2000}, milliseconds{2000}, 512);
+    REQUIRE(first);
+    REQUIRE(second);
+    CHECK(*first == milliseconds{2000});
+    CHECK(*second == milliseconds{2500});
+    CHECK(it.retry_after({}, 0) == milliseconds{300});
+    CHECK(it.retry_after(core::seconds{60}, 0) == milliseconds{5000});
+}
+
+TEST_CASE("wrong reports of one instance cost little: they drain, and own answers take them out")
+{
+    endpoint_directory directory;
+    directory.put(make_endpoint(1));
+    endpoint_chooser it{{}, core::failure_domain_id{"n"}};
+    const auto e = hash_of(core::endpoint_id{"e1"});
+    it.placement().on_peer_sent(start, {e, {}, core::seconds{500}});
+    it.placement().expire(start);
+    const auto prompt = make_prompt(small, 1, 0, 1'000);
+    CHECK(it.placement().expect(start, make_endpoint(1), prompt).wait == core::seconds{10});
+    const auto sent = it.placement().sent(start, make_endpoint(1), prompt);
+    it.placement().answered(start + milliseconds{30}, sent);
+    CHECK(it.placement().expect(start + milliseconds{30}, make_endpoint(1), prompt).wait == duration{});
+}
--- a/src/runlink/routing/prompt_speed.cpp
+++ b/src/runlink/routing/prompt_speed.cpp
@@ -1,14 +1,25 @@
 #include "runlink/routing/prompt_speed.hpp"
 
+#include <algorithm>
+#include <cstddef>
+#include <vector>
+
 namespace runlink::routing
 {
 namespace
 {
 
 constexpr std::int64_t tokens_per_unit = 1000;
+/// Samples above this multiple of the median were held up by something else, as by a frozen process.
+constexpr int most_over_median = 4;
 
 } // namespace
 
+core::duration prompt_speed::sample::rate() const
+{
+    return time * tokens_per_unit / static_cast<std::int64_t>(tokens);
+}
+
 void prompt_speed::observe(const core::model_id& model, std::uint32_t tokens, core::duration time)
 {
     if (tokens < options_.least_tokens)
@@ -17,14 +28,27 @@
     it.latest.push_back({tokens, time});
     if (it.latest.size() > options_.most_samples)
         it.latest.pop_front();
-    std::int64_t all_tokens = 0;
-    core::duration all_time{};
-    for (const auto& e : it.latest)
+    it.per_1k_tokens = rate_of(it.latest);
+}
+
+core::duration prompt_speed::rate_of(const std::deque<sample>& samples)
+{
+    std::vector<core::duration> rates;
+    for (const auto& e : samples)
+        rates.push_back(e.rate());
+    const auto middle = rates.begin() + static_cast<std::ptrdiff_t>(rates.size() / 2);
+    std::nth_element(rates.begin(), middle, rates.end());
+    const auto highest = *middle * most_over_median;
+    std::int64_t tokens = 0;
+    core::duration time{};
+    for (const auto& e : samples)
     {
-        all_tokens += e.tokens;
-        all_time += e.time;
+        if (e.rate() > highest)
+            continue;
+        tokens += e.tokens;
+        time += e.time;
     }
-    it.per_1k_tokens = all_time * tokens_per_unit / all_tokens;
+    return time * tokens_per_unit / tokens;
 }
 
 core::duration prompt_speed::time_to_read(const core::model_id& model, std::uint32_t tokens) const
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -19,9 +19,10 @@
 
 request_forwarder::request_forwarder(forwarder_options options, failure_domain_id own_domain,
                                      std::uint64_t instance_seed, forwarder_hooks hooks)
-    : options_{std::move(options)}, hooks_{std::move(hooks)},
-      chooser_{options_.chooser, std::move(own_domain)}, liveness_{options_.liveness},
-      rollouts_{options_.rollouts, instance_seed}, pins_{options_.session_ttl}, cascade_{options_.cascade}
+    : options_{std::move(options)}, hooks_{std::move(hooks)}, chooser_{options_.chooser,
+                                                                       std::move(own_domain)},
+      liveness_{options_.liveness}, rollouts_{options_.rollouts, instance_seed}, pins_{options_.session_ttl},
+      cascade_{options_.cascade}, admission_{options_.admission}
 {
 }
 
@@ -85,7 +86,7 @@
 std::optional<refusal> request_forwarder::admit(time_point now, flow& it)
 {
     const auto unavailable = [&](core::errc code, std::string detail) {
-        return refusal{status_unavailable, true, {code, std::move(detail), options_.retry_after}};
+        return refusal{status_unavailable, true, {code, std::move(detail), retry_after(now, it)}};
     };
     if (!table_)
         return unavailable(core::errc::not_ready, "configuration");
@@ -106,7 +107,32 @@
     if (stop_ && now >= stop_->closed_from && it.deadline > stop_->end)
         return unavailable(core::errc::stopping, "instance");
     place(it);
-    return std::nullopt;
+    const auto expected = expect(now, it);
+    if (!expected)
+        return std::nullopt;
+    const auto come_back =
+        admission_.refuse_for(expected->wait, milliseconds{time}, core::stable_hash(it.request.id.str()));
+    if (!come_back)
+        return std::nullopt;
+    return refusal{status_unavailable, true, {core::errc::overloaded, "backlog", come_back}};
+}
+
+std::optional<placed_prompt> request_forwarder::expect(time_point now, const flow& it) const
+{
+    if (it.request.prompt_tokens == 0 || it.via == nullptr || it.service.empty())
+        return std::nullopt;
+    const auto need = need_of(now, it);
+    const auto* endpoint = chooser_.peek(now, endpoints_, need);
+    if (endpoint == nullptr || !need.prompt)
+        return std::nullopt;
+    return chooser_.placement().expect(now, *endpoint, *need.prompt);
+}
+
+milliseconds request_forwarder::retry_after(time_point now, const flow& it) const
+{
+    const auto expected = expect(now, it);
+    return admission_.retry_after(expected ? expected->wait : duration{},
+                                  core::stable_hash(it.request.id.str()));
 }
 
 std::optional<refusal> request_forwarder::check_key(time_point now, flow& it)
@@ -116,7 +142,7 @@
     const bool needs_key = table_->has_accounts() && !it.via->is_public;
     if (needs_key)
     {
-        const refusal stale{status_unavailable, true, {core::errc::cut_off, "keys", options_.retry_after}};
+        const refusal stale{status_unavailable, true, {core::errc::cut_off, "keys", retry_after(now, it)}};
         if (!keys_hold(now))
             return stale;
         if (account == nullptr && !is_fresh(now, options_.max_denial_age))
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -128,13 +128,11 @@
     auto larger = it;
     larger.size = cascade_policy::next_size(out);
     larger.tried.clear();
-    const auto need = need_of(now, larger);
-    const auto* endpoint = chooser_.choose(now, endpoints_, need);
-    if (endpoint == nullptr || !need.prompt)
+    const auto expected = expect(now, larger);
+    if (!expected)
         return out;
-    const auto expected = chooser_.placement().expect(now, *endpoint, *need.prompt);
-    out.larger_wait = expected.wait;
-    out.larger_read = expected.work;
+    out.larger_wait = expected->wait;
+    out.larger_read = expected->work;
     return out;
 }
 
@@ -255,7 +253,7 @@
     }
     refusal out;
     out.not_run = it.runs == 0;
-    out.why = {why, it.service.str(), options_.retry_after};
+    out.why = {why, it.service.str(), retry_after(now, it)};
     if (out.not_run)
         ++counters_.refused;
     else
--- a/src/runlink/routing/request_forwarder_timers.cpp
+++ b/src/runlink/routing/request_forwarder_timers.cpp
@@ -94,7 +94,7 @@
 {
     // Only where another endpoint may take it; otherwise the one that has it is the best there is.
     const bool can_move = may_send_again(now, it) && retries_.at(it.service).left(now) >= 1 &&
-                          chooser_.choose(now, endpoints_, need_of(now, it)) != nullptr;
+                          chooser_.peek(now, endpoints_, need_of(now, it)) != nullptr;
     if (!can_move)
     {
         it.last_progress = now;
--- a/tests/support/forwarding_script.cpp
+++ b/tests/support/forwarding_script.cpp
@@ -144,7 +144,10 @@
         to.refuse = [this](flow_id it, const refusal& why)
         {
             trace() << "refuse " << name(it) << " " << why.status << " " << to_string(why.why.code)
-                    << (why.not_run ? " not_run" : " unknown") << "\n";
+                    << (why.not_run ? " not_run" : " unknown");
+            if (why.not_run && why.why.retry_after && why.why.detail == "backlog")
+                out << " after=" << why.why.retry_after->count();
+            out << "\n";
         };
         to.session_ran = [this](const session_run& it)
         { trace() << "tell peers: ran on " << it.version << "\n"; };
@@ -275,6 +278,18 @@
         {"endpoint", [this](const words& all) { put_endpoint(all); }},
         {"gone",
          [this](const words& all) { forwarder_.endpoints().remove(now_, core::endpoint_id{all.at(1)}); }},
+        {"peer_prompt",
+         [this](const words& all)
+         {
+             forwarder_.on_peer_prompt(
+                 now_, {hash_of(core::endpoint_id{all.at(1)}), {}, milliseconds{std::stol(all.at(2))}});
+         }},
+        {"peer_answer",
+         [this](const words& all)
+         {
+             forwarder_.on_peer_answer(
+                 now_, {hash_of(core::endpoint_id{all.at(1)}), milliseconds{std::stol(all.at(2))}});
+         }},
         {"store_returned", [this](const words&) { forwarder_.endpoints().store_returned(now_); }},
         {"request", [this](const words& all) { request(all); }},
         {"leave", [this](const words& all) { forwarder_.on_caller_left(now_, flows_.at(all.at(1))); }},
