--- a/src/runlink/routing/prompt_placement.cpp
+++ b/src/runlink/routing/prompt_placement.cpp
@@ -93,7 +93,7 @@
 
 placed_prompt prompt_placement::sent(time_point now, const endpoint_entry& to, const prompt_need& need)
 {
-    const auto out = expect(now, to, need);
+    auto out = expect(now, to, need);
     backlog_.sent(now, out.endpoint, out.work, true);
     if (need.shared_tokens > 0)
         kept_.sent(now, out.endpoint, need.shared);
--- a/src/runlink/routing/prompt_speed.cpp
+++ b/src/runlink/routing/prompt_speed.cpp
@@ -34,6 +34,7 @@
 core::duration prompt_speed::rate_of(const std::deque<sample>& samples)
 {
     std::vector<core::duration> rates;
+    rates.reserve(samples.size());
     for (const auto& e : samples)
         rates.push_back(e.rate());
     const auto middle = rates.begin() + static_cast<std::ptrdiff_t>(rates.size() / 2);
--- /dev/null
+++ b/src/runlink/routing/request_forwarder_arrival.cpp
@@ -0,0 +1,202 @@
+// What becomes of a request as it arrives: its route, its key, whether it can be served, and where its prompt
+// goes.
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "runlink/core/hash.hpp"
+#include "runlink/routing/request_forwarder.hpp"
+
+namespace runlink::routing
+{
+namespace
+{
+
+constexpr int status_unauthorized = 401;
+constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
+
+} // namespace
+
+void request_forwarder::on_request(time_point now, flow_id id, inbound_request request)
+{
+    ++counters_.requests;
+    flow it;
+    it.id = id;
+    it.request = std::move(request);
+    it.table = table_;
+    it.arrived = now;
+    it.last_progress = now;
+    if (const auto why = admit(now, it))
+    {
+        ++counters_.refused;
+        auto line = describe(now, it, "refused");
+        line.reason = to_string(why->why.code);
+        line.status = why->status;
+        line.outcome = core::run_outcome::not_run;
+        hooks_.log(line);
+        hooks_.ended(line, {});
+        return hooks_.refuse(id, *why);
+    }
+    auto& kept = flows_.emplace(id, std::move(it)).first->second;
+    retries_.try_emplace(kept.service, options_.retries).first->second.on_first(now);
+    if (!dispatch(now, kept))
+        return end_without_answer(now, kept, core::errc::no_endpoint);
+    arm(kept, next_check(kept));
+}
+
+std::optional<refusal> request_forwarder::admit(time_point now, flow& it)
+{
+    const auto unavailable = [&](core::errc code, std::string detail) {
+        return refusal{status_unavailable, true, {code, std::move(detail), retry_after(now, it)}};
+    };
+    if (!table_)
+        return unavailable(core::errc::not_ready, "configuration");
+    it.via = table_->find_route(it.request.host, it.request.path);
+    if (it.via == nullptr)
+    {
+        // An old table may lack a route that was just added.
+        if (!is_fresh(now, options_.max_denial_age))
+            return unavailable(core::errc::cut_off, "route");
+        return refusal{status_not_found, true, {core::errc::unknown_service, "route"}};
+    }
+    if (auto why = check_key(now, it))
+        return why;
+    const auto time = std::min(it.request.time_left, it.via->timeout);
+    it.deadline = now + time;
+    if (time <= options_.least_time)
+        return unavailable(core::errc::deadline_exceeded, "arrival");
+    if (stop_ && now >= stop_->closed_from && it.deadline > stop_->end)
+        return unavailable(core::errc::stopping, "instance");
+    place(it);
+    const auto expected = expect(now, it);
+    if (!expected)
+        return std::nullopt;
+    const auto come_back =
+        admission_.refuse_for(expected->wait, milliseconds{time}, core::stable_hash(it.request.id.str()));
+    if (!come_back)
+        return std::nullopt;
+    return refusal{status_unavailable, true, {core::errc::overloaded, "backlog", come_back}};
+}
+
+std::optional<placed_prompt> request_forwarder::expect(time_point now, const flow& it) const
+{
+    if (it.request.prompt_tokens == 0 || it.via == nullptr || it.service.empty())
+        return std::nullopt;
+    const auto need = need_of(now, it);
+    const auto* endpoint = chooser_.peek(now, endpoints_, need);
+    if (endpoint == nullptr || !need.prompt)
+        return std::nullopt;
+    return chooser_.placement().expect(now, *endpoint, *need.prompt);
+}
+
+milliseconds request_forwarder::retry_after(time_point now, const flow& it) const
+{
+    const auto expected = expect(now, it);
+    return admission_.retry_after(expected ? expected->wait : duration{},
+                                  core::stable_hash(it.request.id.str()));
+}
+
+std::optional<refusal> request_forwarder::check_key(time_point now, flow& it)
+{
+    it.priority = it.via->priority;
+    const auto* account = it.request.key.empty() ? nullptr : table_->find_account(it.request.key);
+    const bool needs_key = table_->has_accounts() && !it.via->is_public;
+    if (needs_key)
+    {
+        const refusal stale{status_unavailable, true, {core::errc::cut_off, "keys", retry_after(now, it)}};
+        if (!keys_hold(now))
+            return stale;
+        if (account == nullptr && !is_fresh(now, options_.max_denial_age))
+            return stale;
+        if (account == nullptr)
+            return refusal{status_unauthorized, true, {core::errc::unauthenticated, "key"}};
+    }
+    if (account != nullptr)
+    {
+        it.account = account->id;
+        it.priority = account->priority.value_or(it.priority);
+    }
+    return std::nullopt;
+}
+
+void request_forwarder::place(flow& it) const
+{
+    const auto& request = it.request;
+    const auto& name = request.session.empty() ? request.id.str() : request.session.str();
+    it.session = session_hash{core::stable_hash(name)};
+    // The last part is the request's own.
+    for (std::size_t n = 0; n + 1 < request.prompt.size(); ++n)
+    {
+        it.shared_parts = core::stable_hash(request.prompt[n].id, it.shared_parts);
+        it.shared_tokens += request.prompt[n].tokens;
+    }
+    it.last_event = request.last_event;
+    if (!it.via->model_sizes.empty() && request.model.empty())
+        it.size = cascade_.first_size(*it.via);
+    std::uint64_t sum = 0;
+    for (const auto& e : it.via->services)
+        sum += e.weight;
+    auto rest = sum == 0 ? 0 : core::stable_hash(name, 1) % sum;
+    for (const auto& e : it.via->services)
+    {
+        it.service = e.service;
+        if (rest < e.weight)
+            break;
+        rest -= e.weight;
+    }
+}
+
+// Prompts
+
+endpoint_need request_forwarder::need_of(time_point now, const flow& it) const
+{
+    endpoint_need out;
+    out.service = it.service;
+    out.versions = rollouts_.choose(it.service, it.session, pins_.find(it.arrived, it.session));
+    out.tried = &it.tried;
+    if (it.request.prompt_tokens == 0)
+        return out;
+    prompt_need prompt;
+    const auto model = model_of(it);
+    prompt.model = model.empty() ? it.request.model : model;
+    prompt.shared = hash_of(it.shared_parts, prompt.model);
+    prompt.shared_tokens = std::min(it.shared_tokens, it.request.prompt_tokens);
+    prompt.own_tokens = it.request.prompt_tokens - prompt.shared_tokens;
+    prompt.request_bytes = it.request.body_bytes;
+    prompt.time_to_target = it.arrived + it.via->target_latency - now;
+    out.prompt = prompt;
+    return out;
+}
+
+model_id request_forwarder::model_of(const flow& it) const
+{
+    return it.via->model_sizes.empty() || !it.request.model.empty() ? model_id{}
+                                                                    : it.via->model_sizes[it.size];
+}
+
+std::optional<placed_prompt> request_forwarder::place_prompt(time_point now, const endpoint_entry& to,
+                                                             const endpoint_need& need)
+{
+    if (!need.prompt)
+        return std::nullopt;
+    auto& placement = chooser_.placement();
+    const auto out = placement.sent(now, to, *need.prompt);
+    if (!placement.is_told(out))
+        return out;
+    ++counters_.prompts_told;
+    hooks_.prompt_went({out.endpoint, need.prompt->shared, std::chrono::ceil<milliseconds>(out.work)});
+    return out;
+}
+
+void request_forwarder::prompt_read(time_point now, attempt& it)
+{
+    if (!it.prompt)
+        return;
+    chooser_.placement().answered(now, *it.prompt);
+    hooks_.prompt_came({it.prompt->endpoint, std::chrono::floor<milliseconds>(now - it.prompt->sent_at)});
+    it.prompt.reset();
+}
+
+} // namespace runlink::routing
