--- a/include/runlink/control/documents.hpp
+++ b/include/runlink/control/documents.hpp
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "runlink/control/kv_store.hpp"
+#include "runlink/control/peer_entry.hpp"
 #include "runlink/core/failure.hpp"
 #include "runlink/routing/endpoint_directory.hpp"
 #include "runlink/routing/rollout_control.hpp"
@@ -15,16 +16,6 @@
 namespace runlink::control
 {
 
-/// Another instance, and where it takes datagrams.
-struct peer_entry
-{
-    core::instance_id id;
-    core::failure_domain_id failure_domain;
-    std::string host;
-    std::uint16_t port = 0;
-    std::uint32_t link_mbps = 0; ///< of its link; 0: not known
-};
-
 /// An item of the store, read. Items that do not concern this process are empty.
 using document = std::variant<std::monostate, routing::routing_table_ptr, routing::endpoint_entry,
                               routing::rollout_order, routing::rollout_record, peer_entry>;
@@ -68,12 +59,9 @@
     std::function<http_call(const std::string& after_key)> list;
     std::function<http_call(std::uint64_t after, core::milliseconds wait)> watch;
     std::function<http_call(const kv_transaction&)> commit;
-    std::function<http_call(core::milliseconds ttl)> grant;
-    std::function<http_call(std::uint64_t lease)> renew;
     std::function<kv_result<kv_page>(int status, const std::string& body)> read_page;
     std::function<kv_result<kv_changes>(int status, const std::string& body)> read_changes;
     std::function<kv_commit_result(int status, const std::string& body)> read_commit;
-    std::function<kv_result<kv_lease>(int status, const std::string& body)> read_lease;
 };
 
 } // namespace runlink::control
--- a/include/runlink/control/kv_store.hpp
+++ b/include/runlink/control/kv_store.hpp
@@ -20,7 +20,6 @@
     std::string key;
     std::string value;
     std::uint64_t revision = 0;
-    std::uint64_t lease = 0; ///< the item goes with this lease; 0: none
 };
 
 /// One change, as a watch tells it.
@@ -57,6 +56,7 @@
 {
     std::vector<kv_condition> conditions;
     std::vector<kv_item> writes; ///< their revisions are not looked at
+    std::vector<std::string> removals;
 };
 
 /// Why a call brought nothing.
@@ -65,7 +65,6 @@
     unavailable,  ///< no answer, or a broken connection: a write may have taken place
     refused,      ///< the store did nothing: too many calls, or not now
     history_gone, ///< a watch cannot go on from that revision
-    lease_gone,   ///< the lease has run out
     malformed,    ///< the answer cannot be read
 };
 
@@ -77,13 +76,6 @@
     std::vector<kv_item> items;
 };
 
-/// A lease and how long it holds.
-struct kv_lease
-{
-    std::uint64_t id = 0;
-    core::milliseconds ttl{};
-};
-
 /// The transaction took place.
 struct kv_committed
 {
@@ -102,8 +94,6 @@
                        std::function<void(kv_result<kv_changes>)>)>
         watch;
     std::function<void(const kv_transaction&, std::function<void(kv_commit_result)>)> commit;
-    std::function<void(core::milliseconds ttl, std::function<void(kv_result<kv_lease>)>)> grant;
-    std::function<void(std::uint64_t lease, std::function<void(kv_result<kv_lease>)>)> renew;
     /// Ends a watch that waits; its handler is not called any more.
     std::function<void()> cancel_watch;
 };
--- a/include/runlink/control/relay.hpp
+++ b/include/runlink/control/relay.hpp
@@ -8,13 +8,14 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
 #include <vector>
 
+#include "runlink/control/change_history.hpp"
 #include "runlink/control/kv_store.hpp"
+#include "runlink/control/peer_entry.hpp"
 #include "runlink/core/ids.hpp"
 
 namespace runlink::control
@@ -28,9 +29,10 @@
 /// A question of a follower: what is new since its revision?
 struct sync_request
 {
-    instance_id sender;
+    peer_entry sender; ///< where the answer goes; relays see to it that the store has the entry
     std::uint64_t number = 0;
     std::uint64_t store_revision = 0;
+    bool is_joining = false; ///< has no view of the store yet, or parts of one from the asked instance
 };
 
 /// What the relay knows. Number 0: sent without a question, proves nothing.
@@ -61,10 +63,18 @@
     milliseconds answer_timeout{300}; ///< far above the way and back
     milliseconds oldest_proof{1350};  ///< older ones are not taken: another relay is asked
     milliseconds subscription{3000};  ///< changes are sent to who asked within this
-    std::size_t kept_events = 1000;   ///< a roll-out brings an entry for each endpoint of a service
-    /// Bytes of a change that is sent on, before the link compresses it: JSON shrinks to a fifth or less.
-    std::size_t largest_value = 256 * 1024;
-    std::size_t largest_reply = 256 * 1024; ///< bytes of values in one datagram, before it is compressed
+    history_options history;
+    /// Instances that start together are answered together after this: compressing a view once for each of
+    /// them would keep a small processor busy for seconds.
+    milliseconds joiners_gather{40};
+    /// An instance that was not heard for this long is gone: a pause of a few seconds is not the end of it.
+    milliseconds forget_after{20000};
+    /// Datagrams may be lost: one question without an answer says nothing.
+    std::uint32_t least_unanswered = 2;
+    /// Followers notice that a relay is gone at times that differ by up to this; one removal is enough.
+    milliseconds forget_spread{10000};
+    /// Instances that follow the store without being relays tell of themselves this often.
+    milliseconds heartbeat{5000};
     /// Replies in a row that prove a configuration which this instance lacks, after which the store is asked.
     std::uint32_t patience = 3;
     /// Between two rounds while no relay has a proof; the store itself is asked in rounds 1, 2, 4, 8 and so
@@ -102,6 +112,8 @@
     /// One proof from the store itself, as no relay has one.
     std::function<void(time_point)> probe;
     std::function<void(time_point sent_at)> proven;
+    /// An instance has not been heard for long.
+    std::function<void(time_point, const instance_id&)> forget = [](auto, const auto&) {};
 };
 
 /// Decides whether this instance follows the store itself, answers followers, and asks relays.
@@ -113,7 +125,10 @@
     relay(const relay&) = delete;
     relay& operator=(const relay&) = delete;
 
+    /// Chooses relays from now on.
     void start(time_point now);
+    /// Until the choice another instance is asked, or, with the own id, the store is followed.
+    void introduce(time_point now, const instance_id& by);
     /// Faster links are chosen first: a change goes out to all of a failure domain at once.
     void put_peer(const instance_id& id, const core::failure_domain_id& domain, std::uint32_t link_mbps);
     void remove_peer(const instance_id& id);
@@ -122,15 +137,18 @@
     void remember(const kv_event& it);
     /// All changes up to the revision are remembered; sends them to subscribers.
     void publish(time_point now, std::uint64_t revision);
-    /// What came before the revision is not remembered.
-    void forget_before(std::uint64_t revision);
+    /// The store's items as they are at the revision; what came before is not remembered.
+    void remember_all(const std::vector<kv_item>& items, std::uint64_t revision)
+    {
+        history_.reset(items, revision);
+    }
 
     void on_request(time_point now, const sync_request& it);
     void on_reply(time_point now, const sync_reply& it);
     /// The store itself has answered this instance.
     void on_own_proof(time_point now);
     void tick(time_point now);
-    std::optional<time_point> next_due() const { return next_; }
+    std::optional<time_point> next_due() const;
     bool is_direct() const { return direct_; }
     /// Whether there are enough instances for relays.
     bool is_used() const { return peers_.size() + 1 >= options_.least_members; }
@@ -155,11 +173,17 @@
     bool has_proof(time_point now) const;
     void begin_round(time_point now);
     void ask(time_point now);
+    void ask_one(time_point now, const instance_id& to);
+    void answer_joiners(time_point now);
+    /// Finds instances of the own failure domain that are gone.
+    void check_members(time_point now);
+    bool asks_nothing(time_point now, const instance_id& id) const;
+    bool answers_nothing(time_point now, const instance_id& id) const;
     void on_no_proof(time_point now);
     void on_all_lost(time_point now);
     void on_proof(time_point now, const sync_reply& it);
     void set_direct(time_point now, bool direct);
-    sync_reply make_reply(time_point now, std::uint64_t since) const;
+    sync_reply make_reply(time_point now, std::uint64_t since, bool is_joining) const;
     bool take_events(time_point now, const sync_reply& it);
 
     relay_options options_;
@@ -169,11 +193,24 @@
     std::uint32_t link_mbps_;
     std::map<instance_id, peer> peers_;
     std::map<instance_id, subscriber> subscribers_;
-    std::deque<kv_event> events_;
-    std::uint64_t complete_since_ = 0; ///< all changes behind this revision are in `events_`
-    bool direct_ = false;              ///< until the first choice nothing is followed
-    std::size_t choice_ = 0;           ///< which of the sources is asked first
-    std::size_t tried_ = 0;            ///< sources in this round
+    /// Where a joining instance's view goes on, and who waits for an answer from there to which question.
+    using joiner_group = std::pair<std::uint64_t, std::uint64_t>;
+    std::map<joiner_group, std::vector<instance_id>> joiners_;
+    std::optional<time_point> answer_joiners_at_;
+    change_history history_;
+    std::optional<instance_id> introducer_;
+    std::map<instance_id, time_point> heard_; ///< of the own failure domain, while this instance is its relay
+    std::optional<time_point> relay_since_;
+    struct vain_questions
+    {
+        time_point first{};
+        std::uint32_t count = 0;
+    };
+    std::map<instance_id, vain_questions> unanswered_;
+    time_point next_heartbeat_{};
+    bool direct_ = false;    ///< until the first choice nothing is followed
+    std::size_t choice_ = 0; ///< which of the sources is asked first
+    std::size_t tried_ = 0;  ///< sources in this round
     std::uint64_t rounds_ = 0;
     std::uint32_t lost_rounds_ = 0; ///< in a row, without a source that has a proof
     std::uint32_t mismatches_ = 0;  ///< in a row
--- a/include/runlink/control/store_follower.hpp
+++ b/include/runlink/control/store_follower.hpp
@@ -62,6 +62,8 @@
 
     /// Reads everything. A list that has the configuration proves it as a transaction does.
     void start();
+    /// Takes all there is as another instance knows it.
+    void start_with(std::vector<kv_item> items, std::uint64_t revision);
     /// Watches and proves by itself, or leaves both to a relay.
     void set_direct(time_point now, bool direct);
     void set_proof_interval(milliseconds it) { options_.proof_interval = it; }
@@ -85,6 +87,7 @@
     void list();
     void on_page(kv_result<kv_page> page);
     void finish_list();
+    void take_list(time_point now, std::vector<kv_item> items, std::uint64_t revision);
     void watch();
     void watch_anew();
     void check_watch();
--- a/include/runlink/gateway/gateway_daemon.hpp
+++ b/include/runlink/gateway/gateway_daemon.hpp
@@ -12,7 +12,8 @@
 #include <QTimer>
 
 #include "runlink/control/documents.hpp"
-#include "runlink/control/presence.hpp"
+#include "runlink/control/fleet_join.hpp"
+#include "runlink/control/member_registry.hpp"
 #include "runlink/control/relay.hpp"
 #include "runlink/control/store_follower.hpp"
 #include "runlink/gateway/gateway.hpp"
@@ -50,6 +51,8 @@
     bool is_ready() const;
     std::uint16_t callers_port() const { return callers_port_; }
     std::uint16_t readiness_port() const { return readiness_port_; }
+    const kv_call_counters& store_calls() const { return store_.counters(); }
+    std::size_t peer_count() const { return gossip_.peer_count(); }
 
 private:
     /// Age of the configuration from which no key admits a request; nothing where keys do not expire.
@@ -66,8 +69,19 @@
     void take_endpoint(core::time_point now, const routing::endpoint_entry& it);
     void on_datagram(const proto::datagram& it);
     void on_gossip(core::time_point now, const routing::gossip_message& it);
-    void start_presence(core::time_point now, std::uint16_t port);
+    control::join_hooks join_hooks();
+    /// Instances that may be there at the start, but not this one.
+    std::vector<core::instance_id> seeds() const;
+    control::peer_entry own_entry() const;
+    void on_sync_request(core::time_point now, const control::sync_request& it);
+    void take_peer(core::time_point now, const control::peer_entry& it);
+    void drop_peer(const core::instance_id& id);
+    /// Drops instances that a list of the store does not have.
+    void drop_unlisted_peers(const std::vector<control::kv_item>& items);
+    void write_members(const control::registry_batch& it, control::member_registry::done_handler done);
     void forget(core::time_point now, const std::string& key);
+    /// A call that was sent at this time proved that no newer configuration was there.
+    void note_proof(core::time_point sent_at);
     void write_record(const routing::rollout_record& it);
 
     void on_readiness(const std::shared_ptr<net::caller_connection>& from);
@@ -90,15 +104,17 @@
     kv_http_store store_;
     control::kv_store store_port_;
     control::store_follower follower_;
-    std::optional<control::presence> presence_;
     gossip_link gossip_;
     control::relay relay_;
+    control::member_registry registry_;
+    control::fleet_join join_;
     net::http_listener readiness_;
     net::http_listener metrics_listener_;
     QTimer timer_;
     std::optional<core::time_point> armed_;
     core::time_point next_housekeeping_{};
     core::time_point next_call_report_{};
+    std::optional<core::time_point> proven_at_;
     std::uint64_t table_revision_ = 0;
     bool table_is_readable_ = false;
     bool is_listed_ = false; ///< the store has been read whole once
@@ -107,6 +123,7 @@
     bool stopped_ = false;
     std::uint16_t callers_port_ = 0;
     std::uint16_t readiness_port_ = 0;
+    std::uint16_t peers_port_ = 0;
 };
 
 } // namespace runlink::gateway
--- a/include/runlink/gateway/gateway_settings.hpp
+++ b/include/runlink/gateway/gateway_settings.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "runlink/core/failure.hpp"
 #include "runlink/core/ids.hpp"
@@ -42,7 +43,9 @@
     std::uint32_t link_mbps = 0; ///< of the instance's link; 0: not known
     net::peer_address callers;
     net::peer_address readiness;
-    net::peer_address peers;        ///< datagrams from other instances
+    net::peer_address peers; ///< datagrams from other instances
+    /// IP numbers of instances that may be there at the start; they take datagrams on the port of `peers`.
+    std::vector<std::string> seeds;
     std::uint16_t metrics_port = 0; ///< on the callers' address; 0: no metrics
     net::peer_address store;
     core::milliseconds stop_grace{8000};     ///< the process is killed this long after it was told to stop
--- a/include/runlink/gateway/gossip_link.hpp
+++ b/include/runlink/gateway/gossip_link.hpp
@@ -11,6 +11,7 @@
 #include <QTimer>
 #include <QUdpSocket>
 
+#include "runlink/control/peer_entry.hpp"
 #include "runlink/core/failure.hpp"
 #include "runlink/proto/gossip_codec.hpp"
 #include "runlink/routing/gossip_messages.hpp"
@@ -30,9 +31,12 @@
     gossip_link& operator=(const gossip_link&) = delete;
 
     core::result<std::uint16_t> bind(const std::string& host, std::uint16_t port);
-    void put_peer(const core::instance_id& id, const std::string& host, std::uint16_t port);
+    /// Another instance.
+    void put_peer(const control::peer_entry& it);
     void remove_peer(const core::instance_id& id) { peers_.erase(id); }
     std::size_t peer_count() const { return peers_.size(); }
+    /// An address that may be an instance's: it gets only what is sent to it by this id.
+    void put_address(const core::instance_id& id, const std::string& host, std::uint16_t port);
 
     void send_to(const std::vector<core::instance_id>& to, const proto::datagram& it);
     void tell(const routing::session_run& it);
@@ -62,6 +66,7 @@
     QTimer timer_;
     QTimer prompts_timer_;
     std::map<core::instance_id, peer> peers_;
+    std::map<core::instance_id, peer> addresses_; ///< of those that are not peers
     std::vector<routing::session_run> pending_;
     std::vector<routing::prompt_sent> pending_prompts_;
     std::vector<routing::prompt_answered> pending_answers_;
--- a/include/runlink/gateway/kv_http_store.hpp
+++ b/include/runlink/gateway/kv_http_store.hpp
@@ -31,13 +31,11 @@
 {
     std::uint64_t lists = 0;
     std::uint64_t watches = 0;
-    std::uint64_t commits = 0; ///< transactions, those that only prove a revision included
-    std::uint64_t grants = 0;
-    std::uint64_t renewals = 0;
+    std::uint64_t commits = 0;    ///< transactions, those that only prove a revision included
     std::uint64_t unanswered = 0; ///< of all
     std::uint64_t refused = 0;    ///< of all: answered 429 or 503
 
-    std::uint64_t all() const { return lists + watches + commits + grants + renewals; }
+    std::uint64_t all() const { return lists + watches + commits; }
 };
 
 /// Sends the calls of a `kv_store` to one address.
--- /dev/null
+++ b/src/runlink/control/change_history.cpp
@@ -0,0 +1,81 @@
+#include "runlink/control/change_history.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace runlink::control
+{
+
+void change_history::reset(const std::vector<kv_item>& items, std::uint64_t revision)
+{
+    changes_.clear();
+    revisions_.clear();
+    deletions_ = 0;
+    complete_since_ = revision;
+    for (const auto& it : items)
+        put({it, false});
+}
+
+void change_history::remember(const kv_event& it)
+{
+    put(it);
+    bound();
+}
+
+void change_history::put(const kv_event& it)
+{
+    // Only the newest change of a key is of use: configurations in quick succession would fill the memory.
+    const auto found = revisions_.find(it.item.key);
+    if (found != revisions_.end())
+    {
+        const auto old = changes_.find({found->second, it.item.key});
+        deletions_ -= old->second.is_deleted ? 1 : 0;
+        changes_.erase(old);
+    }
+    revisions_[it.item.key] = it.item.revision;
+    deletions_ += it.is_deleted ? 1 : 0;
+    changes_[{it.item.revision, it.item.key}] = it;
+}
+
+void change_history::bound()
+{
+    for (auto it = changes_.begin(); deletions_ > options_.kept_deletions && it != changes_.end();)
+    {
+        if (!it->second.is_deleted)
+        {
+            ++it;
+            continue;
+        }
+        complete_since_ = std::max(complete_since_, it->first.first);
+        revisions_.erase(it->first.second);
+        it = changes_.erase(it);
+        --deletions_;
+    }
+}
+
+history_part change_history::behind(std::uint64_t since) const
+{
+    history_part out;
+    out.revision = since;
+    std::size_t bytes = 0;
+    for (auto it = changes_.lower_bound({since + 1, {}}); it != changes_.end(); ++it)
+    {
+        const auto& item = it->second.item;
+        const bool is_large = item.value.size() > options_.largest_value;
+        bytes += item.key.size() + (is_large ? 0 : item.value.size());
+        // Changes of one transaction have one revision and stay together.
+        if (bytes > options_.largest_part && !out.events.empty() && item.revision != out.revision)
+        {
+            out.has_more = true;
+            return out;
+        }
+        out.revision = item.revision;
+        if (is_large)
+            out.omitted.push_back(item.key);
+        else
+            out.events.push_back(it->second);
+    }
+    return out;
+}
+
+} // namespace runlink::control
--- /dev/null
+++ b/src/runlink/control/join_test.cpp
@@ -0,0 +1,245 @@
+// How a fleet starts: who reads the store, and with how many calls the entries get there.
+
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "runlink/control/change_history.hpp"
+#include "runlink/control/fleet_join.hpp"
+#include "runlink/control/member_registry.hpp"
+
+using namespace runlink;
+using namespace runlink::control;
+
+namespace
+{
+
+struct joining
+{
+    core::time_point now{core::seconds{100}};
+    std::vector<std::string> told;
+    std::vector<std::pair<std::string, sync_request>> asked;
+    std::vector<kv_item> view;
+    fleet_join it;
+
+    explicit joining(const std::vector<std::string>& seeds) : it{{}, instance_id{"me"}, ids(seeds), hooks()}
+    {
+        it.start(now);
+    }
+
+    static std::vector<instance_id> ids(const std::vector<std::string>& from)
+    {
+        return {from.begin(), from.end()};
+    }
+
+    join_hooks hooks()
+    {
+        join_hooks out;
+        out.ask = [this](const instance_id& to, const sync_request& e) { asked.emplace_back(to.str(), e); };
+        out.list = [this] { told.push_back("list"); };
+        out.take_view = [this](auto, std::vector<kv_item> items, std::uint64_t revision)
+        {
+            view = std::move(items);
+            told.push_back("view " + std::to_string(revision));
+        };
+        out.introduce = [this](auto, const instance_id& by) { told.push_back("by " + by.str()); };
+        out.settle = [this](auto) { told.push_back("settled"); };
+        return out;
+    }
+
+    void advance(int ms)
+    {
+        for (int n = 0; n < ms; ++n)
+        {
+            now += core::milliseconds{1};
+            it.tick(now);
+        }
+    }
+
+    sync_reply part(std::uint64_t since, std::uint64_t revision, bool has_more)
+    {
+        sync_reply out;
+        out.number = asked.back().second.number;
+        out.since = since;
+        out.store_revision = revision;
+        out.has_more = has_more;
+        out.events.push_back({{"k" + std::to_string(revision), "v", revision}, false});
+        return out;
+    }
+};
+
+peer_entry entry(const std::string& id, std::uint16_t port = 7100)
+{
+    return {core::instance_id{id}, core::failure_domain_id{"n"}, "10.0.0.1", port, 10};
+}
+
+struct registering
+{
+    core::time_point now{core::seconds{100}};
+    std::vector<registry_batch> written;
+    std::vector<member_registry::done_handler> waiting;
+    member_registry it{{},
+                       [this](const registry_batch& e, member_registry::done_handler done)
+                       {
+                           written.push_back(e);
+                           waiting.push_back(std::move(done));
+                       }};
+
+    void advance(core::milliseconds by)
+    {
+        now += by;
+        it.tick(now);
+    }
+};
+
+} // namespace
+
+TEST_CASE("an instance takes a seed's view, whole, and settles when its own entry is there")
+{
+    joining f{{"s1", "s2", "s3"}};
+    REQUIRE(f.asked.size() == 1);
+    CHECK(f.asked[0].second.is_joining);
+    f.it.on_reply(f.now, f.part(0, 5, true));
+    REQUIRE(f.asked.size() == 2);
+    CHECK(f.asked[1].first == f.asked[0].first);
+    CHECK(f.asked[1].second.store_revision == 5);
+    f.it.on_reply(f.now, f.part(5, 9, false));
+    CHECK(f.view.size() == 2);
+    CHECK(f.told == std::vector<std::string>{"view 9", "by " + f.asked[0].first});
+    f.advance(1000);
+    CHECK_FALSE(f.it.is_settled());
+    f.it.on_own_entry(f.now);
+    f.advance(600);
+    CHECK(f.told.back() == "settled");
+    CHECK(f.asked.size() == 2);
+}
+
+TEST_CASE("an answer to an earlier question, or from the middle, is no view")
+{
+    joining f{{"s1", "s2"}};
+    auto late = f.part(0, 9, false);
+    f.advance(250);
+    REQUIRE(f.asked.size() == 2);
+    CHECK(f.asked[1].first != f.asked[0].first);
+    f.it.on_reply(f.now, late);
+    f.it.on_reply(f.now, f.part(5, 9, false));
+    CHECK(f.told.empty());
+    f.it.on_reply(f.now, f.part(0, 9, false));
+    CHECK(f.told.size() == 2);
+}
+
+TEST_CASE("parts of the views of two seeds are not put together")
+{
+    joining f{{"s1", "s2"}};
+    f.it.on_reply(f.now, f.part(0, 5, true));
+    f.advance(250);
+    CHECK(f.asked.back().second.store_revision == 0);
+    f.it.on_reply(f.now, f.part(0, 7, false));
+    CHECK(f.view.size() == 1);
+}
+
+TEST_CASE("without a seed that answers the store is read, once")
+{
+    joining f{{"s1", "s2"}};
+    f.advance(1400);
+    CHECK(f.told.empty());
+    f.advance(2000);
+    CHECK(f.told == std::vector<std::string>{"list", "by me"});
+    f.it.on_listed(f.now);
+    f.it.on_own_entry(f.now);
+    f.advance(600);
+    CHECK(f.told.back() == "settled");
+}
+
+TEST_CASE("a seed reads the store at once, and so does one that knows none")
+{
+    joining f{{}};
+    CHECK(f.told == std::vector<std::string>{"list", "by me"});
+}
+
+TEST_CASE("an entry that nobody lists is announced by the instance itself")
+{
+    joining f{{"s1"}};
+    f.it.on_reply(f.now, f.part(0, 5, false));
+    f.advance(2000);
+    CHECK_FALSE(f.it.must_announce_itself(f.now));
+    f.advance(1000);
+    CHECK(f.it.must_announce_itself(f.now));
+    f.advance(600);
+    CHECK(f.it.is_settled());
+}
+
+TEST_CASE("the entries of a fleet that starts are written with a call for each 32")
+{
+    registering f;
+    for (int n = 0; n < 100; ++n)
+    {
+        f.it.announce(f.now, entry("i" + std::to_string(n)));
+        f.advance(core::milliseconds{2});
+    }
+    f.advance(core::milliseconds{300});
+    CHECK(f.written.size() == 4);
+    for (const auto& it : f.written)
+        CHECK(it.put.size() <= 32);
+}
+
+TEST_CASE("an entry that the store has costs no call, unless the address is another one")
+{
+    registering f;
+    f.it.listed(entry("a"));
+    f.it.announce(f.now, entry("a"));
+    f.advance(core::milliseconds{1000});
+    CHECK(f.written.empty());
+    f.it.announce(f.now, entry("a", 7200));
+    f.advance(core::milliseconds{1000});
+    REQUIRE(f.written.size() == 1);
+    CHECK(f.written[0].put.at(0).port == 7200);
+}
+
+TEST_CASE("a call that failed is made again; one that is done is not")
+{
+    registering f;
+    f.it.announce(f.now, entry("a"));
+    f.advance(core::milliseconds{300});
+    REQUIRE(f.waiting.size() == 1);
+    f.waiting[0](registry_outcome::failed);
+    f.advance(core::milliseconds{999});
+    CHECK(f.written.size() == 1);
+    f.advance(core::milliseconds{1});
+    REQUIRE(f.written.size() == 2);
+    f.waiting[1](registry_outcome::done);
+    f.it.announce(f.now, entry("a"));
+    f.advance(core::milliseconds{5000});
+    CHECK(f.written.size() == 2);
+}
+
+TEST_CASE("an instance that is gone is removed, and written again when it is heard")
+{
+    registering f;
+    f.it.listed(entry("a"));
+    f.it.withdraw(f.now, core::instance_id{"a"});
+    f.advance(core::milliseconds{300});
+    REQUIRE(f.written.size() == 1);
+    CHECK(f.written[0].removed == std::vector<core::instance_id>{core::instance_id{"a"}});
+    f.waiting[0](registry_outcome::done);
+    f.it.announce(f.now, entry("a"));
+    f.advance(core::milliseconds{300});
+    CHECK(f.written.size() == 2);
+}
+
+TEST_CASE("deletions are forgotten beyond a number, and who asks from before them is told so")
+{
+    history_options options;
+    options.kept_deletions = 2;
+    change_history it{options};
+    it.reset({{"a", "", 1}, {"b", "", 2}, {"c", "", 3}, {"d", "", 4}}, 4);
+    CHECK_FALSE(it.reaches(3));
+    std::uint64_t revision = 4;
+    for (const auto* key : {"a", "b", "c"})
+        it.remember({{key, "", ++revision}, true});
+    CHECK_FALSE(it.reaches(4));
+    CHECK(it.reaches(5));
+    const auto all = it.behind(0);
+    CHECK(all.events.size() == 3); // "d" as it is, and two deletions
+}
--- a/src/runlink/control/relay.cpp
+++ b/src/runlink/control/relay.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <chrono>
 #include <set>
 #include <utility>
 
@@ -20,7 +21,7 @@
 relay::relay(relay_options options, instance_id self, core::failure_domain_id domain, std::uint32_t link_mbps,
              relay_hooks hooks)
     : options_{options}, self_{std::move(self)}, domain_{std::move(domain)}, hooks_{std::move(hooks)},
-      link_mbps_{link_mbps}
+      link_mbps_{link_mbps}, history_{options.history}
 {
 }
 
@@ -37,9 +38,17 @@
 
 void relay::start(time_point now)
 {
+    introducer_.reset();
+    choice_ = 0;
     next_ = now + options_.first_choice;
 }
 
+void relay::introduce(time_point now, const instance_id& by)
+{
+    introducer_ = by;
+    next_ = now;
+}
+
 // Members
 
 void relay::put_peer(const instance_id& id, const core::failure_domain_id& domain, std::uint32_t link_mbps)
@@ -54,6 +63,8 @@
 {
     peers_.erase(id);
     subscribers_.erase(id);
+    heard_.erase(id);
+    unanswered_.erase(id);
     choice_ = 0;
 }
 
@@ -86,6 +97,8 @@
 
 std::vector<instance_id> relay::sources() const
 {
+    if (introducer_)
+        return {*introducer_};
     auto out = relays(domain_);
     std::erase(out, self_);
     std::set<core::failure_domain_id> others;
@@ -99,6 +112,8 @@
 
 bool relay::follows_store() const
 {
+    if (introducer_)
+        return *introducer_ == self_;
     return !is_used() || relays(domain_).front() == self_;
 }
 
@@ -108,27 +123,53 @@
     return age && *age <= options_.oldest_proof;
 }
 
-// Answering
+void relay::check_members(time_point now)
+{
+    if (introducer_)
+        return;
+    const auto front = relays(domain_).front();
+    const bool is_relay = front == self_;
+    relay_since_ = is_relay ? std::optional{relay_since_.value_or(now)} : std::nullopt;
+    std::vector<instance_id> gone;
+    for (const auto& [id, it] : peers_)
+        if (it.domain == domain_ && (asks_nothing(now, id) || answers_nothing(now, id)))
+            gone.push_back(id);
+    for (const auto& id : gone)
+        hooks_.forget(now, id);
+    // The relay has to hear of those that follow the store themselves as well.
+    if (is_relay || !follows_store() || now < next_heartbeat_)
+        return;
+    next_heartbeat_ = now + options_.heartbeat;
+    ask_one(now, front);
+}
 
-void relay::remember(const kv_event& it)
+bool relay::asks_nothing(time_point now, const instance_id& id) const
 {
-    // Only the newest change of a key is of use: configurations in quick succession would fill the memory.
-    std::erase_if(events_, [&](const auto& e) { return e.item.key == it.item.key; });
-    events_.push_back(it);
-    while (events_.size() > options_.kept_events)
-    {
-        complete_since_ = std::max(complete_since_, events_.front().item.revision);
-        events_.pop_front();
-    }
+    if (!relay_since_)
+        return false; // others ask the relay
+    const auto heard = heard_.find(id);
+    const auto last = heard == heard_.end() ? *relay_since_ : std::max(heard->second, *relay_since_);
+    return now - last > options_.forget_after;
+}
+
+bool relay::answers_nothing(time_point now, const instance_id& id) const
+{
+    const auto asked = unanswered_.find(id);
+    if (asked == unanswered_.end() || asked->second.count < options_.least_unanswered)
+        return false;
+    const auto steps = static_cast<std::uint64_t>(options_.forget_spread.count());
+    const auto spread = milliseconds{static_cast<milliseconds::rep>(core::stable_hash(self_.str()) % steps)};
+    return now - asked->second.first > options_.forget_after + spread;
 }
 
-void relay::forget_before(std::uint64_t revision)
+// Answering
+
+void relay::remember(const kv_event& it)
 {
-    events_.clear();
-    complete_since_ = revision;
+    history_.remember(it);
 }
 
-sync_reply relay::make_reply(time_point now, std::uint64_t since) const
+sync_reply relay::make_reply(time_point now, std::uint64_t since, bool is_joining) const
 {
     const auto view = hooks_.view(now);
     sync_reply out;
@@ -138,38 +179,50 @@
     out.since = since;
     if (view.proof_age)
         out.proof_age = std::chrono::ceil<milliseconds>(*view.proof_age);
-    if (since < complete_since_)
+    if (!is_joining && !history_.reaches(since))
     {
         out.history_gone = true;
         return out;
     }
-    std::size_t bytes = 0;
-    for (const auto& it : events_)
-    {
-        if (it.item.revision <= since)
-            continue;
-        const bool is_large = it.item.value.size() > options_.largest_value;
-        bytes += it.item.key.size() + (is_large ? 0 : it.item.value.size());
-        if (bytes > options_.largest_reply && !out.events.empty())
-        {
-            out.has_more = true;
-            out.store_revision = out.events.back().item.revision;
-            break;
-        }
-        if (is_large)
-            out.omitted.push_back(it.item.key);
-        else
-            out.events.push_back(it);
-    }
+    auto part = history_.behind(since);
+    out.events = std::move(part.events);
+    out.omitted = std::move(part.omitted);
+    out.has_more = part.has_more;
+    if (part.has_more)
+        out.store_revision = part.revision;
     return out;
 }
 
 void relay::on_request(time_point now, const sync_request& it)
 {
-    subscribers_[it.sender] = {now, it.store_revision};
-    auto out = make_reply(now, it.store_revision);
+    const auto& from = it.sender.id;
+    if (it.sender.failure_domain == domain_)
+        heard_[from] = now;
+    unanswered_.erase(from);
+    if (hooks_.view(now).store_revision == 0)
+        return; // nothing is known yet; others are
+    if (it.is_joining)
+    {
+        joiners_[{it.store_revision, it.number}].push_back(from);
+        answer_joiners_at_ = answer_joiners_at_.value_or(now + options_.joiners_gather);
+        return;
+    }
+    subscribers_[from] = {now, it.store_revision};
+    auto out = make_reply(now, it.store_revision, false);
     out.number = it.number;
-    hooks_.reply({it.sender}, out);
+    hooks_.reply({from}, out);
+}
+
+void relay::answer_joiners(time_point now)
+{
+    answer_joiners_at_.reset();
+    for (const auto& [group, all] : std::exchange(joiners_, {}))
+    {
+        const auto [since, number] = group;
+        auto out = make_reply(now, since, true);
+        out.number = number;
+        hooks_.reply(all, out);
+    }
 }
 
 void relay::publish(time_point now, std::uint64_t revision)
@@ -182,7 +235,7 @@
             behind[it.revision].push_back(id);
     for (const auto& [since, all] : behind)
     {
-        const auto out = make_reply(now, since);
+        const auto out = make_reply(now, since, false);
         hooks_.reply(all, out);
         for (const auto& id : all)
             subscribers_.at(id).revision = out.store_revision; // the rest goes with the next answer
@@ -197,8 +250,17 @@
         hooks_.set_direct(now, direct);
 }
 
+std::optional<time_point> relay::next_due() const
+{
+    if (!next_ || !answer_joiners_at_)
+        return next_ ? next_ : answer_joiners_at_;
+    return std::min(*next_, *answer_joiners_at_);
+}
+
 void relay::tick(time_point now)
 {
+    if (answer_joiners_at_ && now >= *answer_joiners_at_)
+        answer_joiners(now);
     if (!next_ || now < *next_)
         return;
     if (asked_at_)
@@ -212,6 +274,7 @@
     tried_ = 0;
     if (++rounds_ % rounds_to_prefer_near == 0)
         choice_ = 0;
+    check_members(now);
     if (!follows_store())
         return ask(now);
     set_direct(now, true);
@@ -225,13 +288,21 @@
     const auto all = sources();
     if (tried_ >= all.size())
         return on_all_lost(now);
+    asked_at_ = now;
+    next_ = now + options_.answer_timeout;
+    ask_one(now, all[(choice_ + tried_) % all.size()]);
+}
+
+void relay::ask_one(time_point now, const instance_id& to)
+{
+    ++unanswered_.try_emplace(to, vain_questions{now, 0}).first->second.count;
     sync_request out;
-    out.sender = self_;
+    out.sender.id = self_;
+    out.sender.failure_domain = domain_;
+    out.sender.link_mbps = link_mbps_;
     out.number = ++number_;
     out.store_revision = hooks_.view(now).store_revision;
-    asked_at_ = now;
-    next_ = now + options_.answer_timeout;
-    hooks_.ask(all[(choice_ + tried_) % all.size()], out);
+    hooks_.ask(to, out);
 }
 
 void relay::on_no_proof(time_point now)
@@ -258,6 +329,7 @@
 
 void relay::on_reply(time_point now, const sync_reply& it)
 {
+    unanswered_.erase(it.sender);
     const bool is_answer = asked_at_ && it.number == number_;
     const bool is_whole = take_events(now, it);
     if (is_whole && it.has_more && !is_answer && !asked_at_)
--- a/src/runlink/control/store_follower.cpp
+++ b/src/runlink/control/store_follower.cpp
@@ -20,7 +20,6 @@
     case kv_error::unavailable: return "unavailable";
     case kv_error::refused: return "refused";
     case kv_error::history_gone: return "history_gone";
-    case kv_error::lease_gone: return "lease_gone";
     case kv_error::malformed: return "malformed";
     }
     return "unknown";
@@ -37,6 +36,13 @@
     list();
 }
 
+void store_follower::start_with(std::vector<kv_item> items, std::uint64_t revision)
+{
+    const auto now = clock();
+    started_at_ = now;
+    take_list(now, std::move(items), revision);
+}
+
 void store_follower::tick(time_point now)
 {
     const auto is_due = [&](std::optional<time_point>& at)
@@ -168,24 +174,28 @@
 {
     const auto now = clock();
     is_listing_ = false;
-    is_listed_ = true;
     note_success(now);
-    revision_ = list_revision_;
-    bool has_configuration = false;
-    for (const auto& it : pages_)
-    {
-        remember(it, false);
-        has_configuration |= it.key == options_.configuration_key;
-    }
-    hooks_.listed(now, std::exchange(pages_, {}));
-    hooks_.caught_up(now, revision_);
+    const auto is_configuration = [&](const kv_item& it) { return it.key == options_.configuration_key; };
+    const bool has_configuration = std::any_of(pages_.begin(), pages_.end(), is_configuration);
+    take_list(now, std::exchange(pages_, {}), list_revision_);
     watch();
-    if (has_configuration)
+    // Before the first configuration a list proves that there is none.
+    if (has_configuration || configuration_revision_ == 0)
         note_proof(list_sent_at_);
     if (is_direct_)
         prove_soon(now, options_.proof_interval);
 }
 
+void store_follower::take_list(time_point now, std::vector<kv_item> items, std::uint64_t revision)
+{
+    is_listed_ = true;
+    revision_ = revision;
+    for (const auto& it : items)
+        remember(it, false);
+    hooks_.listed(now, std::move(items));
+    hooks_.caught_up(now, revision_);
+}
+
 void store_follower::remember(const kv_item& item, bool is_deleted)
 {
     if (item.key != options_.configuration_key)
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -56,6 +56,8 @@
       gossip_{settings_.id, [this](const proto::datagram& it) { on_datagram(it); }},
       relay_{control::relay_options::within(settings_.configuration_apply), settings_.id,
              settings_.failure_domain, settings_.link_mbps, relay_hooks()},
+      registry_{{}, [this](const auto& it, auto done) { write_members(it, std::move(done)); }},
+      join_{{}, settings_.id, seeds(), join_hooks()},
       readiness_{[this](const auto& from, const auto&, const std::string&) { on_readiness(from); },
                  [](const auto& from, net::codec_error) { from->reset(); }},
       metrics_listener_{[this](const auto& from, const auto&, const std::string&) { on_metrics(from); },
@@ -124,10 +126,11 @@
     BOOST_OUTCOME_TRY(peers, gossip_.bind(settings_.peers.host, settings_.peers.port));
     log_state("started", settings_.failure_domain.str());
     next_housekeeping_ = now + housekeeping_interval;
-    follower_.set_direct(now, false); // the relays are chosen first
-    follower_.start();
-    relay_.start(now);
-    start_presence(now, peers);
+    peers_port_ = peers;
+    for (const auto& it : seeds())
+        gossip_.put_address(it, it.str(), peers_port_);
+    follower_.set_direct(now, false); // until the instance is introduced
+    join_.start(now);
     rearm();
     return boost::outcome_v2::success();
 }
@@ -168,9 +171,8 @@
     auto due = next_housekeeping_;
     if (stop_began_)
         due = std::min(due, *stop_began_ + settings_.stop_grace - stop_reserve);
-    const auto presence_due = presence_ ? presence_->next_due() : std::nullopt;
     for (const auto& it : {forwarder_.next_due(), follower_.next_due(), forwarder_.rollouts().next_due(),
-                           presence_due, relay_.next_due()})
+                           relay_.next_due(), registry_.next_due(), join_.next_due()})
         if (it)
             due = std::min(due, *it);
     // An earlier timer fires without harm; a change that is not earlier needs no new one.
@@ -188,8 +190,8 @@
     forwarder_.tick(now);
     follower_.tick(now);
     relay_.tick(now);
-    if (presence_)
-        presence_->tick(now);
+    registry_.tick(now);
+    join_.tick(now);
     for (const auto& it : forwarder_.rollouts().due(now))
         write_record(it);
     if (now >= next_housekeeping_)
@@ -207,6 +209,8 @@
     readiness_.check_timeouts();
     metrics_listener_.check_timeouts();
     forwarder_.keep_house(now);
+    if (!stop_began_ && (relay_.is_direct() || join_.must_announce_itself(now)))
+        registry_.announce(now, own_entry());
     // Followers take only young proofs from relays.
     const auto options = control::relay_options::within(settings_.configuration_apply);
     follower_.set_proof_interval(relay_.is_used() ? options.proof_interval()
--- a/src/runlink/gateway/gateway_daemon_metrics.cpp
+++ b/src/runlink/gateway/gateway_daemon_metrics.cpp
@@ -39,8 +39,6 @@
         counter("runlink_store_watches_total", "Watches of the store", calls.watches),
         counter("runlink_store_commits_total", "Transactions, those that only prove a revision included",
                 calls.commits),
-        counter("runlink_store_grants_total", "Leases asked for", calls.grants),
-        counter("runlink_store_renewals_total", "Renewals of leases", calls.renewals),
         counter("runlink_store_unanswered_total", "Calls of the store without an answer", calls.unanswered),
         counter("runlink_store_refused_total", "Calls that the store refused", calls.refused),
         counter("runlink_connections_opened_total", "Connections opened to endpoints",
@@ -66,8 +64,6 @@
     line.number("lists", number(n.lists))
         .number("watches", number(n.watches))
         .number("commits", number(n.commits))
-        .number("grants", number(n.grants))
-        .number("renewals", number(n.renewals))
         .number("unanswered", number(n.unanswered))
         .number("refused", number(n.refused));
     log_.write(now, line, observe::log_rank::notable);
--- a/src/runlink/gateway/gateway_daemon_store.cpp
+++ b/src/runlink/gateway/gateway_daemon_store.cpp
@@ -3,6 +3,7 @@
 #include "runlink/gateway/gateway_daemon.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "runlink/core/hash.hpp"
@@ -30,8 +31,7 @@
     out.caught_up = [this](core::time_point now, std::uint64_t revision) { relay_.publish(now, revision); };
     out.proven = [this](core::time_point sent_at)
     {
-        if (table_is_readable_)
-            forwarder_.proven_current(sent_at);
+        note_proof(sent_at);
         relay_.on_own_proof(clock_());
     };
     out.lost = [this](core::time_point, control::kv_error why) { log_state("store_lost", to_string(why)); };
@@ -44,16 +44,109 @@
     return out;
 }
 
-void gateway_daemon::start_presence(core::time_point now, std::uint16_t port)
+// Other instances
+
+std::vector<core::instance_id> gateway_daemon::seeds() const
+{
+    std::vector<core::instance_id> out;
+    for (const auto& it : settings_.seeds)
+    {
+        if (it == settings_.peers.host)
+            return {}; // others ask this one
+        out.emplace_back(it);
+    }
+    return out;
+}
+
+control::peer_entry gateway_daemon::own_entry() const
+{
+    return {settings_.id, settings_.failure_domain, settings_.peers.host, peers_port_, settings_.link_mbps};
+}
+
+control::join_hooks gateway_daemon::join_hooks()
+{
+    control::join_hooks out;
+    out.ask = [this](const core::instance_id& to, const control::sync_request& it)
+    {
+        auto with_address = it;
+        with_address.sender = own_entry();
+        gossip_.send_to({to}, with_address);
+    };
+    out.list = [this] { follower_.start(); };
+    out.take_view = [this](core::time_point, std::vector<control::kv_item> items, std::uint64_t revision)
+    { follower_.start_with(std::move(items), revision); };
+    out.introduce = [this](core::time_point now, const core::instance_id& by) { relay_.introduce(now, by); };
+    out.settle = [this](core::time_point now)
+    {
+        log_state("settled", std::to_string(gossip_.peer_count()) + " other instances");
+        relay_.start(now);
+    };
+    return out;
+}
+
+void gateway_daemon::on_sync_request(core::time_point now, const control::sync_request& it)
+{
+    gossip_.put_address(it.sender.id, it.sender.host, it.sender.port);
+    if (relay_.is_direct())
+        registry_.announce(now, it.sender);
+    relay_.on_request(now, it);
+}
+
+void gateway_daemon::take_peer(core::time_point now, const control::peer_entry& it)
+{
+    registry_.listed(it);
+    if (it.id == settings_.id)
+    {
+        if (it == own_entry())
+            join_.on_own_entry(now);
+        return;
+    }
+    gossip_.put_peer(it);
+    relay_.put_peer(it.id, it.failure_domain, it.link_mbps);
+}
+
+void gateway_daemon::drop_peer(const core::instance_id& id)
 {
-    const auto entry = binding_.documents.write_peer(
-        {settings_.id, settings_.failure_domain, settings_.peers.host, port, settings_.link_mbps});
-    presence_.emplace(control::presence_options{}, store_port_, entry);
-    presence_->clock = clock_;
-    presence_->on_failure = [this](core::time_point at, control::kv_error why)
-    { follower_.on_call_failed(at, why); };
-    presence_->on_success = [this](core::time_point at) { follower_.on_call_succeeded(at); };
-    presence_->start(now);
+    registry_.unlisted(id);
+    gossip_.remove_peer(id);
+    relay_.remove_peer(id);
+}
+
+void gateway_daemon::drop_unlisted_peers(const std::vector<control::kv_item>& items)
+{
+    std::set<core::instance_id> listed;
+    for (const auto& it : items)
+        if (const auto name = binding_.documents.name(it.key);
+            std::holds_alternative<control::peer_key>(name))
+            listed.insert(std::get<control::peer_key>(name).id);
+    for (const auto& id : registry_.listed_ids())
+        if (!listed.contains(id))
+            drop_peer(id);
+}
+
+void gateway_daemon::write_members(const control::registry_batch& it,
+                                   control::member_registry::done_handler done)
+{
+    control::kv_transaction write;
+    for (const auto& e : it.put)
+        write.writes.push_back(binding_.documents.write_peer(e));
+    for (const auto& id : it.removed)
+        write.removals.push_back(binding_.documents.write_peer({id, {}, {}, 0, 0}).key);
+    log_state("members_written",
+              std::to_string(it.put.size()) + " listed, " + std::to_string(it.removed.size()) + " removed");
+    store_port_.commit(write,
+                       [this, done = std::move(done)](const control::kv_commit_result& result)
+                       {
+                           const auto at = clock_();
+                           if (const auto* why = std::get_if<control::kv_error>(&result))
+                               follower_.on_call_failed(at, *why);
+                           else
+                               follower_.on_call_succeeded(at);
+                           const bool is_done = std::holds_alternative<control::kv_committed>(result);
+                           done(is_done ? control::registry_outcome::done
+                                        : control::registry_outcome::failed);
+                           rearm();
+                       });
 }
 
 void gateway_daemon::on_datagram(const proto::datagram& it)
@@ -62,9 +155,14 @@
     if (const auto* gossip = std::get_if<routing::gossip_message>(&it))
         on_gossip(now, *gossip);
     else if (const auto* request = std::get_if<control::sync_request>(&it))
-        relay_.on_request(now, *request);
+        on_sync_request(now, *request);
     else if (const auto* reply = std::get_if<control::sync_reply>(&it))
-        relay_.on_reply(now, *reply);
+    {
+        if (join_.is_asking())
+            join_.on_reply(now, *reply);
+        else
+            relay_.on_reply(now, *reply);
+    }
     rearm();
 }
 
@@ -72,13 +170,21 @@
 {
     control::relay_hooks out;
     out.ask = [this](const core::instance_id& to, const control::sync_request& it)
-    { gossip_.send_to({to}, it); };
+    {
+        auto with_address = it;
+        with_address.sender = own_entry();
+        gossip_.send_to({to}, with_address);
+    };
     out.reply = [this](const std::vector<core::instance_id>& to, const control::sync_reply& it)
     { gossip_.send_to(to, it); };
     out.view = [this](core::time_point now)
     {
-        return control::store_view{follower_.revision(), follower_.configuration_revision(),
-                                   forwarder_.proof_age(now)};
+        control::store_view it;
+        it.store_revision = follower_.revision();
+        it.configuration_revision = follower_.configuration_revision();
+        if (proven_at_)
+            it.proof_age = now - *proven_at_;
+        return it;
     };
     out.set_direct = [this](core::time_point now, bool direct)
     {
@@ -101,14 +207,22 @@
     };
     out.list_again = [this] { follower_.list_again(); };
     out.probe = [this](core::time_point now) { follower_.prove_soon(now, core::milliseconds{0}); };
-    out.proven = [this](core::time_point sent_at)
+    out.proven = [this](core::time_point sent_at) { note_proof(sent_at); };
+    out.forget = [this](core::time_point now, const core::instance_id& id)
     {
-        if (table_is_readable_)
-            forwarder_.proven_current(sent_at);
+        log_state("instance_silent", id.str());
+        registry_.withdraw(now, id);
     };
     return out;
 }
 
+void gateway_daemon::note_proof(core::time_point sent_at)
+{
+    proven_at_ = std::max(proven_at_.value_or(sent_at), sent_at);
+    if (table_is_readable_)
+        forwarder_.proven_current(sent_at);
+}
+
 void gateway_daemon::on_gossip(core::time_point now, const routing::gossip_message& it)
 {
     for (const auto& e : it.runs)
@@ -125,6 +239,7 @@
 
 void gateway_daemon::on_listed(core::time_point now, const std::vector<control::kv_item>& items)
 {
+    drop_unlisted_peers(items);
     std::vector<routing::endpoint_entry> endpoints;
     for (const auto& it : items)
     {
@@ -136,7 +251,8 @@
     }
     is_listed_ = true;
     forwarder_.endpoints().replace(now, endpoints);
-    relay_.forget_before(follower_.revision());
+    relay_.remember_all(items, follower_.revision());
+    join_.on_listed(now);
     log_state("listed", std::to_string(endpoints.size()) + " endpoints");
     rearm();
 }
@@ -171,10 +287,7 @@
         log_state("rollout_ordered", order->service.str() + " to " + order->target.str());
     }
     else if (const auto* peer = std::get_if<control::peer_entry>(&it))
-    {
-        gossip_.put_peer(peer->id, peer->host, peer->port);
-        relay_.put_peer(peer->id, peer->failure_domain, peer->link_mbps);
-    }
+        take_peer(now, *peer);
     else if (const auto* record = std::get_if<routing::rollout_record>(&it))
     {
         forwarder_.rollouts().on_record(now, *record);
@@ -226,8 +339,7 @@
     }
     if (const auto* peer = std::get_if<control::peer_key>(&name))
     {
-        gossip_.remove_peer(peer->id);
-        relay_.remove_peer(peer->id);
+        drop_peer(peer->id);
     }
     if (const auto* order = std::get_if<control::order_key>(&name))
         forwarder_.rollouts().on_order_removed(order->service);
--- a/src/runlink/gateway/gateway_settings.cpp
+++ b/src/runlink/gateway/gateway_settings.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <fstream>
+#include <optional>
 #include <sstream>
 
 #include "runlink/core/json_reader.hpp"
@@ -19,21 +20,36 @@
 constexpr double max_mbps = 1'000'000;
 constexpr std::int64_t max_lines = 1'000'000;
 
+std::optional<net::peer_address> parse_address(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0 || text.find_first_not_of("0123456789.") != colon)
+        return std::nullopt;
+    net::peer_address out;
+    out.host = text.substr(0, colon);
+    const auto* last = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, last, out.port);
+    return parsed.ec == std::errc{} && parsed.ptr == last ? std::optional{out} : std::nullopt;
+}
+
 net::peer_address read_address(json_object_reader& in, const std::string& name)
 {
     const auto text = in.required_string(name);
-    net::peer_address out;
-    const auto colon = text.rfind(':');
-    bool good = colon != std::string::npos && colon > 0 && text.find_first_not_of("0123456789.") == colon;
-    if (good)
-    {
-        out.host = text.substr(0, colon);
-        const auto* last = text.data() + text.size();
-        const auto parsed = std::from_chars(text.data() + colon + 1, last, out.port);
-        good = parsed.ec == std::errc{} && parsed.ptr == last;
-    }
-    if (!text.empty() && !good)
+    const auto out = parse_address(text);
+    if (!text.empty() && !out)
         in.fault(name, "must be an IP number and a port, such as 10.0.0.1:7100");
+    return out.value_or(net::peer_address{});
+}
+
+/// Addresses, of which the IP numbers count: platforms name seeds by another port than that of datagrams.
+std::vector<std::string> read_seeds(json_object_reader& in)
+{
+    std::vector<std::string> out;
+    for (const auto& it : in.optional_strings("seeds"))
+        if (const auto address = parse_address(it))
+            out.push_back(address->host);
+        else
+            in.fault("seeds", "must be IP numbers and ports, such as 10.0.0.1:7100");
     return out;
 }
 
@@ -104,6 +120,7 @@
                      static_cast<std::uint16_t>(e.optional_integer("metrics_port", 0, 0, max_port));
              });
     out.store = read_address(in, "store");
+    out.seeds = read_seeds(in);
     in.object("bounds", [&](auto& e) { read_bounds(e, out); });
     in.object("tuning", [&](auto& e) { read_tuning(e, out.tuning); });
     out.log_lines_per_second = static_cast<std::uint32_t>(
--- a/src/runlink/gateway/gossip_link.cpp
+++ b/src/runlink/gateway/gossip_link.cpp
@@ -71,18 +71,27 @@
     return socket_.localPort();
 }
 
-void gossip_link::put_peer(const core::instance_id& id, const std::string& host, std::uint16_t port)
+void gossip_link::put_peer(const control::peer_entry& it)
 {
-    if (id != self_)
-        peers_[id] = {QHostAddress{QString::fromStdString(host)}, port};
+    if (it.id == self_)
+        return;
+    peers_[it.id] = {QHostAddress{QString::fromStdString(it.host)}, it.port};
+    addresses_.erase(it.id);
+}
+
+void gossip_link::put_address(const core::instance_id& id, const std::string& host, std::uint16_t port)
+{
+    addresses_[id] = {QHostAddress{QString::fromStdString(host)}, port};
 }
 
 void gossip_link::send_to(const std::vector<core::instance_id>& to, const proto::datagram& it)
 {
     const auto bytes = pack(proto::encode(it));
     for (const auto& id : to)
-        if (const auto found = peers_.find(id); found != peers_.end())
-            write(found->second, bytes);
+        if (const auto peer = peers_.find(id); peer != peers_.end())
+            write(peer->second, bytes);
+        else if (const auto address = addresses_.find(id); address != addresses_.end())
+            write(address->second, bytes);
 }
 
 void gossip_link::write(const peer& to, const QByteArray& bytes)
--- a/src/runlink/gateway/kv_http_store.cpp
+++ b/src/runlink/gateway/kv_http_store.cpp
@@ -46,20 +46,6 @@
         send(wire_.commit(it), options_.call_timeout,
              [this, to](int status, const std::string& body) { to(wire_.read_commit(status, body)); });
     };
-    out.grant =
-        [this](core::milliseconds ttl, const std::function<void(control::kv_result<control::kv_lease>)>& to)
-    {
-        ++counters_.grants;
-        send(wire_.grant(ttl), options_.call_timeout,
-             [this, to](int status, const std::string& body) { to(wire_.read_lease(status, body)); });
-    };
-    out.renew =
-        [this](std::uint64_t lease, const std::function<void(control::kv_result<control::kv_lease>)>& to)
-    {
-        ++counters_.renewals;
-        send(wire_.renew(lease), options_.call_timeout,
-             [this, to](int status, const std::string& body) { to(wire_.read_lease(status, body)); });
-    };
     out.cancel_watch = [this]
     {
         const auto it = watch_.lock();
--- a/src/runlink/proto/gossip_codec.cpp
+++ b/src/runlink/proto/gossip_codec.cpp
@@ -49,9 +49,14 @@
 void write(const control::sync_request& it, wire::Datagram& to)
 {
     auto& out = *to.mutable_request();
-    out.set_sender(it.sender.str());
+    out.set_sender(it.sender.id.str());
+    out.set_failure_domain(it.sender.failure_domain.str());
+    out.set_host(it.sender.host);
+    out.set_port(it.sender.port);
+    out.set_link_mbps(it.sender.link_mbps);
     out.set_number(it.number);
     out.set_store_revision(it.store_revision);
+    out.set_joining(it.is_joining);
 }
 
 void write(const control::sync_reply& it, wire::Datagram& to)
@@ -102,7 +107,16 @@
 
 datagram read(const wire::SyncRequest& in)
 {
-    return control::sync_request{core::instance_id{in.sender()}, in.number(), in.store_revision()};
+    control::sync_request out;
+    out.sender.id = core::instance_id{in.sender()};
+    out.sender.failure_domain = core::failure_domain_id{in.failure_domain()};
+    out.sender.host = in.host();
+    out.sender.port = static_cast<std::uint16_t>(in.port());
+    out.sender.link_mbps = in.link_mbps();
+    out.number = in.number();
+    out.store_revision = in.store_revision();
+    out.is_joining = in.joining();
+    return out;
 }
 
 datagram read(const wire::SyncReply& in)
