Requests that come before the first configuration wait for it a moment

Ruled out: the proof (15 refusals), the choice of relays (later).

Change: start_queue holds a request for 0.7 s at most, a third of its time at most, and only in the first 1.5 s of a process; a seed without a view answers those that start when it has one.

--- a/include/runlink/control/relay.hpp
+++ b/include/runlink/control/relay.hpp
@@ -141,10 +141,7 @@
     /// All changes up to the revision are remembered; sends them to subscribers.
     void publish(time_point now, std::uint64_t revision);
     /// The store's items as they are at the revision; what came before is not remembered.
-    void remember_all(const std::vector<kv_item>& items, std::uint64_t revision)
-    {
-        history_.reset(items, revision);
-    }
+    void remember_all(time_point now, const std::vector<kv_item>& items, std::uint64_t revision);
 
     void on_request(time_point now, const sync_request& it);
     void on_reply(time_point now, const sync_reply& it);
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -20,6 +20,7 @@
 #include "runlink/routing/rollout_control.hpp"
 #include "runlink/routing/routing_table.hpp"
 #include "runlink/routing/session_pins.hpp"
+#include "runlink/routing/start_queue.hpp"
 
 namespace runlink::routing
 {
@@ -49,6 +50,7 @@
     double move_after = 2.0;
     /// Part of the target gap without an event after which a stream is resumed elsewhere.
     double stall_after = 0.9;
+    start_queue_options start;
     admission_options admission;
     retry_options retries;
     rollout_options rollouts;
@@ -139,6 +141,8 @@
     request_forwarder(const request_forwarder&) = delete;
     request_forwarder& operator=(const request_forwarder&) = delete;
 
+    /// The process has started; requests may wait for the first table for a moment.
+    void begin_start(time_point now) { start_queue_.open(now); }
     /// A newer table is in force.
     void apply(routing_table_ptr table);
     const routing_table_ptr& table() const { return table_; }
@@ -191,7 +195,7 @@
     void keep_house(time_point now);
     std::optional<time_point> next_due() const;
 
-    std::size_t active_count() const { return flows_.size(); }
+    std::size_t active_count() const { return flows_.size() + start_queue_.size(); }
     const forwarder_counters& counters() const { return counters_; }
 
 private:
@@ -239,6 +243,10 @@
     };
 
     // Arrival
+    /// Whether a table is there by which requests may be admitted.
+    bool is_started(time_point now) const;
+    void take(time_point now, time_point arrived, flow_id id, inbound_request request);
+    void take_held(time_point now);
     std::optional<refusal> admit(time_point now, flow& it);
     std::optional<refusal> check_key(time_point now, flow& it);
     void place(flow& it) const;
@@ -305,6 +313,8 @@
     session_pins pins_;
     cascade_policy cascade_;
     admission admission_;
+    start_queue start_queue_;
+    bool may_release_ = false; ///< held requests may be decided on
     std::map<service_id, retry_allowance> retries_;
     std::map<flow_id, flow> flows_;
     std::map<attempt_id, attempt> attempts_;
--- a/src/runlink/control/relay.cpp
+++ b/src/runlink/control/relay.cpp
@@ -170,6 +170,13 @@
     history_.remember(it);
 }
 
+void relay::remember_all(time_point now, const std::vector<kv_item>& items, std::uint64_t revision)
+{
+    history_.reset(items, revision);
+    if (!joiners_.empty())
+        answer_joiners_at_ = now;
+}
+
 sync_reply relay::make_reply(time_point now, std::uint64_t since, bool is_joining) const
 {
     const auto view = hooks_.view(now);
@@ -200,14 +207,17 @@
     if (it.sender.failure_domain == domain_)
         heard_[from] = now;
     unanswered_.erase(from);
-    if (hooks_.view(now).store_revision == 0)
-        return; // nothing is known yet; others are
+    const bool has_view = hooks_.view(now).store_revision != 0;
     if (it.is_joining)
     {
+        // Without a view they wait for it: when all start at once it is a moment away.
         joiners_[{it.store_revision, it.number}].push_back(from);
-        answer_joiners_at_ = answer_joiners_at_.value_or(now + options_.joiners_gather);
+        if (has_view)
+            answer_joiners_at_ = answer_joiners_at_.value_or(now + options_.joiners_gather);
         return;
     }
+    if (!has_view)
+        return;
     subscribers_[from] = {now, it.store_revision};
     auto out = make_reply(now, it.store_revision, false);
     out.number = it.number;
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -131,6 +131,7 @@
         gossip_.put_address(it, it.str(), peers_port_);
     follower_.set_direct(now, false); // until the instance is introduced
     forwarder_.rollouts().set_follows_store(false);
+    forwarder_.begin_start(now);
     join_.start(now);
     rearm();
     return boost::outcome_v2::success();
--- a/src/runlink/gateway/gateway_daemon_store.cpp
+++ b/src/runlink/gateway/gateway_daemon_store.cpp
@@ -252,7 +252,7 @@
     }
     is_listed_ = true;
     forwarder_.endpoints().replace(now, endpoints);
-    relay_.remember_all(items, follower_.revision());
+    relay_.remember_all(now, items, follower_.revision());
     join_.on_listed(now);
     log_state("listed", std::to_string(endpoints.size()) + " endpoints");
     rearm();
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -12,7 +12,7 @@
     : options_{std::move(options)}, hooks_{std::move(hooks)}, chooser_{options_.chooser,
                                                                        std::move(own_domain)},
       liveness_{options_.liveness}, rollouts_{options_.rollouts, instance_seed}, pins_{options_.session_ttl},
-      cascade_{options_.cascade}, admission_{options_.admission}
+      cascade_{options_.cascade}, admission_{options_.admission}, start_queue_{options_.start}
 {
 }
 
@@ -22,11 +22,13 @@
         if (!it.account.empty() && !it.key_held_at && table->find_account(it.request.key) == nullptr)
             it.key_held_at = proven_at_;
     table_ = std::move(table);
+    may_release_ = true;
 }
 
 void request_forwarder::proven_current(time_point sent_at)
 {
     proven_at_ = std::max(proven_at_.value_or(sent_at), sent_at);
+    may_release_ = true;
 }
 
 std::optional<core::duration> request_forwarder::proof_age(time_point now) const
@@ -46,6 +48,8 @@
 
 void request_forwarder::on_caller_left(time_point now, flow_id id)
 {
+    if (start_queue_.drop(id))
+        ++counters_.callers_left;
     const auto found = flows_.find(id);
     if (found == flows_.end())
         return;
--- a/src/runlink/routing/request_forwarder_arrival.cpp
+++ b/src/runlink/routing/request_forwarder_arrival.cpp
@@ -22,11 +22,29 @@
 void request_forwarder::on_request(time_point now, flow_id id, inbound_request request)
 {
     ++counters_.requests;
+    if (is_started(now) || !start_queue_.try_hold(now, id, request))
+        take(now, now, id, std::move(request));
+}
+
+bool request_forwarder::is_started(time_point now) const
+{
+    return table_ && (!table_->has_accounts() || keys_hold(now));
+}
+
+void request_forwarder::take_held(time_point now)
+{
+    const bool all = std::exchange(may_release_, false) && is_started(now);
+    for (auto& it : all ? start_queue_.take_all() : start_queue_.take_due(now))
+        take(now, it.arrived, it.id, std::move(it.request));
+}
+
+void request_forwarder::take(time_point now, time_point arrived, flow_id id, inbound_request request)
+{
     flow it;
     it.id = id;
     it.request = std::move(request);
     it.table = table_;
-    it.arrived = now;
+    it.arrived = arrived;
     it.last_progress = now;
     if (const auto why = admit(now, it))
     {
@@ -63,8 +81,8 @@
     }
     if (auto why = check_key(now, it))
         return why;
-    const auto time = std::min(it.request.time_left, it.via->timeout);
-    it.deadline = now + time;
+    it.deadline = it.arrived + std::min(it.request.time_left, it.via->timeout);
+    const auto time = std::chrono::floor<milliseconds>(it.deadline - now);
     if (time <= options_.least_time)
         return unavailable(core::errc::deadline_exceeded, "arrival");
     if (stop_ && now >= stop_->closed_from && it.deadline > stop_->end)
@@ -74,7 +92,7 @@
     if (!expected)
         return std::nullopt;
     const auto come_back =
-        admission_.refuse_for(expected->wait, milliseconds{time}, core::stable_hash(it.request.id.str()));
+        admission_.refuse_for(expected->wait, time, core::stable_hash(it.request.id.str()));
     if (!come_back)
         return std::nullopt;
     return refusal{status_unavailable, true, {core::errc::overloaded, "backlog", come_back}};
--- a/src/runlink/routing/request_forwarder_timers.cpp
+++ b/src/runlink/routing/request_forwarder_timers.cpp
@@ -112,6 +112,8 @@
 
 void request_forwarder::tick(time_point now)
 {
+    if (start_queue_.size() > 0)
+        take_held(now);
     while (!timers_.empty() && timers_.begin()->first <= now)
     {
         const auto id = timers_.begin()->second;
@@ -124,7 +126,11 @@
 
 std::optional<time_point> request_forwarder::next_due() const
 {
-    return timers_.empty() ? std::nullopt : std::optional{timers_.begin()->first};
+    const auto held =
+        may_release_ && start_queue_.size() > 0 ? std::optional{time_point{}} : start_queue_.next_due();
+    if (timers_.empty() || !held)
+        return timers_.empty() ? held : std::optional{timers_.begin()->first};
+    return std::min(timers_.begin()->first, *held);
 }
 
 } // namespace runlink::routing
--- a/tests/support/forwarding_script.cpp
+++ b/tests/support/forwarding_script.cpp
@@ -274,6 +274,7 @@
     std::uint64_t next_flow_ = 1;
     std::map<std::string, std::function<void(const words&)>> commands_{
         {"table", [this](const words& all) { set_table(all); }},
+        {"starting", [this](const words&) { forwarder_.begin_start(now_); }},
         {"proven", [this](const words&) { forwarder_.proven_current(now_); }},
         {"endpoint", [this](const words& all) { put_endpoint(all); }},
         {"gone",
