Wake-ups are noticed; starts take late views, with the deletions before them

Cause: (1) nothing looked for a process that had stood still: requests that lay on its sockets for seconds counted as new and could be sent on after their callers' time, a relay that woke after a long freeze would have removed all it had not heard, and watches waited on dead connections. (2) In a start after a loss of power 190 of 295 instances had the view 0.25 s later than a seed: seeds start in any order, a question to one that is not up is lost, and its answer to an earlier question was dropped. (3) 50 followers read the store anew when a relay restarted, because its memory began at its start.

Change: loop_watch compares turns of the loop with when its timer was due; after a pause deadlines count from its beginning, keys wait for a new proof, watch, proof and relay are asked at once and silence is counted anew. A view comes with the deletions that the seed remembers.

--- a/include/runlink/control/change_history.hpp
+++ b/include/runlink/control/change_history.hpp
@@ -46,6 +46,7 @@
     void remember(const kv_event& it);
     /// Whether all that changed behind the revision is known.
     bool reaches(std::uint64_t since) const { return since >= complete_since_; }
+    std::uint64_t complete_since() const { return complete_since_; }
     history_part behind(std::uint64_t since) const;
 
 private:
--- a/include/runlink/control/fleet_join.hpp
+++ b/include/runlink/control/fleet_join.hpp
@@ -15,9 +15,9 @@
 /// Parameters of a start.
 struct join_options
 {
-    /// A seed that does not answer within this is not there, or has no view of the store yet: far above the
-    /// way and back and the time in which a small processor compresses the view.
-    milliseconds answer_timeout{250};
+    /// After this the next seed is asked: above the way and back and the time in which a small processor
+    /// compresses the view. Where all start at once a seed may start a moment later and hear nothing before.
+    milliseconds answer_timeout{120};
     /// After this the store is read instead. Seeds need a moment themselves when all start at once.
     milliseconds patience{1500};
     /// The own entry is to be listed within this; else it is written by this instance itself.
@@ -27,6 +27,14 @@
     milliseconds settle_time{600};
 };
 
+/// What the store holds at a revision, and deletions behind an earlier one.
+struct joined_view
+{
+    std::vector<kv_event> events;
+    std::uint64_t revision = 0;
+    std::uint64_t complete_since = 0;
+};
+
 /// What a start orders.
 struct join_hooks
 {
@@ -34,7 +42,7 @@
     /// Read the store itself.
     std::function<void()> list;
     /// The store as another instance knows it, whole.
-    std::function<void(time_point, std::vector<kv_item>, std::uint64_t revision)> take_view;
+    std::function<void(time_point, const joined_view&)> take_view;
     /// Who is asked for changes until relays are chosen; the own id: the store itself.
     std::function<void(time_point, const instance_id&)> introduce;
     /// Relays may be chosen.
@@ -90,8 +98,7 @@
     phase phase_ = phase::asking;
     std::size_t seed_ = 0;
     std::uint64_t number_ = 0;
-    std::uint64_t received_ = 0; ///< revision up to which the view of the seed is here
-    std::vector<kv_item> view_;
+    joined_view view_; ///< as far as it is here
     time_point give_up_at_{};
     time_point list_by_{};
     bool is_listed_ = false;
--- a/include/runlink/control/relay.hpp
+++ b/include/runlink/control/relay.hpp
@@ -43,6 +43,8 @@
     std::optional<milliseconds> proof_age;
     std::uint64_t configuration_revision = 0;
     std::uint64_t since = 0; ///< the events follow this revision without a gap
+    /// For an instance that starts: which deletions it learns as well, those behind this revision.
+    std::uint64_t complete_since = 0;
     std::uint64_t store_revision = 0;
     bool has_more = false;     ///< more changes follow the last one here; `store_revision` is that one's
     bool history_gone = false; ///< the relay does not know all that came after the asked revision
@@ -143,8 +145,19 @@
     /// The store's items as they are at the revision; what came before is not remembered.
     void remember_all(time_point now, const std::vector<kv_item>& items, std::uint64_t revision);
 
+    /// The same, as another instance told it, with the deletions behind `complete_since`. Those that ask a
+    /// relay which has just started need not read the store then.
+    void remember_view(const std::vector<kv_event>& events, std::uint64_t complete_since)
+    {
+        history_.reset({}, complete_since);
+        for (const auto& it : events)
+            history_.remember(it);
+    }
+
     void on_request(time_point now, const sync_request& it);
     void on_reply(time_point now, const sync_reply& it);
+    /// The process stood still: what it has not heard meanwhile says nothing, and a proof is due.
+    void on_wake(time_point now);
     /// The store itself has answered this instance.
     void on_own_proof(time_point now);
     void tick(time_point now);
--- a/include/runlink/control/store_follower.hpp
+++ b/include/runlink/control/store_follower.hpp
@@ -82,6 +82,9 @@
     void on_call_failed(time_point now, kv_error why) { note_failure(now, why); }
     void on_call_succeeded(time_point now) { note_success(now); }
 
+    /// The process stood still: a watch may wait on a connection that is dead, and a proof is due.
+    void on_wake(time_point now);
+
     bool is_connected() const { return !lost_at_; }
 
 private:
--- a/include/runlink/gateway/gateway_daemon.hpp
+++ b/include/runlink/gateway/gateway_daemon.hpp
@@ -20,6 +20,7 @@
 #include "runlink/gateway/gateway_settings.hpp"
 #include "runlink/gateway/gossip_link.hpp"
 #include "runlink/gateway/kv_http_store.hpp"
+#include "runlink/gateway/loop_watch.hpp"
 
 namespace runlink::gateway
 {
@@ -88,6 +89,9 @@
     void on_metrics(const std::shared_ptr<net::caller_connection>& from);
     std::string metrics_text() const;
     void rearm();
+    /// The time of an event; sees whether the process stood still before it.
+    core::time_point begin_turn();
+    void on_wake(core::time_point now, core::time_point since);
     void on_timer();
     void keep_house(core::time_point now);
     void check_stop(core::time_point now);
@@ -97,6 +101,7 @@
     gateway_settings settings_;
     deployment_binding binding_;
     clock_source clock_;
+    loop_watch loop_;
     observe::decision_log log_;
     observe::metrics metrics_;
     gateway edge_;
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -143,6 +143,10 @@
 
     /// The process has started; requests may wait for the first table for a moment.
     void begin_start(time_point now) { start_queue_.open(now); }
+    /// The process stood still since then. Requests that are read before `end_wake` may have come at any time
+    /// in between: their deadlines count from its beginning, so that none is sent on after its caller's.
+    void on_wake(time_point now, time_point since);
+    void end_wake() { paused_since_.reset(); }
     /// A newer table is in force.
     void apply(routing_table_ptr table);
     const routing_table_ptr& table() const { return table_; }
@@ -314,6 +318,7 @@
     cascade_policy cascade_;
     admission admission_;
     start_queue start_queue_;
+    std::optional<time_point> paused_since_;
     bool may_release_ = false; ///< held requests may be decided on
     std::map<service_id, retry_allowance> retries_;
     std::map<flow_id, flow> flows_;
--- a/include/runlink/routing/start_queue.hpp
+++ b/include/runlink/routing/start_queue.hpp
@@ -42,10 +42,10 @@
         inbound_request request;
     };
 
-    /// The process has started.
+    /// The process has started, or goes on after it stood still.
     void open(time_point now) { open_until_ = now + options_.patience; }
     /// Takes the request if waiting may help. Returns whether it did.
-    bool try_hold(time_point now, flow_id id, inbound_request& request);
+    bool try_hold(time_point now, time_point arrived, flow_id id, inbound_request& request);
     /// The caller has left. Returns whether its request was here.
     bool drop(flow_id id);
     std::vector<held> take_all();
--- a/src/runlink/control/control_test.cpp
+++ b/src/runlink/control/control_test.cpp
@@ -238,3 +238,15 @@
     f.advance(core::milliseconds{300});
     CHECK(f.store.cancelled == 1);
 }
+
+TEST_CASE("after the process stood still the watch is begun anew and the configuration proven at once")
+{
+    followed f;
+    f.list();
+    f.now += core::milliseconds{4000};
+    f.it.on_wake(f.now);
+    f.it.tick(f.now);
+    CHECK(f.store.cancelled == 1);
+    CHECK(f.store.watches.size() == 2);
+    CHECK(f.store.written.size() == 1);
+}
--- a/src/runlink/control/fleet_join.cpp
+++ b/src/runlink/control/fleet_join.cpp
@@ -28,7 +28,7 @@
     sync_request out;
     out.sender.id = self_;
     out.number = ++number_;
-    out.store_revision = received_;
+    out.store_revision = view_.revision;
     out.is_joining = true;
     next_ = now + options_.answer_timeout;
     hooks_.ask(seeds_[seed_ % seeds_.size()], out);
@@ -37,35 +37,37 @@
 void fleet_join::ask_next(time_point now)
 {
     // Parts of the views of two instances do not fit together.
-    received_ = 0;
-    view_.clear();
+    view_ = {};
     ++seed_;
     ask(now);
 }
 
 void fleet_join::on_reply(time_point now, const sync_reply& it)
 {
-    const bool is_due = phase_ == phase::asking && it.number == number_ && it.since == received_;
-    if (!is_due || it.store_revision == 0)
+    // A seed that had no view yet may answer after the next one was asked. A whole view is one at any time.
+    const bool is_whole = it.since == 0 && !it.has_more;
+    const bool is_next = it.number == number_ && it.since == view_.revision;
+    if (phase_ != phase::asking || it.store_revision == 0 || (!is_whole && !is_next))
         return;
+    if (is_whole)
+        view_ = {};
     if (!it.omitted.empty())
         return read_store(now); // a value that no datagram carries
-    for (const auto& e : it.events)
-        if (!e.is_deleted)
-            view_.push_back(e.item);
-    received_ = it.store_revision;
+    view_.events.insert(view_.events.end(), it.events.begin(), it.events.end());
+    view_.revision = it.store_revision;
+    view_.complete_since = it.complete_since;
     if (it.has_more)
         return ask(now);
-    hooks_.take_view(now, std::exchange(view_, {}), received_);
+    hooks_.take_view(now, std::exchange(view_, {}));
     begin_settling(now);
-    hooks_.introduce(now, seeds_[seed_ % seeds_.size()]);
+    hooks_.introduce(now, it.sender);
 }
 
 void fleet_join::read_store(time_point now)
 {
     phase_ = phase::reading;
     next_.reset();
-    view_.clear();
+    view_ = {};
     hooks_.list();
     hooks_.introduce(now, self_);
 }
--- a/src/runlink/control/relay.cpp
+++ b/src/runlink/control/relay.cpp
@@ -185,6 +185,7 @@
     out.configuration_revision = view.configuration_revision;
     out.store_revision = view.store_revision;
     out.since = since;
+    out.complete_since = history_.complete_since();
     if (view.proof_age)
         out.proof_age = std::chrono::ceil<milliseconds>(*view.proof_age);
     if (!is_joining && !history_.reaches(since))
@@ -211,6 +212,8 @@
     if (it.is_joining)
     {
         // Without a view they wait for it: when all start at once it is a moment away.
+        for (auto& [group, all] : joiners_)
+            std::erase(all, from); // asked again
         joiners_[{it.store_revision, it.number}].push_back(from);
         if (has_view)
             answer_joiners_at_ = answer_joiners_at_.value_or(now + options_.joiners_gather);
@@ -229,6 +232,8 @@
     answer_joiners_at_.reset();
     for (const auto& [group, all] : std::exchange(joiners_, {}))
     {
+        if (all.empty())
+            continue;
         const auto [since, number] = group;
         auto out = make_reply(now, since, true);
         out.number = number;
@@ -261,6 +266,17 @@
         hooks_.set_direct(now, direct);
 }
 
+void relay::on_wake(time_point now)
+{
+    if (!next_)
+        return;
+    heard_.clear();
+    unanswered_.clear();
+    relay_since_.reset();
+    asked_at_.reset();
+    next_ = now;
+}
+
 std::optional<time_point> relay::next_due() const
 {
     if (!next_ || !answer_joiners_at_)
--- a/src/runlink/control/relay_test.cpp
+++ b/src/runlink/control/relay_test.cpp
@@ -458,3 +458,37 @@
     f.advance(3000);
     CHECK(f.direct() == std::vector<std::string>{"n9"});
 }
+
+TEST_CASE("a relay that stood still does not take the others' silence for their end")
+{
+    relayed f{{"n1", "n2", "n3", "n9"}};
+    f.advance(3000);
+    f.now += core::milliseconds{60000};
+    auto& relay = f.members.at("n9");
+    relay.logic->on_wake(f.now);
+    f.advance(5000);
+    CHECK(relay.forgotten.empty());
+    for (auto& [name, it] : f.members)
+        it.proven.reset();
+    f.now += core::milliseconds{60000};
+    auto& follower = f.follower();
+    follower.logic->on_wake(f.now);
+    f.advance(1);
+    CHECK(follower.proven); // it asks at once
+}
+
+TEST_CASE(
+    "those that ask a relay which has just started learn what was deleted before, and read nothing anew")
+{
+    relayed f{{"n1", "n2", "n3", "n4"}};
+    f.advance(3000);
+    auto& follower = f.follower();
+    for (const auto& name : f.direct())
+    {
+        auto& it = f.members.at(name);
+        it.view.store_revision = 50;
+        it.logic->remember_view({{{"servers/b", "", 40}, true}, {{"servers/c", "v", 50}, false}}, 5);
+    }
+    f.advance(1000);
+    CHECK(follower.told == std::vector<std::string>{"servers/b", "servers/c"});
+}
--- a/src/runlink/control/store_follower.cpp
+++ b/src/runlink/control/store_follower.cpp
@@ -229,6 +229,14 @@
     watch();
 }
 
+void store_follower::on_wake(time_point now)
+{
+    if (!is_direct_)
+        return;
+    watch_anew();
+    prove_soon(now, milliseconds{0});
+}
+
 void store_follower::check_watch()
 {
     if (proven_revision_ > revision_)
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -45,7 +45,7 @@
 } // namespace
 
 gateway_daemon::gateway_daemon(gateway_settings settings, deployment_binding binding)
-    : settings_{std::move(settings)}, binding_{std::move(binding)}, clock_{steady_now},
+    : settings_{std::move(settings)}, binding_{std::move(binding)}, clock_{[this] { return begin_turn(); }},
       log_{STDOUT_FILENO, {settings_.log_lines_per_second}, settings_.id.str(), wall_ms},
       edge_{{}, binding_.headers, log_, metrics_, clock_}, forwarder_{forwarder_options(),
                                                                       settings_.failure_domain,
@@ -181,14 +181,35 @@
     if (armed_ && *armed_ <= due)
         return;
     armed_ = due;
-    const auto wait = std::chrono::ceil<core::milliseconds>(due - clock_());
+    const auto now = clock_();
+    loop_.expect(std::max(due, now));
+    const auto wait = std::chrono::ceil<core::milliseconds>(due - now);
     timer_.start(std::max(wait, core::milliseconds{0}));
 }
 
+core::time_point gateway_daemon::begin_turn()
+{
+    const auto now = steady_now();
+    if (const auto since = loop_.turn(now))
+        on_wake(now, *since);
+    return now;
+}
+
+void gateway_daemon::on_wake(core::time_point now, core::time_point since)
+{
+    observe::log_line line{"woke"};
+    line.number("paused_ms", std::chrono::floor<core::milliseconds>(now - since).count());
+    log_.write(now, line, observe::log_rank::notable);
+    forwarder_.on_wake(now, since);
+    follower_.on_wake(now);
+    relay_.on_wake(now);
+}
+
 void gateway_daemon::on_timer()
 {
     armed_.reset();
     const auto now = clock_();
+    forwarder_.end_wake();
     forwarder_.tick(now);
     follower_.tick(now);
     relay_.tick(now);
--- a/src/runlink/gateway/gateway_daemon_store.cpp
+++ b/src/runlink/gateway/gateway_daemon_store.cpp
@@ -73,8 +73,15 @@
         gossip_.send_to({to}, with_address);
     };
     out.list = [this] { follower_.start(); };
-    out.take_view = [this](core::time_point, std::vector<control::kv_item> items, std::uint64_t revision)
-    { follower_.start_with(std::move(items), revision); };
+    out.take_view = [this](core::time_point, const control::joined_view& it)
+    {
+        std::vector<control::kv_item> items;
+        for (const auto& e : it.events)
+            if (!e.is_deleted)
+                items.push_back(e.item);
+        follower_.start_with(std::move(items), it.revision);
+        relay_.remember_view(it.events, it.complete_since);
+    };
     out.introduce = [this](core::time_point now, const core::instance_id& by) { relay_.introduce(now, by); };
     out.settle = [this](core::time_point now)
     {
--- a/src/runlink/gateway/gateway_test.cpp
+++ b/src/runlink/gateway/gateway_test.cpp
@@ -2,6 +2,7 @@
 
 #include "runlink/gateway/gateway_settings.hpp"
 #include "runlink/gateway/gossip_link.hpp"
+#include "runlink/gateway/loop_watch.hpp"
 #include "runlink/gateway/translation.hpp"
 #include "runlink/proto/gossip_codec.hpp"
 #include "support/wait_for.hpp"
@@ -168,11 +169,13 @@
     reply.proof_age = core::milliseconds{0};
     reply.events = {{{"k", std::string{"v\0w", 3}, 7}, true}};
     reply.omitted = {"big"};
+    reply.complete_since = 4;
     const auto back = std::get<control::sync_reply>(proto::decode_datagram(proto::encode(reply)));
     CHECK(back.proof_age == core::milliseconds{0});
     CHECK(back.events.at(0).item.value.size() == 3);
     CHECK(back.events.at(0).is_deleted);
     CHECK(back.omitted == reply.omitted);
+    CHECK(back.complete_since == 4);
     CHECK(std::holds_alternative<std::monostate>(proto::decode_datagram("\xff\xff")));
     CHECK(std::holds_alternative<std::monostate>(proto::decode_datagram("")));
 }
@@ -213,3 +216,19 @@
     it.tell(routing::prompt_sent{});
     CHECK(tests::wait_for([&] { return far_one.prompts == 1; }));
 }
+
+TEST_CASE("a turn that comes long after its timer was due follows a pause, and a late one does not")
+{
+    const core::time_point start{core::seconds{100}};
+    const auto at = [&](int ms) { return start + core::milliseconds{ms}; };
+    loop_watch it;
+    CHECK_FALSE(it.turn(at(0)));
+    it.expect(at(500));
+    CHECK_FALSE(it.turn(at(100)));
+    CHECK_FALSE(it.turn(at(1400))); // a busy processor
+    it.expect(at(2000));
+    const auto since = it.turn(at(5000));
+    REQUIRE(since);
+    CHECK(*since == at(1400));
+    CHECK_FALSE(it.turn(at(5001)));
+}
--- a/src/runlink/gateway/gossip_link.cpp
+++ b/src/runlink/gateway/gossip_link.cpp
@@ -164,8 +164,15 @@
 {
     while (socket_.hasPendingDatagrams())
     {
-        const auto bytes = unpack(socket_.receiveDatagram().data());
-        on_message_(proto::decode_datagram({bytes.data(), static_cast<std::size_t>(bytes.size())}));
+        const auto datagram = socket_.receiveDatagram();
+        const auto bytes = unpack(datagram.data());
+        const auto message = proto::decode_datagram({bytes.data(), static_cast<std::size_t>(bytes.size())});
+        // A seed is known by its address before its entry is listed.
+        if (const auto* reply = std::get_if<control::sync_reply>(&message))
+            if (!peers_.contains(reply->sender))
+                addresses_[reply->sender] = {datagram.senderAddress(),
+                                             static_cast<std::uint16_t>(datagram.senderPort())};
+        on_message_(message);
     }
 }
 
--- a/src/runlink/proto/gossip_codec.cpp
+++ b/src/runlink/proto/gossip_codec.cpp
@@ -68,6 +68,7 @@
     out.set_proof_age_ms(it.proof_age ? static_cast<std::uint64_t>(it.proof_age->count()) : 0);
     out.set_configuration_revision(it.configuration_revision);
     out.set_since(it.since);
+    out.set_complete_since(it.complete_since);
     out.set_store_revision(it.store_revision);
     out.set_history_gone(it.history_gone);
     out.set_has_more(it.has_more);
@@ -128,6 +129,7 @@
         out.proof_age = core::milliseconds{static_cast<core::milliseconds::rep>(in.proof_age_ms())};
     out.configuration_revision = in.configuration_revision();
     out.since = in.since();
+    out.complete_since = in.complete_since();
     out.store_revision = in.store_revision();
     out.history_gone = in.history_gone();
     out.has_more = in.has_more();
--- a/src/runlink/routing/request_forwarder_arrival.cpp
+++ b/src/runlink/routing/request_forwarder_arrival.cpp
@@ -22,8 +22,15 @@
 void request_forwarder::on_request(time_point now, flow_id id, inbound_request request)
 {
     ++counters_.requests;
-    if (is_started(now) || !start_queue_.try_hold(now, id, request))
-        take(now, now, id, std::move(request));
+    const auto arrived = paused_since_.value_or(now);
+    if (is_started(now) || !start_queue_.try_hold(now, arrived, id, request))
+        take(now, arrived, id, std::move(request));
+}
+
+void request_forwarder::on_wake(time_point now, time_point since)
+{
+    paused_since_ = since;
+    start_queue_.open(now); // keys may need a new proof, which is a moment away
 }
 
 bool request_forwarder::is_started(time_point now) const
--- a/src/runlink/routing/start_queue.cpp
+++ b/src/runlink/routing/start_queue.cpp
@@ -7,13 +7,13 @@
 namespace runlink::routing
 {
 
-bool start_queue::try_hold(time_point now, flow_id id, inbound_request& request)
+bool start_queue::try_hold(time_point now, time_point arrived, flow_id id, inbound_request& request)
 {
     if (!open_until_ || now >= *open_until_ || queue_.size() >= options_.most)
         return false;
     const auto part = static_cast<double>(request.time_left.count()) * options_.part_of_time_left;
     const auto wait = std::min(options_.longest_wait, milliseconds{static_cast<milliseconds::rep>(part)});
-    queue_.push_back({id, now, std::min(now + wait, *open_until_), std::move(request)});
+    queue_.push_back({id, arrived, std::min(now + wait, *open_until_), std::move(request)});
     return true;
 }
 
--- a/tests/support/forwarding_script.cpp
+++ b/tests/support/forwarding_script.cpp
@@ -249,6 +249,7 @@
         while (now_ < end)
         {
             now_ += milliseconds{1};
+            forwarder_.end_wake();
             forwarder_.tick(now_);
         }
     }
@@ -275,6 +276,13 @@
     std::map<std::string, std::function<void(const words&)>> commands_{
         {"table", [this](const words& all) { set_table(all); }},
         {"starting", [this](const words&) { forwarder_.begin_start(now_); }},
+        {"pause",
+         [this](const words& all)
+         {
+             const auto since = now_;
+             now_ += milliseconds{std::stol(all.at(1))};
+             forwarder_.on_wake(now_, since);
+         }},
         {"proven", [this](const words&) { forwarder_.proven_current(now_); }},
         {"endpoint", [this](const words& all) { put_endpoint(all); }},
         {"gone",
