--- /dev/null
+++ b/src/runlink/gateway/gateway_daemon_peers.cpp
@@ -0,0 +1,233 @@
+// What the daemon and other instances tell each other: starts, entries, changes, proofs and loads.
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "runlink/core/hash.hpp"
+#include "runlink/gateway/gateway_daemon.hpp"
+
+namespace runlink::gateway
+{
+namespace
+{
+
+/// Followers read a new configuration within this of its news, well inside the time in which it must be in
+/// force.
+constexpr std::uint64_t fetch_spread_ms = 300;
+
+} // namespace
+
+std::vector<core::instance_id> gateway_daemon::seeds() const
+{
+    std::vector<core::instance_id> out;
+    for (const auto& it : settings_.seeds)
+    {
+        if (it == settings_.peers.host)
+            return {}; // others ask this one
+        out.emplace_back(it);
+    }
+    return out;
+}
+
+control::peer_entry gateway_daemon::own_entry() const
+{
+    return {settings_.id, settings_.failure_domain, settings_.peers.host, peers_port_, settings_.link_mbps};
+}
+
+control::join_hooks gateway_daemon::join_hooks()
+{
+    control::join_hooks out;
+    out.ask = [this](const core::instance_id& to, const control::sync_request& it)
+    {
+        auto with_address = it;
+        with_address.sender = own_entry();
+        gossip_.send_to({to}, with_address);
+    };
+    out.list = [this] { follower_.start(); };
+    out.take_view = [this](core::time_point, const control::joined_view& it)
+    {
+        std::vector<control::kv_item> items;
+        for (const auto& e : it.events)
+            if (!e.is_deleted)
+                items.push_back(e.item);
+        follower_.start_with(std::move(items), it.revision);
+        relay_.remember_view(it.events, it.complete_since);
+    };
+    out.introduce = [this](core::time_point now, const core::instance_id& by) { relay_.introduce(now, by); };
+    out.settle = [this](core::time_point now)
+    {
+        log_state("settled", std::to_string(gossip_.peer_count()) + " other instances");
+        relay_.start(now);
+    };
+    return out;
+}
+
+void gateway_daemon::on_sync_request(core::time_point now, const control::sync_request& it)
+{
+    gossip_.put_address(it.sender.id, it.sender.host, it.sender.port);
+    if (relay_.is_direct())
+        registry_.announce(now, it.sender);
+    relay_.on_request(now, it);
+}
+
+void gateway_daemon::take_peer(core::time_point now, const control::peer_entry& it)
+{
+    registry_.listed(it);
+    if (it.id == settings_.id)
+    {
+        if (it == own_entry())
+            join_.on_own_entry(now);
+        return;
+    }
+    gossip_.put_peer(it);
+    relay_.put_peer(it.id, it.failure_domain, it.link_mbps);
+}
+
+void gateway_daemon::drop_peer(const core::instance_id& id)
+{
+    registry_.unlisted(id);
+    gossip_.remove_peer(id);
+    relay_.remove_peer(id);
+}
+
+void gateway_daemon::drop_unlisted_peers(const std::vector<control::kv_item>& items)
+{
+    std::set<core::instance_id> listed;
+    for (const auto& it : items)
+        if (const auto name = binding_.documents.name(it.key);
+            std::holds_alternative<control::peer_key>(name))
+            listed.insert(std::get<control::peer_key>(name).id);
+    for (const auto& id : registry_.listed_ids())
+        if (!listed.contains(id))
+            drop_peer(id);
+}
+
+void gateway_daemon::write_members(const control::registry_batch& it,
+                                   control::member_registry::done_handler done)
+{
+    control::kv_transaction write;
+    for (const auto& e : it.put)
+        write.writes.push_back(binding_.documents.write_peer(e));
+    for (const auto& id : it.removed)
+        write.removals.push_back(binding_.documents.write_peer({id, {}, {}, 0, 0}).key);
+    log_state("members_written",
+              std::to_string(it.put.size()) + " listed, " + std::to_string(it.removed.size()) + " removed");
+    store_port_.commit(write,
+                       [this, done = std::move(done)](const control::kv_commit_result& result)
+                       {
+                           const auto at = clock_();
+                           if (const auto* why = std::get_if<control::kv_error>(&result))
+                               follower_.on_call_failed(at, *why);
+                           else
+                               follower_.on_call_succeeded(at);
+                           const bool is_done = std::holds_alternative<control::kv_committed>(result);
+                           done(is_done ? control::registry_outcome::done
+                                        : control::registry_outcome::failed);
+                           rearm();
+                       });
+}
+
+void gateway_daemon::on_datagram(const proto::datagram& it)
+{
+    const auto now = clock_();
+    if (const auto* gossip = std::get_if<routing::gossip_message>(&it))
+        on_gossip(now, *gossip);
+    else if (const auto* request = std::get_if<control::sync_request>(&it))
+        on_sync_request(now, *request);
+    else if (const auto* load = std::get_if<routing::load_digest>(&it))
+        on_load_digest(now, *load);
+    else if (const auto* reply = std::get_if<control::sync_reply>(&it))
+    {
+        if (join_.is_asking())
+            join_.on_reply(now, *reply);
+        else
+            relay_.on_reply(now, *reply);
+    }
+    rearm();
+}
+
+control::relay_hooks gateway_daemon::relay_hooks()
+{
+    control::relay_hooks out;
+    out.ask = [this](const core::instance_id& to, const control::sync_request& it)
+    {
+        auto with_address = it;
+        with_address.sender = own_entry();
+        gossip_.send_to({to}, with_address);
+    };
+    out.reply = [this](const std::vector<core::instance_id>& to, const control::sync_reply& it)
+    { gossip_.send_to(to, it); };
+    out.view = [this](core::time_point now)
+    {
+        control::store_view it;
+        it.store_revision = follower_.revision();
+        it.configuration_revision = follower_.configuration_revision();
+        if (proven_at_)
+            it.proof_age = now - *proven_at_;
+        return it;
+    };
+    out.set_direct = [this](core::time_point now, bool direct)
+    {
+        log_state("store_followed", direct ? "directly" : "by a relay");
+        follower_.set_direct(now, direct);
+        forwarder_.rollouts().set_follows_store(direct);
+    };
+    out.apply = [this](core::time_point now, const std::vector<control::kv_event>& events,
+                       std::uint64_t revision) { follower_.apply(now, events, revision); };
+    out.fetch = [this](core::time_point now, const std::vector<std::string>& keys)
+    {
+        const bool is_configuration =
+            std::all_of(keys.begin(), keys.end(),
+                        [this](const auto& it) { return it == binding_.documents.configuration_key; });
+        if (is_configuration)
+            // Not all followers at the same moment: the store bounds its calls a second.
+            follower_.prove_soon(now, core::milliseconds{static_cast<core::milliseconds::rep>(
+                                          core::stable_hash(settings_.id.str()) % fetch_spread_ms)});
+        else
+            follower_.list_again();
+    };
+    out.list_again = [this] { follower_.list_again(); };
+    out.probe = [this](core::time_point now) { follower_.prove_soon(now, core::milliseconds{0}); };
+    out.proven = [this](core::time_point sent_at) { note_proof(sent_at); };
+    out.forget = [this](core::time_point now, const core::instance_id& id)
+    {
+        log_state("instance_silent", id.str());
+        registry_.withdraw(now, id);
+    };
+    return out;
+}
+
+void gateway_daemon::exchange_loads(core::time_point now)
+{
+    next_digest_.reset();
+    if (!relay_.is_relay() || gossip_.tells_far())
+        return;
+    next_digest_ = now + far_loads_.options().interval;
+    gossip_.send_to(relay_.other_relays(), forwarder_.near_loads(now, far_loads_.options().least_load));
+    const auto far = far_loads_.merged(now);
+    gossip_.tell_near(far);
+    forwarder_.on_far_loads(now, far);
+}
+
+void gateway_daemon::on_load_digest(core::time_point now, const routing::load_digest& it)
+{
+    if (!it.domain.empty())
+        far_loads_.on_digest(now, it); // from another relay
+    else if (!gossip_.tells_far())
+        forwarder_.on_far_loads(now, it);
+}
+
+void gateway_daemon::on_gossip(core::time_point now, const routing::gossip_message& it)
+{
+    for (const auto& e : it.runs)
+        forwarder_.on_peer_run(now, e);
+    for (const auto& e : it.prompts)
+        forwarder_.on_peer_prompt(now, e);
+    for (const auto& e : it.answers)
+        forwarder_.on_peer_answer(now, e);
+    if (!it.sender.str().empty()) // one with prompts alone names no sender
+        forwarder_.rollouts().on_peer_evidence(it.sender, it.evidence);
+}
+
+} // namespace runlink::gateway
