--- a/include/runlink/control/fleet_join.hpp
+++ b/include/runlink/control/fleet_join.hpp
@@ -43,13 +43,13 @@
     std::function<void()> list;
     /// The store as another instance knows it, whole.
     std::function<void(time_point, const joined_view&)> take_view;
-    /// Who is asked for changes until relays are chosen; the own id: the store itself.
+    /// Which instance is asked for changes until relays are chosen; the own id stands for the store itself.
     std::function<void(time_point, const instance_id&)> introduce;
     /// Relays may be chosen.
     std::function<void(time_point)> settle;
 };
 
-/// Asks a seed for its view of the store, or reads the store where there is none; then waits until the own
+/// Asks a seed for its view of the store, or reads the store where no seed answers; then waits until the own
 /// entry is listed.
 ///
 /// Answers starts of a whole fleet and of a half of it: only seeds read the store, and nobody follows it
--- a/include/runlink/control/member_registry.hpp
+++ b/include/runlink/control/member_registry.hpp
@@ -60,7 +60,6 @@
     /// The store has no entry of the instance.
     void unlisted(const core::instance_id& id);
     std::vector<core::instance_id> listed_ids() const;
-    bool is_listed(const core::instance_id& id) const { return listed_.contains(id); }
 
     /// An instance tells of itself: its entry is written unless the store has it.
     void announce(core::time_point now, const peer_entry& it);
--- a/include/runlink/control/relay.hpp
+++ b/include/runlink/control/relay.hpp
@@ -210,20 +210,26 @@
     std::uint32_t link_mbps_;
     std::map<instance_id, peer> peers_;
     std::map<instance_id, subscriber> subscribers_;
-    /// Where a joining instance's view goes on, and who waits for an answer from there to which question.
-    using joiner_group = std::pair<std::uint64_t, std::uint64_t>;
+    /// Instances that start and may get the same answer.
+    struct joiner_group
+    {
+        std::uint64_t since = 0;  ///< revision up to which they have a view
+        std::uint64_t number = 0; ///< of their question
+
+        friend auto operator<=>(const joiner_group&, const joiner_group&) = default;
+    };
     std::map<joiner_group, std::vector<instance_id>> joiners_;
     std::optional<time_point> answer_joiners_at_;
     change_history history_;
     std::optional<instance_id> introducer_;
     std::map<instance_id, time_point> heard_; ///< of the own failure domain, while this instance is its relay
     std::optional<time_point> relay_since_;
-    struct vain_questions
+    struct unanswered_questions
     {
         time_point first{};
         std::uint32_t count = 0;
     };
-    std::map<instance_id, vain_questions> unanswered_;
+    std::map<instance_id, unanswered_questions> unanswered_;
     time_point next_heartbeat_{};
     bool direct_ = false;    ///< until the first choice nothing is followed
     std::size_t choice_ = 0; ///< which of the sources is asked first
--- a/include/runlink/routing/start_queue.hpp
+++ b/include/runlink/routing/start_queue.hpp
@@ -4,7 +4,6 @@
 
 #include <cstddef>
 #include <deque>
-#include <functional>
 #include <optional>
 #include <vector>
 
--- a/src/runlink/control/member_registry.cpp
+++ b/src/runlink/control/member_registry.cpp
@@ -1,6 +1,5 @@
 #include "runlink/control/member_registry.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace runlink::control
--- a/src/runlink/control/relay.cpp
+++ b/src/runlink/control/relay.cpp
@@ -236,7 +236,7 @@
 
 void relay::ask_one(time_point now, const instance_id& to)
 {
-    ++unanswered_.try_emplace(to, vain_questions{now, 0}).first->second.count;
+    ++unanswered_.try_emplace(to, unanswered_questions{now, 0}).first->second.count;
     sync_request out;
     out.sender.id = self_;
     out.sender.failure_domain = domain_;
--- a/src/runlink/control/relay_answers.cpp
+++ b/src/runlink/control/relay_answers.cpp
@@ -57,7 +57,7 @@
         // Without a view they wait for it: when all start at once it is a moment away.
         for (auto& [group, all] : joiners_)
             std::erase(all, from); // asked again
-        joiners_[{it.store_revision, it.number}].push_back(from);
+        joiners_[joiner_group{it.store_revision, it.number}].push_back(from);
         if (has_view)
             answer_joiners_at_ = answer_joiners_at_.value_or(now + options_.joiners_gather);
         return;
@@ -77,9 +77,8 @@
     {
         if (all.empty())
             continue;
-        const auto [since, number] = group;
-        auto out = make_reply(now, since, true);
-        out.number = number;
+        auto out = make_reply(now, group.since, true);
+        out.number = group.number;
         hooks_.reply(all, out);
     }
 }
