--- a/include/runlink/control/fleet_join.hpp
+++ b/include/runlink/control/fleet_join.hpp
@@ -21,7 +21,8 @@
     /// The same for the next part of a view, from the seed that sent the first: thousands of endpoints take
     /// several parts of 256 KB, each of which is read and compressed by small processors.
     milliseconds part_timeout{700};
-    /// After this, without a part, the store is read instead. Seeds need a moment themselves when all start at once.
+    /// After this, without a part, the store is read instead. Seeds need a moment themselves when all start
+    /// at once.
     milliseconds patience{1500};
     /// The own entry is to be listed within this; else it is written by this instance itself.
     milliseconds listing_time{3000};
