Reverted: waiting longer for parts of a view

Views of several parts do not arrive at all (a part above 64 KB compressed fits no datagram, which is a guess not yet tested), and each first part renewed the patience.

--- a/include/runlink/control/fleet_join.hpp
+++ b/include/runlink/control/fleet_join.hpp
@@ -18,11 +18,7 @@
     /// After this the next seed is asked: above the way and back and the time in which a small processor
     /// compresses the view. Where all start at once a seed may start a moment later and hear nothing before.
     milliseconds answer_timeout{120};
-    /// The same for the next part of a view, from the seed that sent the first: thousands of endpoints take
-    /// several parts of 256 KB, each of which is read and compressed by small processors.
-    milliseconds part_timeout{700};
-    /// After this, without a part, the store is read instead. Seeds need a moment themselves when all start
-    /// at once.
+    /// After this the store is read instead. Seeds need a moment themselves when all start at once.
     milliseconds patience{1500};
     /// The own entry is to be listed within this; else it is written by this instance itself.
     milliseconds listing_time{3000};
--- a/src/runlink/control/fleet_join.cpp
+++ b/src/runlink/control/fleet_join.cpp
@@ -30,7 +30,7 @@
     out.number = ++number_;
     out.store_revision = view_.revision;
     out.is_joining = true;
-    next_ = now + (view_.revision == 0 ? options_.answer_timeout : options_.part_timeout);
+    next_ = now + options_.answer_timeout;
     hooks_.ask(seeds_[seed_ % seeds_.size()], out);
 }
 
@@ -56,7 +56,6 @@
     view_.events.insert(view_.events.end(), it.events.begin(), it.events.end());
     view_.revision = it.store_revision;
     view_.complete_since = it.complete_since;
-    give_up_at_ = now + options_.patience;
     if (it.has_more)
         return ask(now);
     hooks_.take_view(now, std::exchange(view_, {}));
