--- a/include/runlink/gateway/gateway_daemon.hpp
+++ b/include/runlink/gateway/gateway_daemon.hpp
@@ -74,6 +74,8 @@
     /// Instances that may be there at the start, but not this one.
     std::vector<core::instance_id> seeds() const;
     control::peer_entry own_entry() const;
+    /// Sends a question with the own entry, so that the answer finds the way.
+    void ask(const core::instance_id& to, control::sync_request it);
     void on_sync_request(core::time_point now, const control::sync_request& it);
     void take_peer(core::time_point now, const control::peer_entry& it);
     void drop_peer(const core::instance_id& id);
--- a/src/runlink/gateway/gateway_daemon_peers.cpp
+++ b/src/runlink/gateway/gateway_daemon_peers.cpp
@@ -35,15 +35,16 @@
     return {settings_.id, settings_.failure_domain, settings_.peers.host, peers_port_, settings_.link_mbps};
 }
 
+void gateway_daemon::ask(const core::instance_id& to, control::sync_request it)
+{
+    it.sender = own_entry();
+    gossip_.send_to({to}, it);
+}
+
 control::join_hooks gateway_daemon::join_hooks()
 {
     control::join_hooks out;
-    out.ask = [this](const core::instance_id& to, const control::sync_request& it)
-    {
-        auto with_address = it;
-        with_address.sender = own_entry();
-        gossip_.send_to({to}, with_address);
-    };
+    out.ask = [this](const core::instance_id& to, const control::sync_request& it) { ask(to, it); };
     out.list = [this] { follower_.start(); };
     out.take_view = [this](core::time_point, const control::joined_view& it)
     {
@@ -150,12 +151,7 @@
 control::relay_hooks gateway_daemon::relay_hooks()
 {
     control::relay_hooks out;
-    out.ask = [this](const core::instance_id& to, const control::sync_request& it)
-    {
-        auto with_address = it;
-        with_address.sender = own_entry();
-        gossip_.send_to({to}, with_address);
-    };
+    out.ask = [this](const core::instance_id& to, const control::sync_request& it) { ask(to, it); };
     out.reply = [this](const std::vector<core::instance_id>& to, const control::sync_reply& it)
     { gossip_.send_to(to, it); };
     out.view = [this](core::time_point now)
