--- a/src/runlink/control/control_test.cpp
+++ b/src/runlink/control/control_test.cpp
@@ -250,3 +250,22 @@
     CHECK(f.store.watches.size() == 2);
     CHECK(f.store.written.size() == 1);
 }
+
+TEST_CASE("changes that come one by one within the gathering time cost one watch")
+{
+    followed f;
+    f.list();
+    f.advance(core::milliseconds{3000}); // the start is over
+    f.it.set_gather(core::milliseconds{400});
+    const auto before = f.store.watched_after.size();
+    std::uint64_t revision = 5;
+    for (int n = 0; n < 20; ++n) // an endpoint each 100 ms
+    {
+        ++revision;
+        if (!f.store.watches.empty())
+            fake_kv::answer(f.store.watches,
+                            kv_result<kv_changes>{kv_changes{{{{"x", "", revision}, false}}, revision}});
+        f.advance(core::milliseconds{100});
+    }
+    CHECK(f.store.watched_after.size() - before == 5);
+}
--- a/src/runlink/control/relay_test.cpp
+++ b/src/runlink/control/relay_test.cpp
@@ -181,6 +181,9 @@
         const auto it = relay_options::within(apply);
         CHECK(it.oldest_proof + it.ask_interval + 2 * it.answer_timeout <= apply * 85 / 100);
         CHECK(it.proof_interval() < it.oldest_proof);
+        // What is gathered twice, at the relay and on the way, is still a small part.
+        CHECK(it.gather * 4 <= apply);
+        CHECK(it.gather >= core::milliseconds{200});
     }
 }
 
