--- a/include/runlink/control/documents.hpp
+++ b/include/runlink/control/documents.hpp
@@ -9,6 +9,7 @@
 #include "runlink/control/kv_store.hpp"
 #include "runlink/control/peer_entry.hpp"
 #include "runlink/core/failure.hpp"
+#include "runlink/places/evacuations.hpp"
 #include "runlink/routing/endpoint_directory.hpp"
 #include "runlink/routing/rollout_control.hpp"
 #include "runlink/routing/routing_table.hpp"
@@ -17,13 +18,14 @@
 {
 
 /// An item of the store, read. Items that do not concern this process are empty.
-using document = std::variant<std::monostate, routing::routing_table_ptr, routing::endpoint_entry,
-                              routing::rollout_order, routing::rollout_record, peer_entry>;
+using document =
+    std::variant<std::monostate, routing::routing_table_ptr, routing::endpoint_entry, routing::rollout_order,
+                 routing::rollout_record, peer_entry, places::evacuation>;
 
 /// What a key names whose item is gone.
 struct endpoint_key
 {
-    core::endpoint_id id;
+    core::endpoint_name name;
 };
 struct order_key
 {
@@ -33,7 +35,11 @@
 {
     core::instance_id id;
 };
-using document_key = std::variant<std::monostate, endpoint_key, order_key, peer_key>;
+struct evacuation_key
+{
+    core::failure_domain_id domain;
+};
+using document_key = std::variant<std::monostate, endpoint_key, order_key, peer_key, evacuation_key>;
 
 /// How a deployment spells its documents.
 struct document_codec
--- a/include/runlink/core/ids.hpp
+++ b/include/runlink/core/ids.hpp
@@ -48,7 +48,10 @@
 };
 
 using account_id = strong_string<struct account_tag>;
+/// One life of an endpoint: one that starts again has a new id.
 using endpoint_id = strong_string<struct endpoint_tag>;
+/// By what an endpoint is known outside; a later life may have the same name.
+using endpoint_name = strong_string<struct endpoint_name_tag>;
 using failure_domain_id = strong_string<struct failure_domain_tag>;
 using idempotency_key = strong_string<struct idempotency_key_tag>;
 using instance_id = strong_string<struct instance_tag>;
@@ -56,6 +59,7 @@
 using incarnation_id = strong_string<struct incarnation_tag>;
 using model_id = strong_string<struct model_tag>;
 using pool_id = strong_string<struct pool_tag>;
+using region_id = strong_string<struct region_tag>;
 using request_class = strong_string<struct request_class_tag>;
 using request_id = strong_string<struct request_tag>;
 using service_id = strong_string<struct service_tag>;
@@ -63,6 +67,8 @@
 using version_id = strong_string<struct version_tag>;
 
 using attempt_id = strong_number<struct attempt_tag>;
+/// Orders the lives of one endpoint; a later one has a higher number. 0: the endpoint does not tell.
+using endpoint_incarnation = strong_number<struct endpoint_incarnation_tag>;
 using config_revision = strong_number<struct config_revision_tag>;
 using fencing_number = strong_number<struct fencing_number_tag>;
 using partition_id = strong_number<struct partition_tag>;
--- a/include/runlink/gateway/gateway_settings.hpp
+++ b/include/runlink/gateway/gateway_settings.hpp
@@ -28,6 +28,7 @@
     core::milliseconds least_told = routing::placement_options{}.least_told;
     double again_weight = routing::placement_options{}.again_weight;
     core::milliseconds prompts_kept_for = routing::kept_prompts_options{}.kept_for;
+    std::size_t cold_senders = places::warm_up_options{}.senders;
     double hedge_after = routing::forwarder_options{}.hedge_after;
     double move_after = routing::forwarder_options{}.move_after;
     double stall_after = routing::forwarder_options{}.stall_after;
@@ -58,6 +59,7 @@
     core::milliseconds retry_window{10000};
     double retry_ratio = 0.9;     ///< repeats for each request, of all instances
     double exposure_share = 0.15; ///< of requests that a bad version may get
+    places::region_map regions;   ///< of all failure domains
     std::uint32_t log_lines_per_second = 400;
     forwarding_tuning tuning;
 
--- a/include/runlink/net/http_exchange.hpp
+++ b/include/runlink/net/http_exchange.hpp
@@ -133,6 +133,8 @@
                   exchange_hooks hooks);
     /// Opens a connection and keeps it for the next request; tells whether it came up.
     void ask(const peer_address& peer, core::milliseconds timeout, std::function<void(bool)> to);
+    /// Closes the connections to a peer that rest: another process may listen there now.
+    void forget_idle(const peer_address& peer);
     const counters& totals() const { return counters_; }
     std::size_t busy_count() const { return busy_.size(); }
 
--- a/include/runlink/routing/endpoint_chooser.hpp
+++ b/include/runlink/routing/endpoint_chooser.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -37,6 +38,8 @@
     std::optional<prompt_need> prompt; ///< of services that run models
     rollout_control::choice versions;
     const std::set<endpoint_id>* tried = nullptr;
+    /// Whether the request may go to an endpoint now: by its failure domain, region and warm-up.
+    std::function<bool(const endpoint_entry&)> may_use = [](const endpoint_entry&) { return true; };
 };
 
 /// Chooses endpoints. Endpoints that fail are put aside for a growing time.
--- a/include/runlink/routing/endpoint_directory.hpp
+++ b/include/runlink/routing/endpoint_directory.hpp
@@ -15,16 +15,24 @@
 
 using core::duration;
 using core::endpoint_id;
+using core::endpoint_incarnation;
+using core::endpoint_name;
 using core::failure_domain_id;
 using core::milliseconds;
 using core::service_id;
 using core::time_point;
 using core::version_id;
 
-/// One life of an endpoint: its id is new after each start.
+/// The id of one life. Loads, failures, kept prompts and evidence are remembered by it, so that all of them
+/// end with the life.
+endpoint_id life_of(const endpoint_name& name, endpoint_incarnation incarnation);
+
+/// One life of an endpoint.
 struct endpoint_entry
 {
-    endpoint_id id;
+    endpoint_id id; ///< see `life_of`
+    endpoint_name name;
+    endpoint_incarnation incarnation;
     service_id service;
     std::string host; ///< an IP number
     std::uint16_t port = 0;
@@ -32,6 +40,7 @@
     version_id version; ///< of its software or weights
     std::uint32_t slots = 1;
     bool leaving = false;
+    milliseconds cold_for{}; ///< how much longer it bears little load, as it said when it wrote this
 
     friend bool operator==(const endpoint_entry&, const endpoint_entry&) = default;
 };
@@ -47,7 +56,7 @@
 };
 
 /// Takes what the store says and answers which endpoints may get new work. A leaving mark is never taken
-/// back, because an id is one life.
+/// back in one life. The news of an earlier life changes nothing, also when it comes after the entry is gone.
 class endpoint_directory
 {
 public:
@@ -60,12 +69,17 @@
         added,
         updated,
         leaving,
+        restarted, ///< a later life has taken the place of the one that was known
+        outdated,  ///< news of an earlier life
         removed,
     };
 
     change put(const endpoint_entry& it);
     /// The entry is gone from the store.
-    change remove(time_point now, const endpoint_id& id);
+    change remove(time_point now, const endpoint_name& name);
+    /// The entry cannot be read: somebody else wrote it, so that it says nothing about an endpoint that
+    /// lives.
+    change drop(const endpoint_name& name);
     /// The whole list as it stands now; what it lacks is gone.
     void replace(time_point now, const std::vector<endpoint_entry>& all);
     /// The store was away until now.
@@ -73,7 +87,10 @@
 
     /// Endpoints of a service that may get new work.
     std::vector<const endpoint_entry*> usable(time_point now, const service_id& service) const;
+    std::vector<const endpoint_entry*> of_domain(const failure_domain_id& domain) const;
     const endpoint_entry* find(const endpoint_id& id) const;
+    /// The life that has the name now.
+    const endpoint_entry* find_by_name(const endpoint_name& name) const;
     bool may_get_work(time_point now, const endpoint_id& id) const;
     std::size_t size() const { return records_.size(); }
     /// Forgets entries whose grace is over.
@@ -91,8 +108,12 @@
         return !it.entry.leaving && now < it.usable_until;
     }
 
+    void forget_old_incarnations();
+
     directory_options options_;
     std::map<endpoint_id, record> records_;
+    std::map<endpoint_name, endpoint_id> lives_;                 ///< of `records_`
+    std::map<endpoint_name, endpoint_incarnation> incarnations_; ///< the latest that was heard of
     time_point store_returned_at_ = time_point::min();
 };
 
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -11,6 +11,9 @@
 #include <string_view>
 #include <vector>
 
+#include "runlink/places/evacuations.hpp"
+#include "runlink/places/region_map.hpp"
+#include "runlink/places/warm_up.hpp"
 #include "runlink/routing/admission.hpp"
 #include "runlink/routing/cascade_policy.hpp"
 #include "runlink/routing/endpoint_chooser.hpp"
@@ -57,6 +60,8 @@
     liveness_options liveness;
     chooser_options chooser;
     cascade_options cascade;
+    places::warm_up_options warm_up;
+    places::region_map regions;
 };
 
 /// What happened, for the log. Empty and negative members are left out.
@@ -71,6 +76,7 @@
     std::string endpoint;
     std::string version;
     std::string model;
+    std::string failure_domain;
     std::optional<core::run_outcome> outcome; ///< of a request that has ended
     int status = -1;
     int confidence = -1;
@@ -81,6 +87,8 @@
     std::int64_t table_version = -1;
     std::int64_t expected_wait_ms = -1; ///< for what is read before this prompt
     std::int64_t expected_read_ms = -1; ///< for the prompt
+    std::int64_t cold_ms = -1;          ///< how much longer an endpoint counts as cold
+    std::optional<bool> is_sender;      ///< whether this instance sends to that cold endpoint
 };
 
 /// What the forwarder tells the edge. For each request: one `forward_answer`, or `forward_head`, any
@@ -91,6 +99,8 @@
     std::function<void(attempt_id)> cancel;
     /// Asks an endpoint whether it lives, by a connection; `on_asked` is called with what became of it.
     std::function<void(const endpoint_entry&)> ask;
+    /// Another life has the address: connections that are kept lead to the earlier one.
+    std::function<void(const endpoint_entry&)> endpoint_restarted = [](const endpoint_entry&) {};
     std::function<void(flow_id, attempt_id)> forward_answer;
     std::function<void(flow_id, attempt_id)> forward_head;
     std::function<void(flow_id, std::string_view)> forward_bytes;
@@ -126,6 +136,8 @@
     std::uint64_t attempts_lost = 0;
     std::uint64_t prompts_told = 0;  ///< to other instances
     std::uint64_t prompts_heard = 0; ///< of other instances
+    std::uint64_t cold_sends = 0;    ///< to endpoints that were cold
+    std::uint64_t without_place = 0; ///< refused since no endpoint may be used now
 };
 
 /// Takes requests and what becomes of their attempts, and decides.
@@ -136,7 +148,7 @@
 class request_forwarder
 {
 public:
-    request_forwarder(forwarder_options options, failure_domain_id own_domain, std::uint64_t instance_seed,
+    request_forwarder(forwarder_options options, failure_domain_id own_domain, const core::instance_id& self,
                       forwarder_hooks hooks);
     request_forwarder(const request_forwarder&) = delete;
     request_forwarder& operator=(const request_forwarder&) = delete;
@@ -155,6 +167,20 @@
     /// Age of the proof, if there is one.
     std::optional<core::duration> proof_age(time_point now) const;
 
+    /// An entry of the store.
+    endpoint_directory::change on_endpoint(time_point now, const endpoint_entry& it);
+    /// All entries that can be read; what is missing is gone, and at once where its entry cannot be read.
+    void on_endpoints(time_point now, const std::vector<endpoint_entry>& all,
+                      const std::vector<endpoint_name>& unreadable);
+    /// An operator's order to send nothing to a failure domain, and its end.
+    void on_evacuated(const failure_domain_id& domain);
+    void on_readmitted(time_point now, const failure_domain_id& domain);
+    /// All orders that stand.
+    void on_evacuations(time_point now, const std::set<failure_domain_id>& all);
+    /// What cold endpoints get, and which instances send it.
+    places::warm_up& warm_up() { return warm_up_; }
+    const places::warm_up& warm_up() const { return warm_up_; }
+    const places::evacuations& evacuated() const { return evacuations_; }
     endpoint_directory& endpoints() { return endpoints_; }
     const endpoint_directory& endpoints() const { return endpoints_; }
     rollout_control& rollouts() { return rollouts_; }
@@ -219,6 +245,7 @@
         const route* via = nullptr;
         service_id service;
         account_id account;
+        const routing::account* owner = nullptr; ///< in `table`; null without a key
         /// When the key was last known to hold, if the table in force has it no more.
         std::optional<time_point> key_held_at;
         int priority = 0;
@@ -244,6 +271,7 @@
     {
         flow_id flow{};
         endpoint_id endpoint;
+        endpoint_name endpoint_called;
         version_id version;
         model_id model;
         std::uint32_t number = 0;
@@ -270,6 +298,18 @@
     /// Whether keys of the table in force may admit requests.
     bool keys_hold(time_point now) const;
 
+    // Endpoints
+    /// Whether the request may go to the endpoint now.
+    bool may_use(time_point now, const flow& it, const endpoint_entry& to) const;
+    /// Whether the declarations allow it, and no order forbids it.
+    bool is_allowed(const flow& it, const endpoint_entry& to) const;
+    /// Until an endpoint may be used that is only too cold now.
+    duration time_to_place(time_point now, const flow& it) const;
+    void readmit(time_point now, const failure_domain_id& domain);
+    void suspect(time_point now, const endpoint_entry& it, places::cold_reason why);
+    void suspect_unreachable(time_point now, const endpoint_id& id);
+    void log_cold(time_point now, const endpoint_entry& it, places::cold_reason why);
+
     // Attempts
     /// Whether the key of a request still holds, by a table that is known to be new enough.
     bool may_still_run(time_point now, const flow& it) const;
@@ -305,6 +345,8 @@
     void move(time_point now, flow& it);
     void ask_endpoints(time_point now, flow& it);
     void lose_silent_attempts(time_point now, const endpoint_id& id);
+    /// Ends attempts at an earlier life of the endpoint that may be repeated: nobody will answer them.
+    void lose_earlier_life(time_point now, const endpoint_entry& it);
 
     decision describe(time_point now, const flow& it, std::string_view event) const;
 
@@ -321,6 +363,8 @@
     endpoint_directory endpoints_;
     endpoint_chooser chooser_;
     liveness liveness_;
+    places::warm_up warm_up_;
+    places::evacuations evacuations_;
     rollout_control rollouts_;
     session_pins pins_;
     cascade_policy cascade_;
--- a/include/runlink/routing/routing_table.hpp
+++ b/include/runlink/routing/routing_table.hpp
@@ -12,6 +12,8 @@
 
 #include "runlink/core/ids.hpp"
 #include "runlink/core/units.hpp"
+#include "runlink/places/region_map.hpp"
+#include "runlink/places/warm_up.hpp"
 
 namespace runlink::routing
 {
@@ -53,6 +55,7 @@
     bool resumable = false;            ///< a stream may go on at another endpoint
     std::vector<model_id> model_sizes; ///< smallest first; empty where the caller names the model
     std::vector<weighted_service> services;
+    places::allowed_regions regions;
 
     bool is_idempotent() const { return kind == route_kind::safe || resumable; }
 };
@@ -71,6 +74,7 @@
     std::uint32_t max_connections = 0; ///< of one endpoint, from all instances
     bool runs_models = false;
     std::vector<model_price> models;
+    places::cold_limit cold;
 };
 
 /// A client account and its keys.
@@ -78,7 +82,8 @@
 {
     account_id id;
     std::vector<std::string> keys;
-    std::optional<int> priority; ///< goes before the route's
+    std::optional<int> priority;     ///< goes before the route's
+    places::allowed_regions regions; ///< bind as well as the route's
 };
 
 /// Bounds on what callers may send.
@@ -109,6 +114,7 @@
     /// The account that holds a key, or null.
     const account* find_account(const std::string& key) const;
     const service* find_service(const service_id& id) const;
+    const std::vector<service>& services() const { return services_; }
 
 private:
     std::uint64_t version_;
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -33,6 +33,9 @@
     out.start = [this](const routing::attempt_order& it) { start(it); };
     out.cancel = [this](core::attempt_id id) { cancel(id); };
     out.ask = [this](const routing::endpoint_entry& it) { ask(it); };
+    out.endpoint_restarted = [this](const routing::endpoint_entry& it) {
+        pool_.forget_idle({it.host, it.port});
+    };
     out.forward_answer = [this](routing::flow_id flow, core::attempt_id id) { forward_answer(flow, id); };
     out.forward_head = [this](routing::flow_id flow, core::attempt_id id) { forward_head(flow, id); };
     out.forward_bytes = [this](routing::flow_id flow, std::string_view it) { forward_bytes(flow, it); };
@@ -290,6 +293,7 @@
     text("endpoint", it.endpoint);
     text("version", it.version);
     text("model", it.model);
+    text("failure_domain", it.failure_domain);
     if (it.outcome)
         text("outcome", to_string(*it.outcome));
     number("status", it.status);
@@ -301,6 +305,9 @@
     number("table", it.table_version);
     number("expected_wait_ms", it.expected_wait_ms);
     number("expected_read_ms", it.expected_read_ms);
+    number("cold_ms", it.cold_ms);
+    if (it.is_sender)
+        number("sends", *it.is_sender ? 1 : 0);
     const bool is_routine = it.event == "dispatched" || it.event == "stream_began" ||
                             it.event == "endpoint_answered" ||
                             (it.event == "ended" && it.reason == "answered");
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -6,8 +6,6 @@
 
 #include <unistd.h>
 
-#include "runlink/core/hash.hpp"
-
 namespace runlink::gateway
 {
 namespace
@@ -48,8 +46,7 @@
     : settings_{std::move(settings)}, binding_{std::move(binding)}, clock_{[this] { return begin_turn(); }},
       log_{STDOUT_FILENO, {settings_.log_lines_per_second}, settings_.id.str(), wall_ms},
       edge_{{}, binding_.headers, log_, metrics_, clock_}, forwarder_{forwarder_options(),
-                                                                      settings_.failure_domain,
-                                                                      core::stable_hash(settings_.id.str()),
+                                                                      settings_.failure_domain, settings_.id,
                                                                       edge_.hooks()},
       store_{{}, settings_.store, binding_.store}, store_port_{store_.port()},
       follower_{{binding_.documents.configuration_key}, store_port_, follower_hooks()},
@@ -102,6 +99,8 @@
     out.chooser.placement.late_weight = tuning.late_weight;
     out.chooser.placement.least_told = tuning.least_told;
     out.chooser.placement.kept.kept_for = tuning.prompts_kept_for;
+    out.warm_up.senders = tuning.cold_senders;
+    out.regions = settings_.regions;
     out.hedge_after = tuning.hedge_after;
     out.move_after = tuning.move_after;
     out.stall_after = tuning.stall_after;
--- a/src/runlink/gateway/gateway_daemon_peers.cpp
+++ b/src/runlink/gateway/gateway_daemon_peers.cpp
@@ -60,6 +60,7 @@
     {
         log_state("settled", std::to_string(gossip_.peer_count()) + " other instances");
         relay_.start(now);
+        forwarder_.warm_up().settle();
     };
     return out;
 }
@@ -82,6 +83,7 @@
         return;
     }
     gossip_.put_peer(it);
+    forwarder_.warm_up().instances().put(it.id);
     relay_.put_peer(it.id, it.failure_domain, it.link_mbps);
 }
 
@@ -89,6 +91,7 @@
 {
     registry_.unlisted(id);
     gossip_.remove_peer(id);
+    forwarder_.warm_up().instances().remove(id);
     relay_.remove_peer(id);
 }
 
--- a/src/runlink/gateway/gateway_daemon_store.cpp
+++ b/src/runlink/gateway/gateway_daemon_store.cpp
@@ -3,6 +3,7 @@
 #include "runlink/gateway/gateway_daemon.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace runlink::gateway
@@ -14,6 +15,18 @@
 /// list that is read again counts from that much earlier.
 constexpr core::milliseconds relist_lateness{1200};
 
+std::string_view event_of(routing::endpoint_directory::change it)
+{
+    using change = routing::endpoint_directory::change;
+    switch (it)
+    {
+    case change::leaving: return "endpoint_leaving";
+    case change::restarted: return "endpoint_restarted";
+    case change::outdated: return "endpoint_news_outdated";
+    default: return "endpoint_listed";
+    }
+}
+
 } // namespace
 
 control::follower_hooks gateway_daemon::follower_hooks()
@@ -51,16 +64,26 @@
 {
     drop_unlisted_peers(items);
     std::vector<routing::endpoint_entry> endpoints;
+    std::vector<core::endpoint_name> unreadable;
+    std::set<core::failure_domain_id> evacuated;
     for (const auto& it : items)
     {
         auto read = binding_.documents.read(it);
         if (read && std::holds_alternative<routing::endpoint_entry>(read.value()))
+        {
             endpoints.push_back(std::get<routing::endpoint_entry>(std::move(read).value()));
-        else
-            take(now, it, is_listed_ ? now - relist_lateness : now);
+            continue;
+        }
+        const auto name = binding_.documents.name(it.key);
+        if (const auto* endpoint = std::get_if<control::endpoint_key>(&name))
+            unreadable.push_back(endpoint->name);
+        if (const auto* evacuation = std::get_if<control::evacuation_key>(&name))
+            evacuated.insert(evacuation->domain);
+        take(now, it, is_listed_ ? now - relist_lateness : now);
     }
     is_listed_ = true;
-    forwarder_.endpoints().replace(now, endpoints);
+    forwarder_.on_endpoints(now, endpoints, unreadable);
+    forwarder_.on_evacuations(now, evacuated);
     relay_.remember_all(now, items, follower_.revision());
     join_.on_listed(now);
     log_state("listed", std::to_string(endpoints.size()) + " endpoints");
@@ -82,6 +105,9 @@
     const auto read = binding_.documents.read(item);
     if (!read)
     {
+        const auto name = binding_.documents.name(item.key);
+        if (const auto* endpoint = std::get_if<control::endpoint_key>(&name))
+            forwarder_.endpoints().drop(endpoint->name);
         if (item.key == binding_.documents.configuration_key)
             table_is_readable_ = false;
         return log_state("document_refused", item.key + ": " + read.error().detail);
@@ -98,6 +124,8 @@
     }
     else if (const auto* peer = std::get_if<control::peer_entry>(&it))
         take_peer(now, *peer);
+    else if (const auto* evacuation = std::get_if<places::evacuation>(&it))
+        forwarder_.on_evacuated(evacuation->domain);
     else if (const auto* record = std::get_if<routing::rollout_record>(&it))
     {
         forwarder_.rollouts().on_record(now, *record);
@@ -130,11 +158,10 @@
 
 void gateway_daemon::take_endpoint(core::time_point now, const routing::endpoint_entry& it)
 {
-    const auto change = forwarder_.endpoints().put(it);
+    const auto change = forwarder_.on_endpoint(now, it);
     if (change == routing::endpoint_directory::change::none)
         return;
-    observe::log_line line{change == routing::endpoint_directory::change::leaving ? "endpoint_leaving"
-                                                                                  : "endpoint_listed"};
+    observe::log_line line{event_of(change)};
     line.text("endpoint", it.id.str()).text("service", it.service.str()).text("version", it.version.str());
     log_.write(now, line, observe::log_rank::notable);
 }
@@ -144,13 +171,15 @@
     const auto name = binding_.documents.name(key);
     if (const auto* endpoint = std::get_if<control::endpoint_key>(&name))
     {
-        forwarder_.endpoints().remove(now, endpoint->id);
-        log_state("endpoint_gone", endpoint->id.str());
+        forwarder_.endpoints().remove(now, endpoint->name);
+        log_state("endpoint_gone", endpoint->name.str());
     }
     if (const auto* peer = std::get_if<control::peer_key>(&name))
     {
         drop_peer(peer->id);
     }
+    if (const auto* evacuation = std::get_if<control::evacuation_key>(&name))
+        forwarder_.on_readmitted(now, evacuation->domain);
     if (const auto* order = std::get_if<control::order_key>(&name))
         forwarder_.rollouts().on_order_removed(order->service);
 }
--- a/src/runlink/gateway/gateway_settings.cpp
+++ b/src/runlink/gateway/gateway_settings.cpp
@@ -65,6 +65,24 @@
     return core::milliseconds{static_cast<core::milliseconds::rep>(s * ms_per_s)};
 }
 
+/// The region of each failure domain, by its name.
+places::region_map read_regions(json_object_reader& in)
+{
+    const auto* all = in.raw("regions");
+    if (all == nullptr)
+        return {};
+    std::map<core::failure_domain_id, core::region_id> out;
+    if (!all->is_object())
+        in.fault("regions", "must be an object of failure domains and their regions");
+    else
+        for (const auto& [domain, region] : all->items())
+            if (region.is_string())
+                out[core::failure_domain_id{domain}] = core::region_id{region.get<std::string>()};
+            else
+                in.fault("regions." + domain, "must be the name of a region");
+    return places::region_map{std::move(out)};
+}
+
 void read_bounds(json_object_reader& in, gateway_settings& out)
 {
     out.stop_grace = read_s(in, "stop_grace_s", out.stop_grace);
@@ -91,6 +109,9 @@
     out.late_weight = static_cast<int>(in.optional_integer("late_weight", out.late_weight, 0, most_weight));
     out.least_told = read_ms(in, "least_told_ms", out.least_told);
     out.prompts_kept_for = read_ms(in, "prompts_kept_for_ms", out.prompts_kept_for);
+    constexpr std::int64_t most_senders = 1000;
+    out.cold_senders = static_cast<std::size_t>(
+        in.optional_integer("cold_senders", static_cast<std::int64_t>(out.cold_senders), 0, most_senders));
     out.hedge_after = in.optional_number("hedge_after", out.hedge_after, 0, most_of_target);
     out.move_after = in.optional_number("move_after", out.move_after, 0, most_of_target);
     out.stall_after = in.optional_number("stall_after", out.stall_after, 0, most_of_target);
@@ -121,6 +142,7 @@
              });
     out.store = read_address(in, "store");
     out.seeds = read_seeds(in);
+    out.regions = read_regions(in);
     in.object("bounds", [&](auto& e) { read_bounds(e, out); });
     in.object("tuning", [&](auto& e) { read_tuning(e, out.tuning); });
     out.log_lines_per_second = static_cast<std::uint32_t>(
--- a/src/runlink/gateway/translation.cpp
+++ b/src/runlink/gateway/translation.cpp
@@ -140,7 +140,7 @@
             out.fields.add(it.name, it.value);
     }
     out.fields.add(names.deadline_ms, std::to_string(order.time_left.count()));
-    out.fields.add(names.expected_endpoint, order.endpoint.id.str());
+    out.fields.add(names.expected_endpoint, order.endpoint.name.str());
     if (!order.account.empty())
         out.fields.add(names.account, order.account.str());
     if (!order.model.empty())
--- a/src/runlink/net/http_exchange.cpp
+++ b/src/runlink/net/http_exchange.cpp
@@ -261,6 +261,15 @@
     it->open(timeout, std::move(to));
 }
 
+void connection_pool::forget_idle(const peer_address& peer)
+{
+    const auto found = idle_.extract(peer);
+    if (found.empty())
+        return;
+    for (auto& it : found.mapped())
+        retire(std::move(it));
+}
+
 connection_pool::connection_ptr connection_pool::open(const peer_address& peer)
 {
     ++counters_.opened;
--- /dev/null
+++ b/src/runlink/places/warm_up.cpp
@@ -0,0 +1,127 @@
+#include "runlink/places/warm_up.hpp"
+
+#include <algorithm>
+
+#include "runlink/core/hash.hpp"
+
+namespace runlink::places
+{
+
+std::string_view to_string(cold_reason it)
+{
+    switch (it)
+    {
+    case cold_reason::told: return "told";
+    case cold_reason::readmitted: return "readmitted";
+    case cold_reason::unreachable: return "unreachable";
+    }
+    return "unknown";
+}
+
+const cold_limit* warm_up::limit_of(const service_id& service) const
+{
+    const auto found = limits_.find(service);
+    return found == limits_.end() || found->second.requests_per_s <= 0 ? nullptr : &found->second;
+}
+
+std::size_t warm_up::sender_count() const
+{
+    return options_.senders == 0 ? senders_.size() : std::min(options_.senders, senders_.size());
+}
+
+bool warm_up::is_sender(const endpoint_id& id) const
+{
+    return settled_ && senders_.is_sender(id, sender_count());
+}
+
+warm_up::record& warm_up::begin(time_point now, const endpoint_id& id, const cold_limit& limit)
+{
+    auto& it = records_[id];
+    if (is_cold(now, it))
+        return it;
+    constexpr double us_per_s = 1e6;
+    const auto rate = limit.requests_per_s * options_.rate_part / static_cast<double>(sender_count());
+    it.interval = duration{static_cast<duration::rep>(us_per_s / rate)};
+    // Senders begin at different times: all of them learn of the cold endpoint at once.
+    const auto phase = core::stable_hash(self_.str(), core::stable_hash(id.str())) %
+                       static_cast<std::uint64_t>(it.interval.count());
+    it.next_send = now + duration{static_cast<duration::rep>(phase)};
+    return it;
+}
+
+bool warm_up::told(time_point now, const endpoint_id& id, const service_id& service, milliseconds cold_for)
+{
+    const auto* limit = limit_of(service);
+    if (limit == nullptr)
+        return false;
+    const bool was_cold = is_cold(now, id);
+    if (cold_for.count() > 0)
+        begin(now, id, *limit).told_until = now + cold_for;
+    else if (was_cold)
+        records_.at(id).told_until = now;
+    return !was_cold && is_cold(now, id);
+}
+
+bool warm_up::suspect(time_point now, const endpoint_id& id, const service_id& service, cold_reason why)
+{
+    const auto* limit = limit_of(service);
+    if (limit == nullptr)
+        return false;
+    const bool was_cold = is_cold(now, id);
+    const auto delay = why == cold_reason::unreachable ? options_.news_delay : milliseconds{0};
+    auto& it = begin(now, id, *limit);
+    it.suspected_until = std::max(it.suspected_until, now + delay + limit->cold_time);
+    return !was_cold;
+}
+
+void warm_up::sent(time_point now, const endpoint_id& id)
+{
+    const auto found = records_.find(id);
+    if (found != records_.end())
+        found->second.next_send = now + found->second.interval;
+}
+
+bool warm_up::is_cold(time_point now, const endpoint_id& id) const
+{
+    const auto found = records_.find(id);
+    return found != records_.end() && is_cold(now, found->second);
+}
+
+bool warm_up::may_send(time_point now, const endpoint_id& id) const
+{
+    const auto found = records_.find(id);
+    if (found == records_.end() || !is_cold(now, found->second))
+        return true;
+    return now >= found->second.next_send && is_sender(id);
+}
+
+time_point warm_up::cold_until(const endpoint_id& id) const
+{
+    const auto found = records_.find(id);
+    return found == records_.end() ? time_point::min()
+                                   : std::max(found->second.told_until, found->second.suspected_until);
+}
+
+time_point warm_up::next_send(time_point now, const endpoint_id& id) const
+{
+    const auto found = records_.find(id);
+    if (found == records_.end() || !is_cold(now, found->second) || !settled_)
+        return now; // the others are known within a moment
+    if (!is_sender(id))
+        return cold_until(id);
+    return std::max(now, found->second.next_send);
+}
+
+std::size_t warm_up::cold_count(time_point now) const
+{
+    return static_cast<std::size_t>(std::count_if(records_.begin(), records_.end(),
+                                                  [&](const auto& it) { return is_cold(now, it.second); }));
+}
+
+void warm_up::expire(time_point now)
+{
+    std::erase_if(records_, [&](const auto& it) { return !is_cold(now, it.second); });
+    senders_.forget_if([&](const endpoint_id& id) { return !records_.contains(id); });
+}
+
+} // namespace runlink::places
--- a/src/runlink/routing/endpoint_chooser.cpp
+++ b/src/runlink/routing/endpoint_chooser.cpp
@@ -87,7 +87,7 @@
                   [&](const auto* it)
                   {
                       return (need.versions.excluded && it->version == *need.versions.excluded) ||
-                             (need.tried != nullptr && need.tried->contains(it->id));
+                             (need.tried != nullptr && need.tried->contains(it->id)) || !need.may_use(*it);
                   });
     if (!need.versions.only)
         return all;
--- a/src/runlink/routing/endpoint_directory.cpp
+++ b/src/runlink/routing/endpoint_directory.cpp
@@ -5,14 +5,36 @@
 
 namespace runlink::routing
 {
+namespace
+{
+
+/// Names without an entry whose latest incarnation is remembered: late news come within seconds of a start.
+constexpr std::size_t most_ended_names = 1024;
+
+} // namespace
+
+endpoint_id life_of(const endpoint_name& name, endpoint_incarnation incarnation)
+{
+    if (incarnation == endpoint_incarnation{})
+        return endpoint_id{name.str()};
+    return endpoint_id{name.str() + "@" + std::to_string(incarnation.value())};
+}
 
 endpoint_directory::change endpoint_directory::put(const endpoint_entry& it)
 {
+    auto& latest = incarnations_[it.name];
+    if (it.incarnation < latest)
+        return change::outdated;
+    latest = it.incarnation;
     const auto found = records_.find(it.id);
     if (found == records_.end())
     {
+        const bool had_other_life = drop(it.name) == change::removed;
         records_.emplace(it.id, record{it});
-        return it.leaving ? change::leaving : change::added;
+        lives_[it.name] = it.id;
+        if (it.leaving)
+            return change::leaving;
+        return had_other_life ? change::restarted : change::added;
     }
     auto& old = found->second;
     const bool was_leaving = old.entry.leaving;
@@ -26,42 +48,62 @@
     return same && !returned ? change::none : change::updated;
 }
 
-endpoint_directory::change endpoint_directory::remove(time_point now, const endpoint_id& id)
+endpoint_directory::change endpoint_directory::remove(time_point now, const endpoint_name& name)
 {
-    const auto found = records_.find(id);
-    if (found == records_.end())
+    const auto life = lives_.find(name);
+    if (life == lives_.end())
         return change::none;
-    auto& it = found->second;
+    auto& it = records_.at(life->second);
     const bool in_shadow =
         store_returned_at_ != time_point::min() && now - store_returned_at_ < options_.outage_shadow;
     if (!in_shadow || it.entry.leaving)
-    {
-        records_.erase(found);
-        return change::removed;
-    }
+        return drop(name);
     it.usable_until = std::min(it.usable_until, now + options_.vanished_grace);
     return change::none;
 }
 
+endpoint_directory::change endpoint_directory::drop(const endpoint_name& name)
+{
+    const auto life = lives_.find(name);
+    if (life == lives_.end())
+        return change::none;
+    records_.erase(life->second);
+    lives_.erase(life);
+    return change::removed;
+}
+
 void endpoint_directory::replace(time_point now, const std::vector<endpoint_entry>& all)
 {
-    std::set<endpoint_id> listed;
+    std::set<endpoint_name> listed;
     for (const auto& it : all)
     {
-        listed.insert(it.id);
+        listed.insert(it.name);
         put(it);
     }
-    std::vector<endpoint_id> missing;
-    for (const auto& [id, it] : records_)
-        if (!listed.contains(id))
-            missing.push_back(id);
-    for (const auto& id : missing)
-        remove(now, id);
+    std::vector<endpoint_name> missing;
+    for (const auto& [name, id] : lives_)
+        if (!listed.contains(name))
+            missing.push_back(name);
+    for (const auto& name : missing)
+        remove(now, name);
 }
 
 void endpoint_directory::forget_vanished(time_point now)
 {
-    std::erase_if(records_, [&](const auto& it) { return now >= it.second.usable_until; });
+    std::vector<endpoint_name> over;
+    for (const auto& [id, it] : records_)
+        if (now >= it.usable_until)
+            over.push_back(it.entry.name);
+    for (const auto& name : over)
+        drop(name);
+    forget_old_incarnations();
+}
+
+void endpoint_directory::forget_old_incarnations()
+{
+    if (incarnations_.size() <= lives_.size() + most_ended_names)
+        return;
+    std::erase_if(incarnations_, [&](const auto& it) { return !lives_.contains(it.first); });
 }
 
 std::vector<const endpoint_entry*> endpoint_directory::usable(time_point now, const service_id& service) const
@@ -73,12 +115,27 @@
     return out;
 }
 
+std::vector<const endpoint_entry*> endpoint_directory::of_domain(const failure_domain_id& domain) const
+{
+    std::vector<const endpoint_entry*> out;
+    for (const auto& [id, it] : records_)
+        if (it.entry.failure_domain == domain)
+            out.push_back(&it.entry);
+    return out;
+}
+
 const endpoint_entry* endpoint_directory::find(const endpoint_id& id) const
 {
     const auto found = records_.find(id);
     return found == records_.end() ? nullptr : &found->second.entry;
 }
 
+const endpoint_entry* endpoint_directory::find_by_name(const endpoint_name& name) const
+{
+    const auto life = lives_.find(name);
+    return life == lives_.end() ? nullptr : find(life->second);
+}
+
 bool endpoint_directory::may_get_work(time_point now, const endpoint_id& id) const
 {
     const auto found = records_.find(id);
--- a/src/runlink/routing/placement_test.cpp
+++ b/src/runlink/routing/placement_test.cpp
@@ -24,7 +24,8 @@
 endpoint_entry make_endpoint(int n, const std::string& domain = "n")
 {
     endpoint_entry out;
-    out.id = core::endpoint_id{"e" + std::to_string(n)};
+    out.name = core::endpoint_name{"e" + std::to_string(n)};
+    out.id = life_of(out.name, {});
     out.service = core::service_id{"s"};
     out.failure_domain = core::failure_domain_id{domain};
     return out;
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -4,14 +4,17 @@
 #include <chrono>
 #include <utility>
 
+#include "runlink/core/hash.hpp"
+
 namespace runlink::routing
 {
 
 request_forwarder::request_forwarder(forwarder_options options, failure_domain_id own_domain,
-                                     std::uint64_t instance_seed, forwarder_hooks hooks)
+                                     const core::instance_id& self, forwarder_hooks hooks)
     : options_{std::move(options)}, hooks_{std::move(hooks)}, chooser_{options_.chooser,
                                                                        std::move(own_domain)},
-      liveness_{options_.liveness}, rollouts_{options_.rollouts, instance_seed}, pins_{options_.session_ttl},
+      liveness_{options_.liveness}, warm_up_{options_.warm_up, self},
+      rollouts_{options_.rollouts, core::stable_hash(self.str())}, pins_{options_.session_ttl},
       cascade_{options_.cascade}, admission_{options_.admission}, start_queue_{options_.start}
 {
 }
@@ -21,6 +24,8 @@
     for (auto& [id, it] : flows_)
         if (!it.account.empty() && !it.key_held_at && table->find_account(it.request.key) == nullptr)
             it.key_held_at = proven_at_;
+    for (const auto& it : table->services())
+        warm_up_.set_limit(it.id, it.cold);
     table_ = std::move(table);
     may_release_ = true;
 }
@@ -65,6 +70,7 @@
     chooser_.keep_only(endpoints_);
     chooser_.placement().expire(now);
     liveness_.keep_only(endpoints_);
+    warm_up_.expire(now);
 }
 
 // Attempts
@@ -109,12 +115,16 @@
     attempt record;
     record.flow = it.id;
     record.endpoint = endpoint->id;
+    record.endpoint_called = endpoint->name;
     record.version = endpoint->version;
     record.model = order.model;
     record.number = it.sends;
     record.started = now;
     record.prompt = place_prompt(now, *endpoint, need);
     chooser_.started(endpoint->id);
+    if (warm_up_.is_cold(now, endpoint->id))
+        ++counters_.cold_sends;
+    warm_up_.sent(now, endpoint->id);
     auto line = describe(now, it, "dispatched");
     line.endpoint = endpoint->id.str();
     line.version = endpoint->version.str();
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -204,6 +204,7 @@
     {
         ++it->unsent;
         chooser_.not_reached(now, from->endpoint);
+        suspect_unreachable(now, from->endpoint);
     }
     else
         chooser_.broke(now, from->endpoint);
--- a/src/runlink/routing/request_forwarder_arrival.cpp
+++ b/src/runlink/routing/request_forwarder_arrival.cpp
@@ -67,7 +67,10 @@
     auto& kept = flows_.emplace(id, std::move(it)).first->second;
     retries_.try_emplace(kept.service, options_.retries).first->second.on_first(now);
     if (!dispatch(now, kept))
+    {
+        ++counters_.without_place;
         return end_without_answer(now, kept, core::errc::no_endpoint);
+    }
     arm(kept, next_check(kept));
 }
 
@@ -119,8 +122,8 @@
 milliseconds request_forwarder::retry_after(time_point now, const flow& it) const
 {
     const auto expected = expect(now, it);
-    return admission_.retry_after(expected ? expected->wait : duration{},
-                                  core::stable_hash(it.request.id.str()));
+    const auto wait = expected ? expected->wait : it.service.empty() ? duration{} : time_to_place(now, it);
+    return admission_.retry_after(wait, core::stable_hash(it.request.id.str()));
 }
 
 std::optional<refusal> request_forwarder::check_key(time_point now, flow& it)
@@ -141,6 +144,7 @@
     if (account != nullptr)
     {
         it.account = account->id;
+        it.owner = account;
         it.priority = account->priority.value_or(it.priority);
     }
     return std::nullopt;
@@ -181,6 +185,7 @@
     out.service = it.service;
     out.versions = rollouts_.choose(it.service, it.session, pins_.find(it.arrived, it.session));
     out.tried = &it.tried;
+    out.may_use = [this, now, &it](const endpoint_entry& e) { return may_use(now, it, e); };
     if (it.request.prompt_tokens == 0)
         return out;
     prompt_need prompt;
--- /dev/null
+++ b/src/runlink/routing/request_forwarder_endpoints.cpp
@@ -0,0 +1,133 @@
+// Which endpoints requests may go to as their list, their failure domains and their warm-up change.
+
+#include <algorithm>
+#include <chrono>
+
+#include "runlink/routing/request_forwarder.hpp"
+
+namespace runlink::routing
+{
+
+endpoint_directory::change request_forwarder::on_endpoint(time_point now, const endpoint_entry& it)
+{
+    const auto change = endpoints_.put(it);
+    if (change == endpoint_directory::change::outdated)
+        return change;
+    if (warm_up_.told(now, it.id, it.service, it.cold_for))
+        log_cold(now, it, places::cold_reason::told);
+    if (change == endpoint_directory::change::restarted)
+        lose_earlier_life(now, it);
+    return change;
+}
+
+void request_forwarder::on_endpoints(time_point now, const std::vector<endpoint_entry>& all,
+                                     const std::vector<endpoint_name>& unreadable)
+{
+    for (const auto& it : all)
+        on_endpoint(now, it);
+    for (const auto& name : unreadable)
+        endpoints_.drop(name);
+    endpoints_.replace(now, all);
+}
+
+void request_forwarder::lose_earlier_life(time_point now, const endpoint_entry& it)
+{
+    hooks_.endpoint_restarted(it);
+    std::vector<attempt_id> lost;
+    for (const auto& [id, e] : attempts_)
+        if (e.endpoint_called == it.name && e.endpoint != it.id && e.may_have_run &&
+            flows_.at(e.flow).via->is_idempotent())
+            lost.push_back(id);
+    for (const auto id : lost)
+    {
+        hooks_.cancel(id);
+        on_lost(now, id, attempt_loss::broken);
+    }
+}
+
+// Evacuations
+
+void request_forwarder::on_evacuated(const failure_domain_id& domain)
+{
+    if (!evacuations_.begin(domain))
+        return;
+    decision line;
+    line.event = "domain_evacuated";
+    line.failure_domain = domain.str();
+    hooks_.log(line);
+}
+
+void request_forwarder::on_readmitted(time_point now, const failure_domain_id& domain)
+{
+    if (!evacuations_.end(domain))
+        return;
+    readmit(now, domain);
+}
+
+void request_forwarder::on_evacuations(time_point now, const std::set<failure_domain_id>& all)
+{
+    for (const auto& it : all)
+        on_evacuated(it);
+    for (const auto& it : evacuations_.replace(all))
+        readmit(now, it);
+}
+
+void request_forwarder::readmit(time_point now, const failure_domain_id& domain)
+{
+    decision line;
+    line.event = "domain_readmitted";
+    line.failure_domain = domain.str();
+    hooks_.log(line);
+    // Its endpoints may have turned cold shortly before, which their entries tell later.
+    for (const auto* it : endpoints_.of_domain(domain))
+        suspect(now, *it, places::cold_reason::readmitted);
+}
+
+// Cold endpoints
+
+void request_forwarder::suspect(time_point now, const endpoint_entry& it, places::cold_reason why)
+{
+    if (warm_up_.suspect(now, it.id, it.service, why))
+        log_cold(now, it, why);
+}
+
+void request_forwarder::suspect_unreachable(time_point now, const endpoint_id& id)
+{
+    if (const auto* it = endpoints_.find(id))
+        suspect(now, *it, places::cold_reason::unreachable);
+}
+
+void request_forwarder::log_cold(time_point now, const endpoint_entry& it, places::cold_reason why)
+{
+    decision line;
+    line.event = "endpoint_cold";
+    line.reason = to_string(why);
+    line.endpoint = it.id.str();
+    line.failure_domain = it.failure_domain.str();
+    line.cold_ms = std::chrono::ceil<milliseconds>(warm_up_.cold_until(it.id) - now).count();
+    line.is_sender = warm_up_.is_sender(it.id);
+    hooks_.log(line);
+}
+
+bool request_forwarder::is_allowed(const flow& it, const endpoint_entry& to) const
+{
+    const auto& domain = to.failure_domain;
+    return !evacuations_.contains(domain) && options_.regions.allows(domain, it.via->regions) &&
+           (it.owner == nullptr || options_.regions.allows(domain, it.owner->regions));
+}
+
+bool request_forwarder::may_use(time_point now, const flow& it, const endpoint_entry& to) const
+{
+    return is_allowed(it, to) && warm_up_.may_send(now, to.id);
+}
+
+duration request_forwarder::time_to_place(time_point now, const flow& it) const
+{
+    auto first = time_point::max();
+    for (const auto* e : endpoints_.usable(now, it.service))
+        if (is_allowed(it, *e))
+            first = std::min(first, warm_up_.next_send(now, e->id));
+    return first == time_point::max() ? duration{} : first - now;
+}
+
+} // namespace runlink::routing
--- a/src/runlink/routing/request_forwarder_timers.cpp
+++ b/src/runlink/routing/request_forwarder_timers.cpp
@@ -49,7 +49,9 @@
     {
         const auto& from = attempts_.at(id);
         const auto* endpoint = endpoints_.find(from.endpoint);
-        if (from.may_have_run && endpoint != nullptr && liveness_.try_ask(now, from.endpoint))
+        // An evacuated failure domain gets not even a connection.
+        if (from.may_have_run && endpoint != nullptr && !evacuations_.contains(endpoint->failure_domain) &&
+            liveness_.try_ask(now, from.endpoint))
             hooks_.ask(*endpoint);
     }
     arm(it, next_check(it));
@@ -60,6 +62,7 @@
     if (answered)
         return liveness_.heard(now, id);
     chooser_.not_reached(now, id);
+    suspect_unreachable(now, id);
     lose_silent_attempts(now, id);
 }
 
--- a/src/runlink/routing/routing_test.cpp
+++ b/src/runlink/routing/routing_test.cpp
@@ -26,14 +26,15 @@
     routes[2].path_prefix = "/";
     for (auto& it : routes)
         it.name = it.path_prefix;
-    return {7, routes, {}, {{core::account_id{"acme"}, {"k1", "k2"}, 1}}, {}};
+    return {7, routes, {}, {{core::account_id{"acme"}, {"k1", "k2"}, 1, {}}}, {}};
 }
 
 endpoint_entry make_endpoint(const std::string& id, const std::string& version = "v1",
                              const std::string& domain = "n")
 {
     endpoint_entry out;
-    out.id = core::endpoint_id{id};
+    out.name = core::endpoint_name{id};
+    out.id = life_of(out.name, {});
     out.service = core::service_id{"s"};
     out.version = core::version_id{version};
     out.failure_domain = core::failure_domain_id{domain};
@@ -81,7 +82,7 @@
     endpoint_directory it;
     it.put(make_endpoint("e1"));
     it.store_returned(start);
-    it.remove(start + core::seconds{1}, core::endpoint_id{"e1"});
+    it.remove(start + core::seconds{1}, core::endpoint_name{"e1"});
     CHECK(it.may_get_work(start + core::seconds{2}, core::endpoint_id{"e1"}));
     CHECK_FALSE(it.may_get_work(start + core::seconds{3}, core::endpoint_id{"e1"}));
     it.put(make_endpoint("e1"));
--- a/standins/served_endpoint.cpp
+++ b/standins/served_endpoint.cpp
@@ -37,7 +37,7 @@
     return {{"service", service_}, {"address", "127.0.0.1:" + std::to_string(port)},
             {"zone", "n"},         {"version", version_},
             {"slots", 16},         {"state", leaving ? "draining" : "ready"},
-            {"sequence", 1}};
+            {"sequence", 1},       {"coldRemainingMs", 0}};
 }
 
 std::uint64_t served_endpoint::event_count(const std::string& request)
--- a/tests/forwarding_property_test.cpp
+++ b/tests/forwarding_property_test.cpp
@@ -47,7 +47,10 @@
 {
 public:
     explicit history(std::uint64_t seed)
-        : random_{seed}, forwarder_{{}, core::failure_domain_id{"n"}, seed, hooks()}
+        : random_{seed}, forwarder_{{},
+                                    core::failure_domain_id{"n"},
+                                    core::instance_id{std::to_string(seed)},
+                                    hooks()}
     {
         forwarder_.apply(make_table());
         for (int n = 0; n < 6; ++n)
@@ -102,7 +105,8 @@
     void put_endpoint(int n)
     {
         endpoint_entry it;
-        it.id = core::endpoint_id{"e" + std::to_string(n)};
+        it.name = core::endpoint_name{"e" + std::to_string(n)};
+        it.id = life_of(it.name, {});
         it.service = core::service_id{"s"};
         forwarder_.endpoints().put(it);
     }
@@ -217,7 +221,7 @@
     {
         const auto n = static_cast<int>(pick(6));
         if (pick(3) == 0)
-            forwarder_.endpoints().remove(now_, core::endpoint_id{"e" + std::to_string(n)});
+            forwarder_.endpoints().remove(now_, core::endpoint_name{"e" + std::to_string(n)});
         else
             put_endpoint(n);
     }
--- a/tests/support/forwarding_script.cpp
+++ b/tests/support/forwarding_script.cpp
@@ -67,7 +67,7 @@
 {
 public:
     explicit world(const words& settings)
-        : forwarder_{options(settings), core::failure_domain_id{"north"}, 0, hooks()}
+        : forwarder_{options(settings), core::failure_domain_id{"north"}, core::instance_id{"i"}, hooks()}
     {
     }
 
@@ -96,6 +96,8 @@
         forwarder_options out;
         if (option(all, "keys") == "last_known")
             out.max_key_age.reset();
+        out.regions = places::region_map{{{core::failure_domain_id{"north"}, core::region_id{"here"}},
+                                          {core::failure_domain_id{"south"}, core::region_id{"there"}}}};
         out.rollouts.schedule.settle_time = milliseconds{500};
         out.rollouts.write_spread = milliseconds{1};
         out.rollouts.schedule.step_time = 0.125;
@@ -133,6 +135,8 @@
         };
         to.cancel = [this](core::attempt_id it) { trace() << "cancel a" << it << "\n"; };
         to.ask = [this](const endpoint_entry& it) { trace() << "ask " << it.id << "\n"; };
+        to.endpoint_restarted = [this](const endpoint_entry& it)
+        { trace() << "restarted " << it.id << "\n"; };
         to.forward_answer = [this](flow_id it, core::attempt_id from)
         { trace() << "answer " << name(it) << " from a" << from << "\n"; };
         to.forward_head = [this](flow_id it, core::attempt_id from)
@@ -145,7 +149,8 @@
         {
             trace() << "refuse " << name(it) << " " << why.status << " " << to_string(why.why.code)
                     << (why.not_run ? " not_run" : " unknown");
-            if (why.not_run && why.why.retry_after && why.why.detail == "backlog")
+            if (why.not_run && why.why.retry_after &&
+                (why.why.detail == "backlog" || why.why.code == core::errc::no_endpoint))
                 out << " after=" << why.why.retry_after->count();
             out << "\n";
         };
@@ -158,7 +163,7 @@
         return to;
     }
 
-    /// `table VERSION [without=ROUTE] [revoked=KEY]`
+    /// `table VERSION [without=ROUTE] [revoked=KEY] [cold=RATE] [look_region=R] [acme_region=R]`
     void set_table(const words& all)
     {
         std::vector<route> routes{make_route("/look/", route_kind::safe, "app"),
@@ -174,25 +179,34 @@
         routes[2].model_sizes = {core::model_id{"small"}, core::model_id{"large"}};
         routes[3].is_public = true;
         std::erase_if(routes, [&](const auto& it) { return it.name == option(all, "without"); });
-        std::vector<account> accounts{{core::account_id{"acme"}, {"k1"}, std::nullopt},
-                                      {core::account_id{"bank"}, {"k2"}, 0}};
+        std::vector<account> accounts{{core::account_id{"acme"}, {"k1"}, std::nullopt, {}},
+                                      {core::account_id{"bank"}, {"k2"}, 0, {}}};
         for (auto& it : accounts)
             std::erase(it.keys, option(all, "revoked"));
-        forwarder_.apply(std::make_shared<const routing_table>(
-            std::stoull(all.at(1)), routes, std::vector<service>{{core::service_id{"pool"}, 0, true, {}}},
-            accounts, caller_limits{}));
+        if (const auto region = option(all, "look_region"); !region.empty())
+            routes[0].regions.emplace_back(region);
+        if (const auto region = option(all, "acme_region"); !region.empty())
+            accounts[0].regions.emplace_back(region);
+        const places::cold_limit cold{std::stod(option(all, "cold", "0")), milliseconds{3000}};
+        const std::vector<service> services{{core::service_id{"pool"}, 0, true, {}, {}},
+                                            {core::service_id{"app"}, 0, false, {}, cold}};
+        forwarder_.apply(std::make_shared<const routing_table>(std::stoull(all.at(1)), routes, services,
+                                                               accounts, caller_limits{}));
     }
 
-    /// `endpoint ID SERVICE [version=V] [leaving]`
+    /// `endpoint NAME SERVICE [version=V] [life=N] [domain=D] [cold=MS] [leaving]`
     void put_endpoint(const words& all)
     {
         endpoint_entry it;
-        it.id = core::endpoint_id{all.at(1)};
+        it.name = core::endpoint_name{all.at(1)};
+        it.incarnation = core::endpoint_incarnation{std::stoull(option(all, "life", "0"))};
+        it.id = life_of(it.name, it.incarnation);
         it.service = core::service_id{all.at(2)};
         it.version = core::version_id{option(all, "version", "v1")};
-        it.failure_domain = core::failure_domain_id{"north"};
+        it.failure_domain = core::failure_domain_id{option(all, "domain", "north")};
+        it.cold_for = milliseconds{std::stol(option(all, "cold", "0"))};
         it.leaving = has(all, "leaving");
-        forwarder_.endpoints().put(it);
+        forwarder_.on_endpoint(now_, it);
     }
 
     /// `request NAME PATH [key=] [deadline=] [session=] [last=] [tokens=]`
@@ -286,7 +300,9 @@
         {"proven", [this](const words&) { forwarder_.proven_current(now_); }},
         {"endpoint", [this](const words& all) { put_endpoint(all); }},
         {"gone",
-         [this](const words& all) { forwarder_.endpoints().remove(now_, core::endpoint_id{all.at(1)}); }},
+         [this](const words& all) { forwarder_.endpoints().remove(now_, core::endpoint_name{all.at(1)}); }},
+        {"unreadable",
+         [this](const words& all) { forwarder_.endpoints().drop(core::endpoint_name{all.at(1)}); }},
         {"peer_prompt",
          [this](const words& all)
          {
@@ -299,6 +315,13 @@
              forwarder_.on_peer_answer(
                  now_, {hash_of(core::endpoint_id{all.at(1)}), milliseconds{std::stol(all.at(2))}});
          }},
+        {"evacuate",
+         [this](const words& all) { forwarder_.on_evacuated(core::failure_domain_id{all.at(1)}); }},
+        {"readmit",
+         [this](const words& all) { forwarder_.on_readmitted(now_, core::failure_domain_id{all.at(1)}); }},
+        {"instance",
+         [this](const words& all) { forwarder_.warm_up().instances().put(core::instance_id{all.at(1)}); }},
+        {"settled", [this](const words&) { forwarder_.warm_up().settle(); }},
         {"store_returned", [this](const words&) { forwarder_.endpoints().store_returned(now_); }},
         {"request", [this](const words& all) { request(all); }},
         {"leave", [this](const words& all) { forwarder_.on_caller_left(now_, flows_.at(all.at(1))); }},
