--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -271,7 +271,7 @@
     {
         flow_id flow{};
         endpoint_id endpoint;
-        endpoint_name endpoint_called;
+        endpoint_name name; ///< of the endpoint
         version_id version;
         model_id model;
         std::uint32_t number = 0;
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -2,4 +2,4 @@
 # Generates the protobuf code anew; only needed after a change of a .proto file, with Debian's protobuf-compiler.
 set -euo pipefail
 cd "$(dirname "$0")/../src/runlink/proto"
-protoc --cpp_out=. peer.proto gossip.proto
+protoc --cpp_out=generated peer.proto gossip.proto
--- a/src/runlink/routing/endpoint_directory.cpp
+++ b/src/runlink/routing/endpoint_directory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace runlink::routing
 {
@@ -17,7 +18,10 @@
 {
     if (incarnation == endpoint_incarnation{})
         return endpoint_id{name.str()};
-    return endpoint_id{name.str() + "@" + std::to_string(incarnation.value())};
+    auto out = name.str();
+    out += '@';
+    out += std::to_string(incarnation.value());
+    return endpoint_id{std::move(out)};
 }
 
 endpoint_directory::change endpoint_directory::put(const endpoint_entry& it)
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -115,7 +115,7 @@
     attempt record;
     record.flow = it.id;
     record.endpoint = endpoint->id;
-    record.endpoint_called = endpoint->name;
+    record.name = endpoint->name;
     record.version = endpoint->version;
     record.model = order.model;
     record.number = it.sends;
--- a/src/runlink/routing/request_forwarder_endpoints.cpp
+++ b/src/runlink/routing/request_forwarder_endpoints.cpp
@@ -35,7 +35,7 @@
     hooks_.endpoint_restarted(it);
     std::vector<attempt_id> lost;
     for (const auto& [id, e] : attempts_)
-        if (e.endpoint_called == it.name && e.endpoint != it.id && e.may_have_run &&
+        if (e.name == it.name && e.endpoint != it.id && e.may_have_run &&
             flows_.at(e.flow).via->is_idempotent())
             lost.push_back(id);
     for (const auto id : lost)
