--- a/src/runlink/gateway/gateway_test.cpp
+++ b/src/runlink/gateway/gateway_test.cpp
@@ -145,6 +145,25 @@
         CHECK(bad.error().detail.find(path) != std::string::npos);
 }
 
+TEST_CASE("regions of failure domains are read, and what is no region is named")
+{
+    auto text = std::string{settings_text};
+    text.insert(text.find('{') + 1, R"("regions": {"n": "here"}, )");
+    const auto good = parse_gateway_settings(text);
+    REQUIRE(good);
+    const auto& regions = good.value().regions;
+    CHECK(regions.allows(core::failure_domain_id{"n"}, {core::region_id{"here"}}));
+    CHECK_FALSE(regions.allows(core::failure_domain_id{"m"}, {core::region_id{"here"}}));
+    for (const auto* odd : {R"("regions": 7, )", R"("regions": {"n": 7}, )"})
+    {
+        auto wrong = std::string{settings_text};
+        wrong.insert(wrong.find('{') + 1, odd);
+        const auto bad = parse_gateway_settings(wrong);
+        REQUIRE_FALSE(bad);
+        CHECK(bad.error().detail.find("$.regions") != std::string::npos);
+    }
+}
+
 TEST_CASE("datagrams keep what they carry, and other bytes are no message")
 {
     routing::gossip_message it;
