--- a/include/runlink/places/warm_up.hpp
+++ b/include/runlink/places/warm_up.hpp
@@ -31,9 +31,9 @@
 /// Parameters of the warm-up.
 struct warm_up_options
 {
-    /// Instances that send to one cold endpoint; 0: all of them, each a part of the rate. With four, two
-    /// more by views that differ, and each one request ahead of its rate, a second has less than twice the
-    /// limit; an endpoint that is lost with all four waits for its cold time, which is short.
+    /// Instances that send to one cold endpoint; 0: all of them, each a part of the rate. Four, two more
+    /// where views differ, each one request ahead of its rate: a second has less than twice the limit. If
+    /// all four are lost, the endpoint gets nothing for its cold time, which is a few seconds.
     std::size_t senders = 4;
     /// Part of the limit that is used: requests bunch on the way.
     double rate_part = 0.9;
--- a/src/runlink/routing/request_forwarder_endpoints.cpp
+++ b/src/runlink/routing/request_forwarder_endpoints.cpp
@@ -25,6 +25,7 @@
 {
     for (const auto& it : all)
         on_endpoint(now, it);
+    // At once: around an outage the directory uses what a list lacks for a while.
     for (const auto& name : unreadable)
         endpoints_.drop(name);
     endpoints_.replace(now, all);
