Logs: what spoke against another attempt, and by what it was decided

A stream that the instance itself cut said only which loss came before. A line cannot tell a removed key, an old proof, a spent allowance, a verdict and a lack of endpoints apart.

One decision unit (succession) names what speaks against another attempt. The lines not_moved and ended have it with its inputs: time since the key was last known to hold, age of the proof, repeats left, endpoints that fit. configuration_applied tells the age of the proof as it came and how many requests under way lost their key.

--- a/include/runlink/routing/endpoint_chooser.hpp
+++ b/include/runlink/routing/endpoint_chooser.hpp
@@ -57,6 +57,12 @@
     const endpoint_entry* peek(time_point now, const endpoint_directory& from,
                                const endpoint_need& need) const;
 
+    /// How many endpoints fit, those that are passed over for failures included.
+    std::size_t count_fitting(time_point now, const endpoint_directory& from, const endpoint_need& need) const
+    {
+        return allowed(now, from, need).size();
+    }
+
     prompt_placement& placement() { return placement_; }
     const prompt_placement& placement() const { return placement_; }
 
--- a/include/runlink/routing/forwarder_hooks.hpp
+++ b/include/runlink/routing/forwarder_hooks.hpp
@@ -38,13 +38,17 @@
     std::int64_t time_left_ms = -1;
     std::int64_t proof_age_ms = -1;
     std::int64_t table_version = -1;
-    std::int64_t expected_wait_ms = -1; ///< for what is read before this prompt
-    std::int64_t expected_read_ms = -1; ///< for the prompt
-    std::int64_t cold_ms = -1;          ///< how much longer an endpoint counts as cold
-    std::int64_t ends = -1;             ///< endpoints that ended under the request
-    std::int64_t trials = -1;           ///< of the request, alone at an endpoint
-    std::int64_t evidence_age_ms = -1;  ///< since the latest of these ends
-    std::optional<bool> is_sender;      ///< whether this instance sends to that cold endpoint
+    std::int64_t expected_wait_ms = -1;  ///< for what is read before this prompt
+    std::int64_t expected_read_ms = -1;  ///< for the prompt
+    std::int64_t cold_ms = -1;           ///< how much longer an endpoint counts as cold
+    std::int64_t ends = -1;              ///< endpoints that ended under the request
+    std::int64_t trials = -1;            ///< of the request, alone at an endpoint
+    std::int64_t evidence_age_ms = -1;   ///< since the latest of these ends
+    std::string_view denied;             ///< what spoke against another attempt
+    std::int64_t key_gone_ms = -1;       ///< since a key that is gone was last known to hold
+    std::int64_t allowance_left = -1;    ///< repeats that the service may still send
+    std::int64_t endpoints_fitting = -1; ///< that another attempt might have gone to
+    std::optional<bool> is_sender;       ///< whether this instance sends to that cold endpoint
 };
 
 /// What the forwarder tells the edge. For each request: one `forward_answer`, or `forward_head`, any
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -26,6 +26,7 @@
 #include "runlink/routing/routing_table.hpp"
 #include "runlink/routing/session_pins.hpp"
 #include "runlink/routing/start_queue.hpp"
+#include "runlink/routing/succession.hpp"
 
 namespace runlink::routing
 {
@@ -169,6 +170,8 @@
     std::optional<time_point> next_due() const;
 
     std::size_t active_count() const { return flows_.size() + start_queue_.size(); }
+    /// Requests under way whose key the table in force has no more.
+    std::size_t count_without_key() const;
     const forwarder_counters& counters() const { return counters_; }
 
 private:
@@ -199,6 +202,8 @@
         bool head_forwarded = false;
         bool hedged = false;
         std::optional<time_point> held_since; ///< it waits for its turn to be tried alone
+        /// What spoke against the latest attempt that was not sent.
+        succession_denial denied = succession_denial::none;
         std::optional<std::uint64_t> last_event;
         time_point last_progress{};
         time_point check_at{};
@@ -272,8 +277,9 @@
                          std::string_view reason);
 
     // Attempts
-    /// Whether the key of a request still holds, by a table that is known to be new enough.
-    bool may_still_run(time_point now, const flow& it) const;
+    key_standing key_of(time_point now, const flow& it) const;
+    /// Since the key was last known to hold; negative while the table in force has it.
+    milliseconds key_gone_for(time_point now, const flow& it) const;
     bool dispatch(time_point now, flow& it);
     endpoint_need need_of(time_point now, const flow& it) const;
     /// The model that the request's next attempt asks for; empty where the caller named it.
@@ -282,6 +288,11 @@
                                               const endpoint_need& need);
     void prompt_read(time_point now, attempt& it);
     bool may_send_again(time_point now, const flow& it) const;
+    /// What speaks against another attempt now.
+    succession_denial denial_of(time_point now, const flow& it, bool costs_allowance);
+    void log_denied(time_point now, const flow& it, std::string_view event);
+    /// Adds what the denial was decided by.
+    void describe_denial(time_point now, const flow& it, decision& to);
     /// `asks_endpoint`: it is not known what has become of the endpoint.
     void lose(time_point now, attempt_id id, attempt_loss loss, bool asks_endpoint);
     /// Sends the request again, or ends it for the reason.
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -314,6 +314,10 @@
     number("ends", it.ends);
     number("trials", it.trials);
     number("evidence_age_ms", it.evidence_age_ms);
+    text("denied", it.denied);
+    number("key_gone_ms", it.key_gone_ms);
+    number("allowance_left", it.allowance_left);
+    number("endpoints_fitting", it.endpoints_fitting);
     if (it.is_sender)
         number("sends", *it.is_sender ? 1 : 0);
     const bool is_routine = it.event == "dispatched" || it.event == "stream_began" ||
--- a/src/runlink/gateway/gateway_daemon_store.cpp
+++ b/src/runlink/gateway/gateway_daemon_store.cpp
@@ -169,7 +169,10 @@
     line.number("table", static_cast<std::int64_t>(it->version()))
         .number("revision", static_cast<std::int64_t>(revision))
         .number("routes", static_cast<std::int64_t>(it->route_count()))
-        .number("accounts", static_cast<std::int64_t>(it->account_count()));
+        .number("accounts", static_cast<std::int64_t>(it->account_count()))
+        .number("requests_without_key", static_cast<std::int64_t>(forwarder_.count_without_key()));
+    if (const auto age = forwarder_.proof_age(now))
+        line.number("proof_age_ms", std::chrono::floor<core::milliseconds>(*age).count());
     log_.write(now, line, observe::log_rank::notable);
 }
 
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -78,19 +78,32 @@
 
 // Attempts
 
-bool request_forwarder::may_still_run(time_point now, const flow& it) const
+key_standing request_forwarder::key_of(time_point now, const flow& it) const
 {
     const bool needs_key = table_->has_accounts() && !it.via->is_public;
     if (!needs_key)
-        return true;
+        return key_standing::holds;
     if (table_->find_account(it.request.key) != nullptr)
-        return keys_hold(now);
-    return it.key_held_at && now - *it.key_held_at < options_.key_grace;
+        return keys_hold(now) ? key_standing::holds : key_standing::unproven;
+    const bool is_in_grace = it.key_held_at && now - *it.key_held_at < options_.key_grace;
+    return is_in_grace ? key_standing::in_grace : key_standing::removed;
+}
+
+milliseconds request_forwarder::key_gone_for(time_point now, const flow& it) const
+{
+    return it.key_held_at ? std::chrono::floor<milliseconds>(now - *it.key_held_at) : milliseconds{-1};
+}
+
+std::size_t request_forwarder::count_without_key() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        flows_.begin(), flows_.end(), [](const auto& it) { return it.second.key_held_at.has_value(); }));
 }
 
 bool request_forwarder::dispatch(time_point now, flow& it)
 {
-    if (!may_still_run(now, it))
+    const auto key = key_of(now, it);
+    if (key == key_standing::removed || key == key_standing::unproven)
         return false;
     const auto may = attribution_.judge(now, it.fingerprint);
     if (may == crashes::permission::refused)
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -247,6 +247,7 @@
 {
     if (!it.attempts.empty())
         return;
+    it.denied = denial_of(now, it, costs_budget);
     if (!may_send_again(now, it))
         return end_without_answer(now, it, why);
     if (costs_budget && !retries_.at(it.service).try_take(now))
@@ -296,6 +297,8 @@
     line.content = to_hex(it.fingerprint);
     line.status = status;
     line.attempt = it.sends;
+    if (outcome != "answered")
+        describe_denial(now, it, line);
     line.outcome = outcome == "answered" ? core::run_outcome::ran
                    : it.runs == 0        ? core::run_outcome::not_run
                                          : core::run_outcome::unknown;
--- a/src/runlink/routing/request_forwarder_timers.cpp
+++ b/src/runlink/routing/request_forwarder_timers.cpp
@@ -112,6 +112,8 @@
                           chooser_.peek(now, endpoints_, need_of(now, it)) != nullptr;
     if (!can_move)
     {
+        it.denied = denial_of(now, it, true);
+        log_denied(now, it, "not_moved");
         it.last_progress = now;
         return arm(it, next_check(it));
     }
