Reproduction, failing: streams are cut before it is certain that another attempt may go

What callers saw: a stream in the middle of its answer, at work, with 15.7 s and one attempt left, ended with its connection, beside a removed key.

--- /dev/null
+++ b/tests/cut_stream_test.cpp
@@ -0,0 +1,184 @@
+// Work that goes well is not given up before its successor is certain to go. A stream of 65 instances'
+// callers was cut in the middle of its answer, beside a removed key, with time and attempts left:
+//     moved reason=no_progress; ended reason=endpoint_lost denied=key_removed
+// in one step. The move cancelled first and asked afterwards whether another attempt may be sent.
+
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+#include <string>
+
+#include "support/forwarding_script.hpp"
+
+using namespace runlink::tests;
+
+namespace
+{
+
+bool has(const std::string& trace, const std::string& what)
+{
+    return trace.find(what) != std::string::npos;
+}
+
+/// Two endpoints; the first of them runs a stream that has begun.
+const std::string began = R"(table 1
+proven
+endpoint e1 pool
+request r1 /llm/x key=k1 deadline=8000
+sent a1
+head a1 confidence=90
+event a1 1
+endpoint e2 pool
+)";
+
+/// Events of a stream that works, until its key has been gone for longer than the grace.
+std::string events_for_4800_ms(bool proves)
+{
+    std::string out;
+    for (int n = 2; n <= 13; ++n)
+        out += (proves ? "proven\n" : "") + std::string{"advance 400\nevent a1 "} + std::to_string(n) + "\n";
+    return out;
+}
+
+const std::string pause_and_end = R"(advance 480
+event a1 14
+end a1
+)";
+
+void check_whole(const std::string& trace)
+{
+    INFO(trace);
+    CHECK_FALSE(has(trace, "cancel a1"));
+    CHECK_FALSE(has(trace, "break off r1"));
+    CHECK(has(trace, "end r1"));
+}
+
+} // namespace
+
+TEST_CASE("a stream is not cut for a pause when its key is removed")
+{
+    const std::string removed = "table 2 revoked=k1\nproven\n";
+    check_whole(run_forwarding_script(began + removed + events_for_4800_ms(true) + pause_and_end));
+}
+
+TEST_CASE("a stream whose key holds is not cut for a pause when the proof is old")
+{
+    check_whole(run_forwarding_script(began + events_for_4800_ms(false) + pause_and_end));
+}
+
+TEST_CASE("a stream whose key is removed is not cut when its endpoint takes no connection")
+{
+    const std::string removed = "table 2 revoked=k1\nproven\n";
+    const std::string silent = R"(advance 420
+asked e1
+event a1 14
+end a1
+)";
+    check_whole(run_forwarding_script(began + removed + events_for_4800_ms(true) + silent));
+}
+
+TEST_CASE("a stream is not cut for silence when the allowance is spent")
+{
+    // Three requests allow 5.4 repeats, of which these take five.
+    const std::string spent = R"(endpoint e3 pool
+endpoint e4 pool
+endpoint e5 pool
+request s1 /llm/x key=k2 deadline=8000
+answer a2 503 not_run
+answer a3 503 not_run
+answer a4 503 not_run
+answer a5 503 not_run
+request s2 /llm/x key=k2 deadline=8000
+answer a6 503 not_run
+answer a7 503 not_run
+)";
+    const std::string silent = R"(advance 420
+asked e1
+event a1 2
+end a1
+)";
+    check_whole(run_forwarding_script(began + spent + silent));
+}
+
+TEST_CASE("a stream whose key is removed is not cut for a later life of its endpoint")
+{
+    const std::string removed = "table 2 revoked=k1\nproven\n";
+    const std::string later_life = "endpoint e1 pool life=1\n" + pause_and_end;
+    check_whole(run_forwarding_script(began + removed + events_for_4800_ms(true) + later_life));
+}
+
+TEST_CASE("a small model's answer is delivered when the larger one may not be asked")
+{
+    // The key is removed while the small model reads the prompt.
+    const std::string script = R"(table 1
+proven
+endpoint e1 pool
+request r1 /llm/x key=k1 deadline=8000
+sent a1
+table 2 revoked=k1
+proven
+advance 4600
+head a1 confidence=10
+event a1 1
+end a1
+)";
+    check_whole(run_forwarding_script(script));
+}
+
+TEST_CASE("a verdict on a request cuts no stream of it that is in the middle of its answer")
+{
+    check_whole(run_forwarding_script(began + "condemned acme\nadvance 10\nevent a1 2\nend a1\n"));
+}
+
+TEST_CASE("a verdict on a request cuts no attempt of it that may run only once")
+{
+    const std::string script = R"(table 1
+proven
+endpoint e1 app
+request r1 /pay/x key=k1 deadline=2000
+sent a1
+condemned acme
+advance 10
+answer a1 200
+)";
+    const auto out = run_forwarding_script(script);
+    INFO(out);
+    CHECK_FALSE(has(out, "cancel a1"));
+    CHECK(has(out, "answer r1 from a1"));
+}
+
+TEST_CASE("a suspected request is not withdrawn when it may not be sent again")
+{
+    const std::string script = R"(table 1
+proven
+endpoint e1 pool
+request r1 /llm/x key=k1 deadline=8000
+sent a1
+table 2 revoked=k1
+proven
+advance 4600
+suspected acme
+advance 10
+head a1 confidence=90
+event a1 1
+end a1
+)";
+    check_whole(run_forwarding_script(script));
+}
+
+TEST_CASE("a moved stream goes on when its new endpoint fails")
+{
+    const std::string script = R"(endpoint e3 pool
+advance 480
+sent a2
+answer a2 500
+sent a3
+head a3
+event a3 2
+end a3
+)";
+    const auto out = run_forwarding_script(began + script);
+    INFO(out);
+    CHECK_FALSE(has(out, "break off r1"));
+    CHECK(has(out, "end r1"));
+}
--- a/tests/support/forwarding_script.cpp
+++ b/tests/support/forwarding_script.cpp
@@ -283,6 +283,26 @@
         return it;
     }
 
+    /// All requests of an account have the same content.
+    static crashes::request_fingerprint content_of(const words& all)
+    {
+        return crashes::fingerprint_of({}, core::account_id{all.at(1)});
+    }
+
+    /// `suspected ACCOUNT`: other instances saw endpoints end under its requests.
+    void suspect(const words& all)
+    {
+        const crashes::cut_run run{content_of(all), milliseconds{100}};
+        for (const std::uint64_t n : {1, 2})
+            forwarder_.on_crash_news(now_, {{{crashes::endpoint_life{n}, {run}}}, {}, {}});
+    }
+
+    /// `condemned ACCOUNT`: another instance found them harmful.
+    void condemn(const words& all)
+    {
+        forwarder_.on_crash_news(now_, {{}, {}, {{content_of(all), crashes::conduct::harmful}}});
+    }
+
     time_point now_{core::seconds{100}};
     request_forwarder forwarder_;
     std::map<flow_id, std::string> names_;
@@ -345,6 +365,8 @@
                                                      : core::contact::silent;
              forwarder_.on_asked(now_, core::endpoint_id{all.at(1)}, what);
          }},
+        {"suspected", [this](const words& all) { suspect(all); }},
+        {"condemned", [this](const words& all) { condemn(all); }},
         {"advance", [this](const words& all) { advance(all); }},
         {"stop",
          [this](const words& all)
