An attempt is given up only in the step in which its successor goes

What callers saw: a stream in the middle of its answer, at work, with time and attempts left, ended with its connection beside a removed key; at other times the same where the proof of the keys was old, the allowance of repeats spent, or a verdict told.

Cause: move, replacement of silent attempts and of earlier lives, escalation, withdrawal and verdicts cancelled what ran and asked afterwards whether another attempt may be sent. What they asked before (sends, allowance, an endpoint) left out the key, the age of its proof and the standing of the content.

Why it holds: a decision unit (succession) plans the next attempt, endpoint included, from everything that may speak against it; giving up takes a plan, and sends it in the same step. Without one the attempt is waited for to its own end, deadline or timeout; an unsure answer of a small model is delivered. A verdict cuts no answer that has begun and nothing that may run once. Nothing new is sent for a removed key after its grace: the bound stays. A resumed stream whose endpoint fails is sent again. What a turn costs (the allowance) is taken as it is sent, not while a request is held.

--- a/include/runlink/routing/endpoint_chooser.hpp
+++ b/include/runlink/routing/endpoint_chooser.hpp
@@ -51,12 +51,13 @@
     {
     }
 
-    /// An endpoint, or null if none may be used.
+    /// An endpoint, or null if none may be used; the turn passes.
     const endpoint_entry* choose(time_point now, const endpoint_directory& from, const endpoint_need& need);
     /// The one that `choose` would give.
     const endpoint_entry* peek(time_point now, const endpoint_directory& from,
                                const endpoint_need& need) const;
-
+    /// Where costs are equal, another endpoint comes first from now on.
+    void pass_turn() { ++turn_; }
     /// How many endpoints fit, those that are passed over for failures included.
     std::size_t count_fitting(time_point now, const endpoint_directory& from, const endpoint_need& need) const
     {
@@ -99,7 +100,7 @@
     failure_domain_id own_domain_;
     prompt_placement placement_;
     std::map<endpoint_id, load> loads_;
-    std::uint64_t turn_ = 0; ///< where costs are equal, endpoints take turns
+    std::uint64_t turn_ = 1; ///< where costs are equal, endpoints take turns
 };
 
 } // namespace runlink::routing
--- a/include/runlink/routing/forwarder_hooks.hpp
+++ b/include/runlink/routing/forwarder_hooks.hpp
@@ -107,6 +107,7 @@
     std::uint64_t trials = 0;          ///< of suspected requests
     std::uint64_t found_harmful = 0;   ///< requests
     std::uint64_t harmful_refused = 0;
+    std::uint64_t successors_denied = 0; ///< attempts that were waited for since no other might go
 };
 
 } // namespace runlink::routing
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -202,8 +202,8 @@
         bool head_forwarded = false;
         bool hedged = false;
         std::optional<time_point> held_since; ///< it waits for its turn to be tried alone
-        /// What spoke against the latest attempt that was not sent.
-        succession_denial denied = succession_denial::none;
+        /// What spoke against another attempt since the latest one was sent.
+        std::optional<succession_denial> denied;
         std::optional<std::uint64_t> last_event;
         time_point last_progress{};
         time_point check_at{};
@@ -267,6 +267,8 @@
     void settle_verdicts(time_point now);
     void withdraw_copies(time_point now, crashes::request_fingerprint it);
     void end_copies(time_point now, crashes::request_fingerprint it);
+    /// Whether an attempt of the request has begun its answer, or may run only once and may have begun.
+    bool is_beyond_verdict(const flow& it) const;
     /// Where a suspected request cuts the least, and where others do not meet one.
     void keep_apart(time_point now, endpoint_need& need, bool is_trial) const;
     /// Whether the endpoint ended is asked at once: all that it ran is cut, and one request may be the cause.
@@ -280,23 +282,29 @@
     key_standing key_of(time_point now, const flow& it) const;
     /// Since the key was last known to hold; negative while the table in force has it.
     milliseconds key_gone_for(time_point now, const flow& it) const;
-    bool dispatch(time_point now, flow& it);
+    void send(time_point now, flow& it, const successor& to);
+    void log_dispatched(time_point now, const flow& it, const attempt_order& order, const attempt& as);
     endpoint_need need_of(time_point now, const flow& it) const;
     /// The model that the request's next attempt asks for; empty where the caller named it.
     model_id model_of(const flow& it) const;
     std::optional<placed_prompt> place_prompt(time_point now, const endpoint_entry& to,
-                                              const endpoint_need& need);
+                                              const std::optional<prompt_need>& need);
     void prompt_read(time_point now, attempt& it);
-    bool may_send_again(time_point now, const flow& it) const;
-    /// What speaks against another attempt now.
-    succession_denial denial_of(time_point now, const flow& it, bool costs_allowance);
-    void log_denied(time_point now, const flow& it, std::string_view event);
+
+    // Succession: an attempt that may still be answered is given up only in the step in which its successor
+    // goes. Without one it is waited for.
+    succession_input input_of(time_point now, const flow& it, bool costs_allowance);
+    succession plan(time_point now, const flow& it, bool costs_allowance);
+    /// Sends what was planned in this step.
+    void repeat(time_point now, flow& it, const successor& to, bool costs_allowance);
+    /// An attempt that will hardly be answered. `has_ended`: its endpoint, as far as is known.
+    void replace(time_point now, attempt_id id, bool has_ended);
+    /// Nothing of the request is under way: sends it again, or ends it for the reason.
+    void again_or_end(time_point now, flow& it, core::errc why, bool costs_allowance);
+    void note_denied(time_point now, flow& it, succession_denial why, std::string_view event);
     /// Adds what the denial was decided by.
     void describe_denial(time_point now, const flow& it, decision& to);
-    /// `asks_endpoint`: it is not known what has become of the endpoint.
-    void lose(time_point now, attempt_id id, attempt_loss loss, bool asks_endpoint);
-    /// Sends the request again, or ends it for the reason.
-    void again_or_end(time_point now, flow& it, core::errc why, bool costs_budget);
+    void note_lost(time_point now, attempt_id id, attempt_loss loss);
     std::optional<attempt> take_attempt(time_point now, attempt_id id);
     void cancel_attempts(time_point now, flow& it);
     /// Notes the version of a session's latest run.
@@ -307,8 +315,9 @@
     /// An attempt that nobody waits for any more. Without a first byte it says how long that takes at least:
     /// a version of which 30 % of the answers never came was declared good while these were not counted.
     void sample_given_up(time_point now, const flow& it, attempt& from, bool is_stalled);
-    cascade_input cascade_input_of(time_point now, const flow& it, int confidence);
-    void escalate(time_point now, flow& it, attempt_id from, int confidence);
+    cascade_input cascade_input_of(time_point now, const flow& it, int confidence, const succession& larger);
+    /// Asks the largest model where the answer is not sure enough. Returns whether it does.
+    bool try_escalate(time_point now, flow& it, attempt_id from, int confidence);
 
     // Endings
     void end_without_answer(time_point now, flow& it, core::errc why);
@@ -322,9 +331,8 @@
     void hedge(time_point now, flow& it);
     void move(time_point now, flow& it);
     void ask_endpoints(time_point now, flow& it);
-    void lose_silent_attempts(time_point now, const endpoint_id& id);
-    /// Ends attempts at an earlier life of the endpoint that may be repeated: nobody will answer them.
-    void lose_earlier_life(time_point now, const endpoint_entry& it);
+    void replace_silent_attempts(time_point now, const endpoint_id& id, bool has_ended);
+    void replace_earlier_life(time_point now, const endpoint_entry& it);
 
     decision describe(time_point now, const flow& it, std::string_view event) const;
 
--- a/include/runlink/routing/succession.hpp
+++ b/include/runlink/routing/succession.hpp
@@ -3,10 +3,15 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
+#include <boost/outcome.hpp>
+
 #include "runlink/core/units.hpp"
 #include "runlink/crashes/crash_attribution.hpp"
+#include "runlink/routing/endpoint_directory.hpp"
+#include "runlink/routing/prompt_placement.hpp"
 
 namespace runlink::routing
 {
@@ -23,7 +28,6 @@
 /// What speaks against another attempt.
 enum class succession_denial
 {
-    none,
     may_run_once,    ///< an attempt may have run, and no other may
     attempts_spent,  ///< of the route, or sends of one request
     time_spent,      ///< too little is left
@@ -52,8 +56,20 @@
     double allowance_left = 1; ///< repeats
 };
 
-/// The first thing that speaks against an attempt. `suspected` passes with time, and comes behind all that
-/// does not.
-succession_denial judge(const succession_input& it);
+/// The first thing that speaks against another attempt, if there is one. `suspected` passes by itself, and
+/// comes behind all that does not.
+std::optional<succession_denial> judge(const succession_input& it);
+
+/// Another attempt that is certain to go: nothing that it needs can fail before the event that planned it is
+/// over.
+struct successor
+{
+    const endpoint_entry* endpoint = nullptr;
+    std::optional<prompt_need> prompt;
+    bool is_trial = false; ///< its content is suspected, and no other copy runs
+};
+
+/// A successor, or what speaks against one.
+using succession = boost::outcome_v2::checked<successor, succession_denial>;
 
 } // namespace runlink::routing
--- a/src/runlink/gateway/gateway_daemon_metrics.cpp
+++ b/src/runlink/gateway/gateway_daemon_metrics.cpp
@@ -59,6 +59,8 @@
         counter("runlink_requests_harmful_total", "Requests found or told to end endpoints", n.found_harmful),
         counter("runlink_harmful_refused_total", "Repeats of harmful requests that were refused",
                 n.harmful_refused),
+        counter("runlink_successors_denied_total",
+                "Attempts that were waited for since no other might take their place", n.successors_denied),
         gauge("runlink_crash_records", "Requests that were at endpoints that ended",
               static_cast<double>(forwarder_.attribution().size())),
         gauge("runlink_endpoints_cold", "Endpoints that count as cold",
--- a/src/runlink/routing/endpoint_chooser.cpp
+++ b/src/runlink/routing/endpoint_chooser.cpp
@@ -142,8 +142,9 @@
 const endpoint_entry* endpoint_chooser::choose(time_point now, const endpoint_directory& from,
                                                const endpoint_need& need)
 {
-    ++turn_;
-    return peek(now, from, need);
+    const auto* out = peek(now, from, need);
+    pass_turn();
+    return out;
 }
 
 const endpoint_entry* endpoint_chooser::peek(time_point now, const endpoint_directory& from,
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -100,31 +100,16 @@
         flows_.begin(), flows_.end(), [](const auto& it) { return it.second.key_held_at.has_value(); }));
 }
 
-bool request_forwarder::dispatch(time_point now, flow& it)
+void request_forwarder::send(time_point now, flow& it, const successor& to)
 {
-    const auto key = key_of(now, it);
-    if (key == key_standing::removed || key == key_standing::unproven)
-        return false;
-    const auto may = attribution_.judge(now, it.fingerprint);
-    if (may == crashes::permission::refused)
-        return false;
-    if (may == crashes::permission::waits)
-    {
-        hold(now, it);
-        return true;
-    }
-    const bool is_trial = may == crashes::permission::alone;
-    auto need = need_of(now, it);
-    keep_apart(now, need, is_trial);
-    const auto* endpoint = chooser_.choose(now, endpoints_, need);
-    if (endpoint == nullptr)
-        return false;
+    const auto& endpoint = *to.endpoint;
     it.held_since.reset();
+    it.denied.reset();
     attempt_order order;
     order.id = attempt_id{next_attempt_++};
     order.flow = it.id;
     order.request = it.request.id;
-    order.endpoint = *endpoint;
+    order.endpoint = endpoint;
     order.account = it.account;
     order.priority = it.priority;
     order.time_left = std::chrono::floor<milliseconds>(it.deadline - now);
@@ -135,49 +120,55 @@
     order.model = model_of(it);
     ++it.sends;
     ++counters_.attempts;
-    it.tried.insert(endpoint->id);
+    it.tried.insert(endpoint.id);
     it.attempts.insert(order.id);
     it.last_progress = now;
     it.ask_at = now + liveness_.options().ask_after;
     attempt record;
     record.flow = it.id;
-    record.endpoint = endpoint->id;
-    record.name = endpoint->name;
-    record.version = endpoint->version;
+    record.endpoint = endpoint.id;
+    record.name = endpoint.name;
+    record.version = endpoint.version;
     record.model = order.model;
     record.number = it.sends;
     record.started = now;
-    record.is_trial = is_trial;
-    record.prompt = place_prompt(now, *endpoint, need);
+    record.is_trial = to.is_trial;
+    record.prompt = place_prompt(now, endpoint, to.prompt);
     if (record.prompt)
         record.expected = record.prompt->wait + record.prompt->work;
-    chooser_.started(endpoint->id);
-    if (warm_up_.is_cold(now, endpoint->id))
+    chooser_.started(endpoint.id);
+    chooser_.pass_turn();
+    if (warm_up_.is_cold(now, endpoint.id))
         ++counters_.cold_sends;
-    warm_up_.sent(now, endpoint->id);
-    if (is_trial)
+    warm_up_.sent(now, endpoint.id);
+    if (to.is_trial)
     {
         ++counters_.trials;
-        attribution_.begin_trial(now, it.fingerprint, crashes::life_hash(endpoint->id));
+        attribution_.begin_trial(now, it.fingerprint, crashes::life_hash(endpoint.id));
     }
+    log_dispatched(now, it, order, record);
+    attempts_.emplace(order.id, std::move(record));
+    hooks_.start(order);
+}
+
+void request_forwarder::log_dispatched(time_point now, const flow& it, const attempt_order& order,
+                                       const attempt& as)
+{
     auto line = describe(now, it, "dispatched");
-    line.endpoint = endpoint->id.str();
-    line.version = endpoint->version.str();
-    line.model = order.model.str();
+    line.endpoint = as.endpoint.str();
+    line.version = as.version.str();
+    line.model = as.model.str();
     line.session = it.request.session.str();
     line.content = to_hex(it.fingerprint);
-    line.reason = is_trial ? "trial" : "";
-    line.attempt = it.sends;
+    line.reason = as.is_trial ? "trial" : "";
+    line.attempt = as.number;
     line.time_left_ms = order.time_left.count();
-    if (record.prompt)
+    if (as.prompt)
     {
-        line.expected_wait_ms = std::chrono::floor<milliseconds>(record.prompt->wait).count();
-        line.expected_read_ms = std::chrono::floor<milliseconds>(record.prompt->work).count();
+        line.expected_wait_ms = std::chrono::floor<milliseconds>(as.prompt->wait).count();
+        line.expected_read_ms = std::chrono::floor<milliseconds>(as.prompt->work).count();
     }
-    attempts_.emplace(order.id, std::move(record));
     hooks_.log(line);
-    hooks_.start(order);
-    return true;
 }
 
 void request_forwarder::on_sent(time_point now, attempt_id id)
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -64,15 +64,11 @@
     }
     if (is_bad && !it->attempts.empty())
         return; // another attempt is under way
-    if (is_bad && it->via->is_idempotent() && !it->head_forwarded && may_send_again(now, *it) &&
-        retries_.at(it->service).try_take(now))
-    {
-        ++counters_.repeats;
-        if (dispatch(now, *it))
-            return arm(*it, next_check(*it));
-    }
     if (it->head_forwarded)
-        return end_without_answer(now, *it, core::errc::endpoint_answer_invalid);
+        return again_or_end(now, *it, core::errc::endpoint_answer_invalid, true);
+    if (is_bad && it->via->is_idempotent())
+        if (const auto next = plan(now, *it, true))
+            return repeat(now, *it, next.value(), true);
     cancel_attempts(now, *it);
     ++counters_.answered;
     hooks_.forward_answer(it->id, id);
@@ -102,11 +98,8 @@
     sample_head(now, *it, from);
     if (it->head_forwarded)
         return; // a resumed stream keeps the head of its first endpoint
-    if (head.confidence && !it->via->model_sizes.empty() && it->request.model.empty())
-    {
-        if (!cascade_.accepts(cascade_input_of(now, *it, *head.confidence)))
-            return escalate(now, *it, id, *head.confidence);
-    }
+    if (head.confidence && try_escalate(now, *it, id, *head.confidence))
+        return;
     auto line = describe(now, *it, "stream_began");
     line.endpoint = from.endpoint.str();
     line.version = from.version.str();
@@ -118,7 +111,8 @@
     arm(*it, next_check(*it)); // a pause between events is noticed sooner than a late first one
 }
 
-cascade_input request_forwarder::cascade_input_of(time_point now, const flow& it, int confidence)
+cascade_input request_forwarder::cascade_input_of(time_point now, const flow& it, int confidence,
+                                                  const succession& larger)
 {
     cascade_input out;
     out.size = it.size;
@@ -126,22 +120,29 @@
     out.confidence = confidence;
     out.elapsed = now - it.arrived;
     out.target_latency = it.via->target_latency;
-    out.may_retry = may_send_again(now, it) && retries_.at(it.service).left(now) >= 1;
-    if (out.size + 1 >= out.sizes)
-        return out;
-    auto larger = it;
-    larger.size = cascade_policy::next_size(out);
-    larger.tried.clear();
-    const auto expected = expect(now, larger);
-    if (!expected)
+    out.may_retry = larger.has_value();
+    if (!larger || !larger.value().prompt)
         return out;
-    out.larger_wait = expected->wait;
-    out.larger_read = expected->work;
+    const auto expected = chooser_.placement().expect(now, *larger.value().endpoint, *larger.value().prompt);
+    out.larger_wait = expected.wait;
+    out.larger_read = expected.work;
     return out;
 }
 
-void request_forwarder::escalate(time_point now, flow& it, attempt_id from, int confidence)
+bool request_forwarder::try_escalate(time_point now, flow& it, attempt_id from, int confidence)
 {
+    const bool has_larger = it.size + 1 < it.via->model_sizes.size();
+    if (!has_larger || !it.request.model.empty())
+        return false;
+    auto larger = it;
+    larger.size = it.via->model_sizes.size() - 1;
+    larger.tried.clear(); // another model may be kept at the same endpoint
+    const auto next = plan(now, larger, true);
+    const auto in = cascade_input_of(now, it, confidence, next);
+    if (!next && confidence < cascade_.threshold(in))
+        note_denied(now, it, next.error(), "not_escalated");
+    if (cascade_.accepts(in))
+        return false;
     auto line = describe(now, it, "escalated");
     line.confidence = confidence;
     line.endpoint = attempts_.at(from).endpoint.str();
@@ -149,11 +150,10 @@
     ++counters_.escalated;
     take_attempt(now, from);
     hooks_.cancel(from);
-    cascade_input in;
-    in.sizes = it.via->model_sizes.size();
-    it.size = cascade_policy::next_size(in);
-    it.tried.clear(); // another model may be kept at the same endpoint
-    again_or_end(now, it, core::errc::endpoint_answer_invalid, true);
+    it.size = larger.size;
+    it.tried.clear();
+    repeat(now, it, next.value(), true);
+    return true;
 }
 
 void request_forwarder::on_stream_event(time_point now, attempt_id id, std::string_view event,
@@ -196,68 +196,39 @@
 // Losses
 
 void request_forwarder::on_lost(time_point now, attempt_id id, attempt_loss loss)
-{
-    lose(now, id, loss, true);
-}
-
-void request_forwarder::lose(time_point now, attempt_id id, attempt_loss loss, bool asks_endpoint)
 {
     auto* it = find(id);
     if (it == nullptr)
         return;
-    if (loss == attempt_loss::broken)
-        note_broken(now, *it, attempts_.at(id), asks_endpoint);
+    const bool is_unsent = loss == attempt_loss::not_sent;
+    if (!is_unsent)
+        note_broken(now, *it, attempts_.at(id), true);
+    const auto endpoint = attempts_.at(id).endpoint;
+    note_lost(now, id, loss);
+    again_or_end(now, *it, core::errc::endpoint_lost, !is_unsent);
+    if (is_unsent)
+        replace_silent_attempts(now, endpoint, false);
+}
+
+void request_forwarder::note_lost(time_point now, attempt_id id, attempt_loss loss)
+{
     auto from = take_attempt(now, id);
+    auto& it = flows_.at(from->flow);
     ++counters_.attempts_lost;
-    auto line = describe(now, *it, "attempt_lost");
+    auto line = describe(now, it, "attempt_lost");
     line.endpoint = from->endpoint.str();
     line.reason = loss == attempt_loss::not_sent ? "not_sent" : "broken";
-    line.content = to_hex(it->fingerprint);
+    line.content = to_hex(it.fingerprint);
     line.attempt = from->number;
     hooks_.log(line);
     if (loss == attempt_loss::not_sent)
     {
-        ++it->unsent;
+        ++it.unsent;
         chooser_.not_reached(now, from->endpoint);
-        suspect_unreachable(now, from->endpoint);
+        return suspect_unreachable(now, from->endpoint);
     }
-    else
-    {
-        sample_end(now, *it, *from, true);
-        chooser_.broke(now, from->endpoint);
-    }
-    const auto endpoint = from->endpoint;
-    again_or_end(now, *it, core::errc::endpoint_lost, loss != attempt_loss::not_sent);
-    if (loss == attempt_loss::not_sent)
-        lose_silent_attempts(now, endpoint);
-}
-
-bool request_forwarder::may_send_again(time_point now, const flow& it) const
-{
-    // Attempts that are still connecting may run as well.
-    auto runs = it.runs;
-    for (const auto id : it.attempts)
-        runs += attempts_.at(id).may_have_run ? 0 : 1;
-    const bool may_repeat = it.via->is_idempotent() || runs == 0;
-    return may_repeat && it.sends - it.unsent < options_.max_sends && it.unsent < options_.max_unsent &&
-           runs < std::max(it.via->max_attempts, 1U) && it.deadline - now > options_.least_time;
-}
-
-void request_forwarder::again_or_end(time_point now, flow& it, core::errc why, bool costs_budget)
-{
-    if (!it.attempts.empty())
-        return;
-    it.denied = denial_of(now, it, costs_budget);
-    if (!may_send_again(now, it))
-        return end_without_answer(now, it, why);
-    if (costs_budget && !retries_.at(it.service).try_take(now))
-        return end_without_answer(now, it, core::errc::overloaded);
-    ++counters_.repeats;
-    if (it.head_forwarded)
-        ++counters_.resumed;
-    if (!dispatch(now, it))
-        return end_without_answer(now, it, why);
-    arm(it, next_check(it));
+    sample_end(now, it, *from, true);
+    chooser_.broke(now, from->endpoint);
 }
 
 // Endings
--- a/src/runlink/routing/request_forwarder_arrival.cpp
+++ b/src/runlink/routing/request_forwarder_arrival.cpp
@@ -67,11 +67,17 @@
     }
     auto& kept = flows_.emplace(id, std::move(it)).first->second;
     retries_.try_emplace(kept.service, options_.retries).first->second.on_first(now);
-    if (!dispatch(now, kept))
+    const auto first = plan(now, kept, false);
+    if (!first && first.error() != succession_denial::suspected)
     {
+        kept.denied = first.error();
         ++counters_.without_place;
         return end_without_answer(now, kept, core::errc::no_endpoint);
     }
+    if (first)
+        send(now, kept, first.value());
+    else
+        hold(now, kept);
     arm(kept, next_check(kept));
 }
 
@@ -217,16 +223,16 @@
 }
 
 std::optional<placed_prompt> request_forwarder::place_prompt(time_point now, const endpoint_entry& to,
-                                                             const endpoint_need& need)
+                                                             const std::optional<prompt_need>& need)
 {
-    if (!need.prompt)
+    if (!need)
         return std::nullopt;
     auto& placement = chooser_.placement();
-    const auto out = placement.sent(now, to, *need.prompt);
+    const auto out = placement.sent(now, to, *need);
     if (!placement.is_told(out))
         return out;
     ++counters_.prompts_told;
-    hooks_.prompt_went({out.endpoint, need.prompt->shared, std::chrono::ceil<milliseconds>(out.work)});
+    hooks_.prompt_went({out.endpoint, need->shared, std::chrono::ceil<milliseconds>(out.work)});
     return out;
 }
 
--- a/src/runlink/routing/request_forwarder_crashes.cpp
+++ b/src/runlink/routing/request_forwarder_crashes.cpp
@@ -106,17 +106,24 @@
 
 void request_forwarder::release(time_point now, flow& it)
 {
-    const auto may = attribution_.judge(now, it.fingerprint);
-    const bool has_time = now - *it.held_since < options_.most_hold;
-    if (may == crashes::permission::waits && has_time)
+    const bool costs_allowance = it.sends > it.unsent;
+    const auto next = plan(now, it, costs_allowance);
+    if (next && it.sends > 0)
+        return repeat(now, it, next.value(), costs_allowance);
+    if (next)
+    {
+        send(now, it, next.value());
+        return arm(it, next_check(it));
+    }
+    const bool passes =
+        next.error() == succession_denial::suspected || next.error() == succession_denial::allowance_spent;
+    if (passes && now - *it.held_since < options_.most_hold)
     {
         it.last_progress = now;
         return arm(it, next_check(it));
     }
-    const bool may_go = may == crashes::permission::free || may == crashes::permission::alone;
-    if (!may_go || (it.sends > 0 && !may_send_again(now, it)) || !dispatch(now, it))
-        return end_without_answer(now, it, it.sends > 0 ? core::errc::endpoint_lost : core::errc::overloaded);
-    arm(it, next_check(it));
+    it.denied = next.error();
+    end_without_answer(now, it, it.sends > 0 ? core::errc::endpoint_lost : core::errc::overloaded);
 }
 
 std::vector<flow_id> request_forwarder::flows_of(crashes::request_fingerprint it) const
@@ -147,6 +154,12 @@
                         [this](auto n) { return attempts_.at(n).has_head || attempts_.at(n).is_trial; });
         if (e.attempts.empty() || has_begun || !e.via->is_idempotent())
             continue;
+        const auto next = plan(now, e, true);
+        if (!next && next.error() != succession_denial::suspected)
+        {
+            note_denied(now, e, next.error(), "not_withdrawn");
+            continue;
+        }
         cancel_attempts(now, e);
         hold(now, e);
         arm(e, next_check(e));
@@ -156,7 +169,19 @@
 void request_forwarder::end_copies(time_point now, crashes::request_fingerprint it)
 {
     for (const auto id : flows_of(it))
-        end_without_answer(now, flows_.at(id), core::errc::request_harmful);
+        if (auto& e = flows_.at(id); !is_beyond_verdict(e))
+            end_without_answer(now, e, core::errc::request_harmful);
+}
+
+bool request_forwarder::is_beyond_verdict(const flow& it) const
+{
+    // An answer under way is evidence for its request, and a verdict may be wrong.
+    const auto is_beyond = [&](attempt_id id)
+    {
+        const auto& e = attempts_.at(id);
+        return e.has_head || (e.may_have_run && !it.via->is_idempotent());
+    };
+    return std::any_of(it.attempts.begin(), it.attempts.end(), is_beyond);
 }
 
 void request_forwarder::log_attribution(time_point now, std::string_view event,
--- a/src/runlink/routing/request_forwarder_endpoints.cpp
+++ b/src/runlink/routing/request_forwarder_endpoints.cpp
@@ -16,7 +16,7 @@
     if (warm_up_.told(now, it.id, it.service, it.cold_for))
         log_cold(now, it, places::cold_reason::told);
     if (change == endpoint_directory::change::restarted)
-        lose_earlier_life(now, it);
+        replace_earlier_life(now, it);
     return change;
 }
 
@@ -31,24 +31,22 @@
     endpoints_.replace(now, all);
 }
 
-void request_forwarder::lose_earlier_life(time_point now, const endpoint_entry& it)
+void request_forwarder::replace_earlier_life(time_point now, const endpoint_entry& it)
 {
     hooks_.endpoint_restarted(it);
-    std::vector<attempt_id> lost;
+    std::vector<attempt_id> old;
+    std::set<endpoint_id> ended;
     for (const auto& [id, e] : attempts_)
         if (e.name == it.name && e.endpoint != it.id && e.may_have_run &&
             flows_.at(e.flow).via->is_idempotent())
-            lost.push_back(id);
-    for (const auto id : lost)
-    {
-        const auto found = attempts_.find(id);
-        if (found == attempts_.end())
-            continue;
-        const auto earlier = found->second.endpoint;
-        hooks_.cancel(id);
-        lose(now, id, attempt_loss::broken, false);
-        note_ended(now, earlier, "later_life");
-    }
+        {
+            old.push_back(id);
+            ended.insert(e.endpoint);
+        }
+    for (const auto id : old)
+        replace(now, id, true);
+    for (const auto& id : ended)
+        note_ended(now, id, "later_life");
 }
 
 // Evacuations
--- a/src/runlink/routing/request_forwarder_succession.cpp
+++ b/src/runlink/routing/request_forwarder_succession.cpp
@@ -8,43 +8,91 @@
 namespace runlink::routing
 {
 
-succession_denial request_forwarder::denial_of(time_point now, const flow& it, bool costs_allowance)
+succession_input request_forwarder::input_of(time_point now, const flow& it, bool costs_allowance)
 {
     // Attempts that are still connecting may run as well.
     auto runs = it.runs;
     for (const auto id : it.attempts)
         runs += attempts_.at(id).may_have_run ? 0 : 1;
     const auto left = [](std::uint32_t of, std::uint32_t used) { return of > used ? of - used : 0; };
-    succession_input in;
-    in.may_repeat = it.via->is_idempotent() || runs == 0;
-    in.runs_left = left(std::max(it.via->max_attempts, 1U), runs);
-    in.sends_left =
+    succession_input out;
+    out.may_repeat = it.via->is_idempotent() || runs == 0;
+    out.runs_left = left(std::max(it.via->max_attempts, 1U), runs);
+    out.sends_left =
         std::min(left(options_.max_sends, it.sends - it.unsent), left(options_.max_unsent, it.unsent));
-    in.time_left = it.deadline - now;
-    in.least_time = options_.least_time;
-    in.key = key_of(now, it);
-    in.content = attribution_.judge(now, it.fingerprint);
-    in.costs_allowance = costs_allowance;
-    in.allowance_left = retries_.at(it.service).left(now);
-    const auto out = judge(in);
-    if (out != succession_denial::none || chooser_.peek(now, endpoints_, need_of(now, it)) != nullptr)
-        return out;
-    return succession_denial::no_endpoint;
+    out.time_left = it.deadline - now;
+    out.least_time = options_.least_time;
+    out.key = key_of(now, it);
+    out.content = attribution_.judge(now, it.fingerprint);
+    out.costs_allowance = costs_allowance;
+    out.allowance_left = retries_.at(it.service).left(now);
+    return out;
 }
 
-void request_forwarder::describe_denial(time_point now, const flow& it, decision& to)
+succession request_forwarder::plan(time_point now, const flow& it, bool costs_allowance)
+{
+    const auto in = input_of(now, it, costs_allowance);
+    if (const auto why = judge(in))
+        return *why;
+    successor out;
+    out.is_trial = in.content == crashes::permission::alone;
+    auto need = need_of(now, it);
+    keep_apart(now, need, out.is_trial);
+    out.endpoint = chooser_.peek(now, endpoints_, need);
+    if (out.endpoint == nullptr)
+        return succession_denial::no_endpoint;
+    out.prompt = std::move(need.prompt);
+    return out;
+}
+
+void request_forwarder::repeat(time_point now, flow& it, const successor& to, bool costs_allowance)
+{
+    if (costs_allowance)
+        retries_.at(it.service).try_take(now);
+    ++counters_.repeats;
+    if (it.head_forwarded)
+        ++counters_.resumed;
+    send(now, it, to);
+    arm(it, next_check(it));
+}
+
+void request_forwarder::replace(time_point now, attempt_id id, bool has_ended)
 {
-    if (it.denied == succession_denial::none)
+    const auto found = attempts_.find(id);
+    if (found == attempts_.end())
         return;
-    to.denied = to_string(it.denied);
-    to.key_gone_ms = key_gone_for(now, it).count();
-    to.allowance_left = static_cast<std::int64_t>(std::max(retries_.at(it.service).left(now), 0.0));
-    to.endpoints_fitting =
-        static_cast<std::int64_t>(chooser_.count_fitting(now, endpoints_, need_of(now, it)));
+    auto& it = flows_.at(found->second.flow);
+    if (has_ended)
+        note_broken(now, it, found->second, false);
+    const auto next = plan(now, it, true);
+    if (!next)
+        return note_denied(now, it, next.error(), "not_replaced");
+    hooks_.cancel(id);
+    note_lost(now, id, attempt_loss::broken);
+    repeat(now, it, next.value(), true);
+}
+
+void request_forwarder::again_or_end(time_point now, flow& it, core::errc why, bool costs_allowance)
+{
+    if (!it.attempts.empty())
+        return;
+    const auto next = plan(now, it, costs_allowance);
+    if (next)
+        return repeat(now, it, next.value(), costs_allowance);
+    if (next.error() == succession_denial::suspected)
+    {
+        hold(now, it);
+        return arm(it, next_check(it));
+    }
+    it.denied = next.error();
+    const bool is_spent = next.error() == succession_denial::allowance_spent;
+    end_without_answer(now, it, is_spent ? core::errc::overloaded : why);
 }
 
-void request_forwarder::log_denied(time_point now, const flow& it, std::string_view event)
+void request_forwarder::note_denied(time_point now, flow& it, succession_denial why, std::string_view event)
 {
+    it.denied = why;
+    ++counters_.successors_denied;
     auto line = describe(now, it, event);
     line.content = to_hex(it.fingerprint);
     line.attempt = it.sends;
@@ -53,4 +101,15 @@
     hooks_.log(line);
 }
 
+void request_forwarder::describe_denial(time_point now, const flow& it, decision& to)
+{
+    if (!it.denied)
+        return;
+    to.denied = to_string(*it.denied);
+    to.key_gone_ms = key_gone_for(now, it).count();
+    to.allowance_left = static_cast<std::int64_t>(std::max(retries_.at(it.service).left(now), 0.0));
+    to.endpoints_fitting =
+        static_cast<std::int64_t>(chooser_.count_fitting(now, endpoints_, need_of(now, it)));
+}
+
 } // namespace runlink::routing
--- a/src/runlink/routing/request_forwarder_timers.cpp
+++ b/src/runlink/routing/request_forwarder_timers.cpp
@@ -70,14 +70,15 @@
     }
     chooser_.not_reached(now, id);
     suspect_unreachable(now, id);
-    lose_silent_attempts(now, id);
-    if (what == core::contact::refused)
+    const bool has_ended = what == core::contact::refused;
+    replace_silent_attempts(now, id, has_ended);
+    if (has_ended)
         note_ended(now, id, "refused");
     else
         attribution_.on_not_ended(now, crashes::life_hash(id));
 }
 
-void request_forwarder::lose_silent_attempts(time_point now, const endpoint_id& id)
+void request_forwarder::replace_silent_attempts(time_point now, const endpoint_id& id, bool has_ended)
 {
     // Only what may be repeated: a request that may run once is not ended because its endpoint is silent.
     std::vector<attempt_id> silent;
@@ -90,30 +91,28 @@
             silent.push_back(attempt);
     }
     for (const auto attempt : silent)
-    {
-        hooks_.cancel(attempt);
-        lose(now, attempt, attempt_loss::broken, false);
-    }
+        replace(now, attempt, has_ended);
 }
 
 void request_forwarder::hedge(time_point now, flow& it)
 {
     it.hedged = true;
-    const bool is_free = attribution_.judge(now, it.fingerprint) == crashes::permission::free;
-    if (is_free && may_send_again(now, it) && retries_.at(it.service).try_take(now) && dispatch(now, it))
+    const auto next = plan(now, it, true);
+    if (next && !next.value().is_trial)
+    {
+        retries_.at(it.service).try_take(now);
+        send(now, it, next.value());
         ++counters_.hedges;
+    }
     arm(it, next_check(it));
 }
 
 void request_forwarder::move(time_point now, flow& it)
 {
-    // Only where another endpoint may take it; otherwise the one that has it is the best there is.
-    const bool can_move = may_send_again(now, it) && retries_.at(it.service).left(now) >= 1 &&
-                          chooser_.peek(now, endpoints_, need_of(now, it)) != nullptr;
-    if (!can_move)
+    const auto next = plan(now, it, true);
+    if (!next)
     {
-        it.denied = denial_of(now, it, true);
-        log_denied(now, it, "not_moved");
+        note_denied(now, it, next.error(), "not_moved");
         it.last_progress = now;
         return arm(it, next_check(it));
     }
@@ -128,7 +127,7 @@
         chooser_.broke(now, from.endpoint);
     }
     cancel_attempts(now, it);
-    again_or_end(now, it, core::errc::endpoint_lost, true);
+    repeat(now, it, next.value(), true);
 }
 
 void request_forwarder::tick(time_point now)
--- a/src/runlink/routing/succession.cpp
+++ b/src/runlink/routing/succession.cpp
@@ -7,7 +7,6 @@
 {
     switch (it)
     {
-    case succession_denial::none: return "none";
     case succession_denial::may_run_once: return "may_run_once";
     case succession_denial::attempts_spent: return "attempts_spent";
     case succession_denial::time_spent: return "time_spent";
@@ -18,10 +17,10 @@
     case succession_denial::suspected: return "suspected";
     case succession_denial::no_endpoint: return "no_endpoint";
     }
-    return "none";
+    return {};
 }
 
-succession_denial judge(const succession_input& it)
+std::optional<succession_denial> judge(const succession_input& it)
 {
     if (!it.may_repeat)
         return succession_denial::may_run_once;
@@ -39,7 +38,7 @@
         return succession_denial::allowance_spent;
     if (it.content == crashes::permission::waits)
         return succession_denial::suspected;
-    return succession_denial::none;
+    return std::nullopt;
 }
 
 } // namespace runlink::routing
