A trial that never begins its answer is tried elsewhere

What callers saw: a request of suspected content that is tried at an endpoint which hangs waited there, by the code until its deadline. Each copy of the content, at any instance, is held for a trial under way and refused after 2 s.

Cause: the successor of a trial is planned while the trial is under way, and its content then waits for just this trial. Move and replacement took their own request's trial for another's (denied: suspected).

Why it holds: a trial is given up without a successor only where it has not begun its answer or its endpoint has ended, where an endpoint fits and nothing but the turn of its content speaks against another attempt. A trial that has begun its answer is waited for.

--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -299,6 +299,9 @@
     void repeat(time_point now, flow& it, const successor& to, bool costs_allowance);
     /// An attempt that will hardly be answered. `has_ended`: its endpoint, as far as is known.
     void replace(time_point now, attempt_id id, bool has_ended);
+    /// Whether nothing but the request's own trial, which will hardly be answered, speaks against another
+    /// attempt.
+    bool is_trial_over(time_point now, const flow& it, succession_denial why, bool has_ended) const;
     /// Nothing of the request is under way: sends it again, or ends it for the reason.
     void again_or_end(time_point now, flow& it, core::errc why, bool costs_allowance);
     void note_denied(time_point now, flow& it, succession_denial why, std::string_view event);
--- a/src/runlink/routing/request_forwarder_succession.cpp
+++ b/src/runlink/routing/request_forwarder_succession.cpp
@@ -65,13 +65,29 @@
     if (has_ended)
         note_broken(now, it, found->second, false);
     const auto next = plan(now, it, true);
-    if (!next)
+    if (!next && !is_trial_over(now, it, next.error(), has_ended))
         return note_denied(now, it, next.error(), "not_replaced");
     hooks_.cancel(id);
     note_lost(now, id, attempt_loss::broken);
+    if (!next)
+        return again_or_end(now, it, core::errc::endpoint_lost, true);
     repeat(now, it, next.value(), true);
 }
 
+bool request_forwarder::is_trial_over(time_point now, const flow& it, succession_denial why,
+                                      bool has_ended) const
+{
+    // All copies of its content wait for a trial, at every instance: one that hangs must not block them.
+    const auto hangs = [&](attempt_id id)
+    {
+        const auto& e = attempts_.at(id);
+        return e.is_trial && (has_ended || !e.has_head);
+    };
+    return why == succession_denial::suspected &&
+           std::any_of(it.attempts.begin(), it.attempts.end(), hangs) &&
+           chooser_.peek(now, endpoints_, need_of(now, it)) != nullptr;
+}
+
 void request_forwarder::again_or_end(time_point now, flow& it, core::errc why, bool costs_allowance)
 {
     if (!it.attempts.empty())
--- a/src/runlink/routing/request_forwarder_timers.cpp
+++ b/src/runlink/routing/request_forwarder_timers.cpp
@@ -110,7 +110,7 @@
 void request_forwarder::move(time_point now, flow& it)
 {
     const auto next = plan(now, it, true);
-    if (!next)
+    if (!next && !is_trial_over(now, it, next.error(), false))
     {
         note_denied(now, it, next.error(), "not_moved");
         it.last_progress = now;
@@ -127,6 +127,8 @@
         chooser_.broke(now, from.endpoint);
     }
     cancel_attempts(now, it);
+    if (!next)
+        return again_or_end(now, it, core::errc::endpoint_lost, true);
     repeat(now, it, next.value(), true);
 }
 
--- a/tests/cut_stream_test.cpp
+++ b/tests/cut_stream_test.cpp
@@ -182,3 +182,53 @@
     CHECK_FALSE(has(out, "break off r1"));
     CHECK(has(out, "end r1"));
 }
+
+TEST_CASE("a trial that never begins its answer is tried elsewhere")
+{
+    // Every copy of its content, at any instance, waits for the trial.
+    const std::string script = R"(table 1
+proven
+endpoint e1 pool
+suspected acme
+request r1 /llm/x key=k1 deadline=8000
+advance 320
+sent a1
+endpoint e2 pool
+proven
+advance 2000
+proven
+advance 320
+sent a2
+head a2 confidence=90
+event a2 1
+end a2
+)";
+    const auto out = run_forwarding_script(script);
+    INFO(out);
+    CHECK(has(out, "start a2 r1 -> e2"));
+    CHECK(has(out, "end r1"));
+}
+
+TEST_CASE("a trial whose endpoint takes no connection is tried elsewhere")
+{
+    const std::string script = R"(table 1
+proven
+endpoint e1 pool
+suspected acme
+request r1 /llm/x key=k1 deadline=8000
+advance 320
+sent a1
+endpoint e2 pool
+advance 500
+asked e1
+advance 320
+sent a2
+head a2 confidence=90
+event a2 1
+end a2
+)";
+    const auto out = run_forwarding_script(script);
+    INFO(out);
+    CHECK(has(out, "start a2 r1 -> e2"));
+    CHECK(has(out, "end r1"));
+}
