A service that is removed while a call waits for it ends that call alone

What callers saw: the process ended (segmentation fault), and with it every stream and call that it had under way, when a configuration took a service away for which a call was queued, or sent again after a loss.

Cause: the service of a call was checked as it came and then taken from the newest configuration without asking whether it is still there. Versions of models were asked again.

Why it holds: one check asks for the target, service or version, at each start of an attempt; a call whose target is gone ends by whether it may have run. Without the service no pool fits, for whoever looks first.

--- a/include/runlink/core/request_router.hpp
+++ b/include/runlink/core/request_router.hpp
@@ -170,6 +170,8 @@
     void enqueue(const request_id& id, bool front);
     void pump(time_point now);
     bool try_start(time_point now, const request_id& id);
+    /// Fails where the configuration lacks by now what the request asks for.
+    result<void> take_target(time_point now, active& it) const;
     result<version_ref> version_for(time_point now, const active& it) const;
     endpoint_demand demand_of(const active& it) const;
     void dispatch(time_point now, active& it, const endpoint_settings& endpoint);
--- a/src/runlink/core/request_router.cpp
+++ b/src/runlink/core/request_router.cpp
@@ -221,18 +221,13 @@
         expire(now, it);
         return true;
     }
-    if (!it.request.service)
+    if (const auto target = take_target(now, it); !target)
     {
-        const auto version = version_for(now, it);
-        if (!version)
-        {
-            if (it.may_have_run)
-                end_unknown(now, it, version.error());
-            else
-                refuse_not_run(now, it, version.error());
-            return true;
-        }
-        it.version = version.value();
+        if (it.may_have_run)
+            end_unknown(now, it, target.error());
+        else
+            refuse_not_run(now, it, target.error());
+        return true;
     }
     const auto* endpoint = parts_.selector.pick(now, demand_of(it));
     if (endpoint == nullptr)
@@ -241,6 +236,18 @@
     return true;
 }
 
+result<void> request_router::take_target(time_point now, active& it) const
+{
+    const auto& service = it.request.service;
+    if (service && configuration_->find_service(*service) == nullptr)
+        return failure{errc::unknown_service, service->str()};
+    if (service)
+        return boost::outcome_v2::success();
+    BOOST_OUTCOME_TRY(version, version_for(now, it));
+    it.version = version;
+    return boost::outcome_v2::success();
+}
+
 result<version_ref> request_router::version_for(time_point now, const active& it) const
 {
     const auto* account = configuration_->find_account(it.request.account);
@@ -262,7 +269,11 @@
     out.prefix_hash = it.request.prefix_hash;
     out.excluded = it.tried.empty() ? nullptr : &it.tried;
     if (it.request.service)
-        out.pool = configuration_->find_service(*it.request.service)->pool;
+    {
+        // Without the service no pool fits.
+        const auto* service = configuration_->find_service(*it.request.service);
+        out.pool = service == nullptr ? pool_id{} : service->pool;
+    }
     else
         out.version = it.version;
     return out;
