A request that is withdrawn as suspected may be tried where it ran

What callers saw: a request that worked was ended 20 ms after others suspected its content (502), where no other endpoint than the one it was withdrawn from fits: a service with one endpoint, or all others tried.

Cause: the endpoints of withdrawn copies counted as tried, and a withdrawal asked only whether the turn of the content stands in the way, not for an endpoint behind it.

Why it holds: a withdrawal gives its endpoints back and takes place only where an endpoint fits now and nothing but the turn speaks against the next attempt. Trials choose the endpoint with the least else to cut, as before.

--- a/src/runlink/routing/request_forwarder_crashes.cpp
+++ b/src/runlink/routing/request_forwarder_crashes.cpp
@@ -154,13 +154,19 @@
                         [this](auto n) { return attempts_.at(n).has_head || attempts_.at(n).is_trial; });
         if (e.attempts.empty() || has_begun || !e.via->is_idempotent())
             continue;
-        const auto next = plan(now, e, true);
-        if (!next && next.error() != succession_denial::suspected)
+        auto again = e;
+        for (const auto n : e.attempts)
+            again.tried.erase(attempts_.at(n).endpoint); // it may be tried there
+        const auto next = plan(now, again, true);
+        const bool waits_for_turn = !next && next.error() == succession_denial::suspected &&
+                                    chooser_.peek(now, endpoints_, need_of(now, again)) != nullptr;
+        if (!next && !waits_for_turn)
         {
             note_denied(now, e, next.error(), "not_withdrawn");
             continue;
         }
         cancel_attempts(now, e);
+        e.tried = std::move(again.tried);
         hold(now, e);
         arm(e, next_check(e));
     }
--- a/tests/cut_stream_test.cpp
+++ b/tests/cut_stream_test.cpp
@@ -232,3 +232,22 @@
     CHECK(has(out, "start a2 r1 -> e2"));
     CHECK(has(out, "end r1"));
 }
+
+TEST_CASE("a withdrawn request may be tried at the endpoint that it was withdrawn from")
+{
+    const std::string script = R"(table 1
+proven
+endpoint e1 pool
+request r1 /llm/x key=k1 deadline=8000
+sent a1
+suspected acme
+advance 320
+sent a2
+head a2 confidence=90
+event a2 1
+end a2
+)";
+    const auto out = run_forwarding_script(script);
+    INFO(out);
+    CHECK(has(out, "end r1"));
+}
