A request whose endpoint has ended leaves it as soon as it may

What callers saw: a request that may be repeated, at an endpoint of which a later life is known, stayed there although the allowance had room again 0.1 s later: until its connection breaks, or its deadline.

Cause: the replacement was decided once. What speaks against a successor may pass (allowance, turn of a suspected content, a cold endpoint, an old proof), and only resumable streams were looked at again.

Evidence: cut_stream_test, the new case failed before (no second attempt); 14 of 14 pass. forwarding_test, routing_test, exposure_test, forwarding_property_test and crash_test pass.

Why it holds: an attempt whose endpoint has ended is marked, and its successor planned anew every 100 ms as long as only something that passes speaks against it. A head or an event of it takes the mark away: the connection lives, and nothing that works is given up.

Renamed beside it: a local in release, which has another meaning than succession's passes().

--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -68,6 +68,8 @@
     /// A suspected request waits this long for its turn.
     milliseconds most_hold{2000};
     milliseconds hold_interval{20}; ///< between two looks whether it may go
+    /// Between two looks whether a request may leave an endpoint that has ended.
+    milliseconds leave_interval{100};
     places::region_map regions;
 };
 
@@ -208,6 +210,8 @@
         time_point last_progress{};
         time_point check_at{};
         time_point ask_at{}; ///< when its silent endpoint is asked whether it lives
+        /// When it is looked again whether it may leave an endpoint that has ended.
+        std::optional<time_point> leave_at;
     };
     struct attempt
     {
@@ -224,8 +228,9 @@
         bool has_head = false;
         std::optional<time_point> first_event;
         std::uint32_t events = 0;
-        answer_counts counted; ///< of it, in the judgement of versions
-        bool is_trial = false; ///< the request is suspected, and no other copy runs
+        answer_counts counted;  ///< of it, in the judgement of versions
+        bool is_trial = false;  ///< the request is suspected, and no other copy runs
+        bool has_ended = false; ///< its endpoint, as far as is known
     };
 
     // Arrival
@@ -302,6 +307,8 @@
     /// Whether nothing but the request's own trial, which will hardly be answered, speaks against another
     /// attempt.
     bool is_trial_over(time_point now, const flow& it, succession_denial why, bool has_ended) const;
+    /// Looks again whether attempts whose endpoints have ended may be replaced.
+    void leave_ended(time_point now, flow& it);
     /// Nothing of the request is under way: sends it again, or ends it for the reason.
     void again_or_end(time_point now, flow& it, core::errc why, bool costs_allowance);
     void note_denied(time_point now, flow& it, succession_denial why, std::string_view event);
--- a/include/runlink/routing/succession.hpp
+++ b/include/runlink/routing/succession.hpp
@@ -42,6 +42,9 @@
 /// The public name of a denial, such as `key_removed`.
 std::string_view to_string(succession_denial it);
 
+/// Whether it may pass by itself while the request has time.
+bool passes(succession_denial it);
+
 /// What the decision looks at, but for the endpoint.
 struct succession_input
 {
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -105,6 +105,7 @@
     const auto& endpoint = *to.endpoint;
     it.held_since.reset();
     it.denied.reset();
+    it.leave_at.reset();
     attempt_order order;
     order.id = attempt_id{next_attempt_++};
     order.flow = it.id;
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -83,6 +83,7 @@
     if (it == nullptr)
         return;
     auto& from = attempts_.at(id);
+    from.has_ended = false;
     liveness_.heard(now, from.endpoint);
     it->ask_at = now + liveness_.options().ask_after;
     if (!head.is_sealed)
@@ -166,6 +167,7 @@
     if (!from.first_event)
         from.first_event = now;
     ++from.events;
+    from.has_ended = false;
     liveness_.heard(now, from.endpoint);
     it->last_progress = now;
     it->ask_at = now + liveness_.options().ask_after;
--- a/src/runlink/routing/request_forwarder_crashes.cpp
+++ b/src/runlink/routing/request_forwarder_crashes.cpp
@@ -115,9 +115,9 @@
         send(now, it, next.value());
         return arm(it, next_check(it));
     }
-    const bool passes =
+    const bool may_wait =
         next.error() == succession_denial::suspected || next.error() == succession_denial::allowance_spent;
-    if (passes && now - *it.held_since < options_.most_hold)
+    if (may_wait && now - *it.held_since < options_.most_hold)
     {
         it.last_progress = now;
         return arm(it, next_check(it));
--- a/src/runlink/routing/request_forwarder_succession.cpp
+++ b/src/runlink/routing/request_forwarder_succession.cpp
@@ -66,7 +66,15 @@
         note_broken(now, it, found->second, false);
     const auto next = plan(now, it, true);
     if (!next && !is_trial_over(now, it, next.error(), has_ended))
+    {
+        if (has_ended && passes(next.error()))
+        {
+            found->second.has_ended = true;
+            it.leave_at = now + options_.leave_interval;
+            arm(it, next_check(it));
+        }
         return note_denied(now, it, next.error(), "not_replaced");
+    }
     hooks_.cancel(id);
     note_lost(now, id, attempt_loss::broken);
     if (!next)
@@ -74,6 +82,26 @@
     repeat(now, it, next.value(), true);
 }
 
+void request_forwarder::leave_ended(time_point now, flow& it)
+{
+    it.leave_at.reset();
+    for (const auto id : it.attempts)
+    {
+        if (!attempts_.at(id).has_ended)
+            continue;
+        const auto next = plan(now, it, true);
+        if (next)
+        {
+            hooks_.cancel(id);
+            note_lost(now, id, attempt_loss::broken);
+            return repeat(now, it, next.value(), true);
+        }
+        if (passes(next.error()))
+            it.leave_at = now + options_.leave_interval;
+    }
+    arm(it, next_check(it));
+}
+
 bool request_forwarder::is_trial_over(time_point now, const flow& it, succession_denial why,
                                       bool has_ended) const
 {
--- a/src/runlink/routing/request_forwarder_timers.cpp
+++ b/src/runlink/routing/request_forwarder_timers.cpp
@@ -21,6 +21,8 @@
     auto out = it.deadline;
     if (it.held_since)
         return std::min(out, it.last_progress + options_.hold_interval);
+    if (it.leave_at)
+        out = std::min(out, *it.leave_at);
     if (it.via->kind == route_kind::safe && !it.hedged)
         out = std::min(out, it.arrived + part(it.via->target_latency, options_.hedge_after));
     if (it.via->kind != route_kind::streaming || !it.via->resumable)
@@ -39,6 +41,8 @@
         return arm(it, next);
     if (it.held_since)
         return release(now, it);
+    if (it.leave_at && now >= *it.leave_at)
+        return leave_ended(now, it);
     if (it.via->kind == route_kind::safe)
         return hedge(now, it);
     if (now >= it.ask_at)
--- a/src/runlink/routing/succession.cpp
+++ b/src/runlink/routing/succession.cpp
@@ -20,6 +20,12 @@
     return {};
 }
 
+bool passes(succession_denial it)
+{
+    return it == succession_denial::proof_too_old || it == succession_denial::allowance_spent ||
+           it == succession_denial::suspected || it == succession_denial::no_endpoint;
+}
+
 std::optional<succession_denial> judge(const succession_input& it)
 {
     if (!it.may_repeat)
--- a/tests/cut_stream_test.cpp
+++ b/tests/cut_stream_test.cpp
@@ -251,3 +251,34 @@
     INFO(out);
     CHECK(has(out, "end r1"));
 }
+
+TEST_CASE("a request at an endpoint with a later life goes on as soon as the allowance has room")
+{
+    const std::string script = R"(table 1
+proven
+endpoint e1 app
+request r1 /look/x key=k1 deadline=2000
+sent a1
+endpoint e2 app
+endpoint e3 app
+endpoint e4 app
+endpoint e5 app
+request s1 /look/x key=k2 deadline=2000
+answer a2 503 not_run
+answer a3 503 not_run
+answer a4 503 not_run
+answer a5 503 not_run
+request s2 /look/x key=k2 deadline=2000
+answer a6 503 not_run
+answer a7 503 not_run
+answer a8 503 not_run
+advance 150
+endpoint e1 app life=1
+request s3 /look/x key=k2 deadline=2000
+answer a9 200
+advance 150
+)";
+    const auto out = run_forwarding_script(script);
+    INFO(out);
+    CHECK(has(out, "start a10 r1"));
+}
