A key that is given back has its whole grace when it is removed again

What callers saw: beside a series of changes that removes a key, gives it back and removes it again, a request under way could not be sent again, though the key had been gone for a moment only.

Cause: when the key was last known to hold was noted at its first removal and kept for the life of the request. count_without_key counted such requests as well.

Evidence: cut_stream_test, the new case failed before (not moved); 16 of 16 pass. forwarding_test, forwarding_property_test and routing_test pass.

Why it holds: the note goes when a table in force has the key; the next removal takes the latest proof from before it, and a removal is never older than that proof: the bound on removed keys stays, for which the second new case stands.

--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -23,7 +23,9 @@
 void request_forwarder::apply(routing_table_ptr table)
 {
     for (auto& [id, it] : flows_)
-        if (!it.account.empty() && !it.key_held_at && table->find_account(it.request.key) == nullptr)
+        if (!it.account.empty() && table->find_account(it.request.key) != nullptr)
+            it.key_held_at.reset(); // it may have been given back
+        else if (!it.account.empty() && !it.key_held_at)
             it.key_held_at = proven_at_;
     for (const auto& it : table->services())
         warm_up_.set_limit(it.id, it.cold);
--- a/tests/cut_stream_test.cpp
+++ b/tests/cut_stream_test.cpp
@@ -282,3 +282,30 @@
     INFO(out);
     CHECK(has(out, "start a10 r1"));
 }
+
+TEST_CASE("a stream whose key was given back has the whole grace when the key is removed again")
+{
+    const std::string removed = "table 2 revoked=k1\nproven\n";
+    const std::string again = "table 3\nproven\ntable 4 revoked=k1\nproven\n";
+    const std::string rest = R"(advance 480
+sent a2
+head a2
+event a2 14
+end a2
+)";
+    const auto out = run_forwarding_script(began + removed + events_for_4800_ms(true) + again + rest);
+    INFO(out);
+    CHECK(has(out, "start a2 r1 -> e2"));
+    CHECK(has(out, "end r1"));
+}
+
+TEST_CASE("the grace of a key that is removed counts from the proof before its removal")
+{
+    // Removed, given back and removed again without a proof in between.
+    const std::string removed = "table 2 revoked=k1\ntable 3\ntable 4 revoked=k1\nproven\n";
+    const std::string rest = "advance 480\nevent a1 14\nend a1\n";
+    const auto out = run_forwarding_script(began + removed + events_for_4800_ms(true) + rest);
+    INFO(out);
+    CHECK_FALSE(has(out, "start a2"));
+    CHECK(has(out, "end r1"));
+}
