A stream that was not moved is still known to be silent

What callers saw: a stream at an endpoint that takes no connection stayed there for another 0.9 of its gap (440 ms in the test), though a successor was at hand as the endpoint was asked.

Cause: a move that could not be made set the stream's latest progress to now, so as to look again later. The answer to the question whether its endpoint lives then found a stream that seemed to be at work.

Evidence: cut_stream_test, the new case failed before; 17 of 17 pass. forwarding_test, forwarding_property_test and crash_test pass.

Why it holds: when it was looked last is noted apart from progress, which only the endpoint makes.

--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -208,6 +208,7 @@
         std::optional<succession_denial> denied;
         std::optional<std::uint64_t> last_event;
         time_point last_progress{};
+        time_point not_moved_at{}; ///< it was looked whether it may be moved, and it might not
         time_point check_at{};
         time_point ask_at{}; ///< when its silent endpoint is asked whether it lives
         /// When it is looked again whether it may leave an endpoint that has ended.
--- a/src/runlink/routing/request_forwarder_timers.cpp
+++ b/src/runlink/routing/request_forwarder_timers.cpp
@@ -29,7 +29,7 @@
         return out;
     const auto patience = it.head_forwarded ? part(it.via->target_gap, options_.stall_after)
                                             : part(it.via->target_latency, options_.move_after);
-    return std::min({out, it.last_progress + patience, it.ask_at});
+    return std::min({out, std::max(it.last_progress, it.not_moved_at) + patience, it.ask_at});
 }
 
 void request_forwarder::check(time_point now, flow& it)
@@ -117,7 +117,7 @@
     if (!next && !is_trial_over(now, it, next.error(), false))
     {
         note_denied(now, it, next.error(), "not_moved");
-        it.last_progress = now;
+        it.not_moved_at = now;
         return arm(it, next_check(it));
     }
     auto line = describe(now, it, "moved");
--- a/tests/cut_stream_test.cpp
+++ b/tests/cut_stream_test.cpp
@@ -309,3 +309,21 @@
     CHECK_FALSE(has(out, "start a2"));
     CHECK(has(out, "end r1"));
 }
+
+TEST_CASE("a stream that was not moved is replaced when its endpoint takes no connection")
+{
+    const std::string script = R"(table 1
+proven
+endpoint e1 pool
+request r1 /llm/x key=k1 deadline=8000
+sent a1
+head a1 confidence=90
+event a1 1
+advance 460
+endpoint e2 pool
+asked e1
+)";
+    const auto out = run_forwarding_script(script);
+    INFO(out);
+    CHECK(has(out, "start a2 r1 -> e2"));
+}
