--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -68,6 +68,8 @@
     /// A suspected request waits this long for its turn.
     milliseconds most_hold{2000};
     milliseconds hold_interval{20}; ///< between two looks whether it may go
+    /// Between two looks whether a request may leave an endpoint that has ended.
+    milliseconds leave_interval{100};
     places::region_map regions;
 };
 
@@ -206,8 +208,11 @@
         std::optional<succession_denial> denied;
         std::optional<std::uint64_t> last_event;
         time_point last_progress{};
+        time_point not_moved_at{}; ///< it was looked whether it may be moved, and it might not
         time_point check_at{};
         time_point ask_at{}; ///< when its silent endpoint is asked whether it lives
+        /// When it is looked again whether it may leave an endpoint that has ended.
+        std::optional<time_point> leave_at;
     };
     struct attempt
     {
@@ -224,8 +229,9 @@
         bool has_head = false;
         std::optional<time_point> first_event;
         std::uint32_t events = 0;
-        answer_counts counted; ///< of it, in the judgement of versions
-        bool is_trial = false; ///< the request is suspected, and no other copy runs
+        answer_counts counted;  ///< of it, in the judgement of versions
+        bool is_trial = false;  ///< the request is suspected, and no other copy runs
+        bool has_ended = false; ///< its endpoint, as far as is known
     };
 
     // Arrival
@@ -299,6 +305,11 @@
     void repeat(time_point now, flow& it, const successor& to, bool costs_allowance);
     /// An attempt that will hardly be answered. `has_ended`: its endpoint, as far as is known.
     void replace(time_point now, attempt_id id, bool has_ended);
+    /// Whether nothing but the request's own trial, which will hardly be answered, speaks against another
+    /// attempt.
+    bool is_trial_over(time_point now, const flow& it, succession_denial why, bool has_ended) const;
+    /// Looks again whether attempts whose endpoints have ended may be replaced.
+    void leave_ended(time_point now, flow& it);
     /// Nothing of the request is under way: sends it again, or ends it for the reason.
     void again_or_end(time_point now, flow& it, core::errc why, bool costs_allowance);
     void note_denied(time_point now, flow& it, succession_denial why, std::string_view event);
--- a/src/runlink/routing/request_forwarder_timers.cpp
+++ b/src/runlink/routing/request_forwarder_timers.cpp
@@ -21,13 +21,15 @@
     auto out = it.deadline;
     if (it.held_since)
         return std::min(out, it.last_progress + options_.hold_interval);
+    if (it.leave_at)
+        out = std::min(out, *it.leave_at);
     if (it.via->kind == route_kind::safe && !it.hedged)
         out = std::min(out, it.arrived + part(it.via->target_latency, options_.hedge_after));
     if (it.via->kind != route_kind::streaming || !it.via->resumable)
         return out;
     const auto patience = it.head_forwarded ? part(it.via->target_gap, options_.stall_after)
                                             : part(it.via->target_latency, options_.move_after);
-    return std::min({out, it.last_progress + patience, it.ask_at});
+    return std::min({out, std::max(it.last_progress, it.not_moved_at) + patience, it.ask_at});
 }
 
 void request_forwarder::check(time_point now, flow& it)
@@ -39,6 +41,8 @@
         return arm(it, next);
     if (it.held_since)
         return release(now, it);
+    if (it.leave_at && now >= *it.leave_at)
+        return leave_ended(now, it);
     if (it.via->kind == route_kind::safe)
         return hedge(now, it);
     if (now >= it.ask_at)
@@ -110,10 +114,10 @@
 void request_forwarder::move(time_point now, flow& it)
 {
     const auto next = plan(now, it, true);
-    if (!next)
+    if (!next && !is_trial_over(now, it, next.error(), false))
     {
         note_denied(now, it, next.error(), "not_moved");
-        it.last_progress = now;
+        it.not_moved_at = now;
         return arm(it, next_check(it));
     }
     auto line = describe(now, it, "moved");
@@ -127,6 +131,8 @@
         chooser_.broke(now, from.endpoint);
     }
     cancel_attempts(now, it);
+    if (!next)
+        return again_or_end(now, it, core::errc::endpoint_lost, true);
     repeat(now, it, next.value(), true);
 }
 
--- a/tests/cut_stream_test.cpp
+++ b/tests/cut_stream_test.cpp
@@ -182,3 +182,148 @@
     CHECK_FALSE(has(out, "break off r1"));
     CHECK(has(out, "end r1"));
 }
+
+TEST_CASE("a trial that never begins its answer is tried elsewhere")
+{
+    // Every copy of its content, at any instance, waits for the trial.
+    const std::string script = R"(table 1
+proven
+endpoint e1 pool
+suspected acme
+request r1 /llm/x key=k1 deadline=8000
+advance 320
+sent a1
+endpoint e2 pool
+proven
+advance 2000
+proven
+advance 320
+sent a2
+head a2 confidence=90
+event a2 1
+end a2
+)";
+    const auto out = run_forwarding_script(script);
+    INFO(out);
+    CHECK(has(out, "start a2 r1 -> e2"));
+    CHECK(has(out, "end r1"));
+}
+
+TEST_CASE("a trial whose endpoint takes no connection is tried elsewhere")
+{
+    const std::string script = R"(table 1
+proven
+endpoint e1 pool
+suspected acme
+request r1 /llm/x key=k1 deadline=8000
+advance 320
+sent a1
+endpoint e2 pool
+advance 500
+asked e1
+advance 320
+sent a2
+head a2 confidence=90
+event a2 1
+end a2
+)";
+    const auto out = run_forwarding_script(script);
+    INFO(out);
+    CHECK(has(out, "start a2 r1 -> e2"));
+    CHECK(has(out, "end r1"));
+}
+
+TEST_CASE("a withdrawn request may be tried at the endpoint that it was withdrawn from")
+{
+    const std::string script = R"(table 1
+proven
+endpoint e1 pool
+request r1 /llm/x key=k1 deadline=8000
+sent a1
+suspected acme
+advance 320
+sent a2
+head a2 confidence=90
+event a2 1
+end a2
+)";
+    const auto out = run_forwarding_script(script);
+    INFO(out);
+    CHECK(has(out, "end r1"));
+}
+
+TEST_CASE("a request at an endpoint with a later life goes on as soon as the allowance has room")
+{
+    const std::string script = R"(table 1
+proven
+endpoint e1 app
+request r1 /look/x key=k1 deadline=2000
+sent a1
+endpoint e2 app
+endpoint e3 app
+endpoint e4 app
+endpoint e5 app
+request s1 /look/x key=k2 deadline=2000
+answer a2 503 not_run
+answer a3 503 not_run
+answer a4 503 not_run
+answer a5 503 not_run
+request s2 /look/x key=k2 deadline=2000
+answer a6 503 not_run
+answer a7 503 not_run
+answer a8 503 not_run
+advance 150
+endpoint e1 app life=1
+request s3 /look/x key=k2 deadline=2000
+answer a9 200
+advance 150
+)";
+    const auto out = run_forwarding_script(script);
+    INFO(out);
+    CHECK(has(out, "start a10 r1"));
+}
+
+TEST_CASE("a stream whose key was given back has the whole grace when the key is removed again")
+{
+    const std::string removed = "table 2 revoked=k1\nproven\n";
+    const std::string again = "table 3\nproven\ntable 4 revoked=k1\nproven\n";
+    const std::string rest = R"(advance 480
+sent a2
+head a2
+event a2 14
+end a2
+)";
+    const auto out = run_forwarding_script(began + removed + events_for_4800_ms(true) + again + rest);
+    INFO(out);
+    CHECK(has(out, "start a2 r1 -> e2"));
+    CHECK(has(out, "end r1"));
+}
+
+TEST_CASE("the grace of a key that is removed counts from the proof before its removal")
+{
+    // Removed, given back and removed again without a proof in between.
+    const std::string removed = "table 2 revoked=k1\ntable 3\ntable 4 revoked=k1\nproven\n";
+    const std::string rest = "advance 480\nevent a1 14\nend a1\n";
+    const auto out = run_forwarding_script(began + removed + events_for_4800_ms(true) + rest);
+    INFO(out);
+    CHECK_FALSE(has(out, "start a2"));
+    CHECK(has(out, "end r1"));
+}
+
+TEST_CASE("a stream that was not moved is replaced when its endpoint takes no connection")
+{
+    const std::string script = R"(table 1
+proven
+endpoint e1 pool
+request r1 /llm/x key=k1 deadline=8000
+sent a1
+head a1 confidence=90
+event a1 1
+advance 460
+endpoint e2 pool
+asked e1
+)";
+    const auto out = run_forwarding_script(script);
+    INFO(out);
+    CHECK(has(out, "start a2 r1 -> e2"));
+}
