A suspected request is withdrawn only where it may be sent again

What callers saw: a copy that was at work was cancelled on a suspicion, held, and ended without an answer, though no endpoint had been left that could take it. A copy whose request another answer or another instance had cleared before the withdrawal was cancelled and run once more for nothing.

Cause: withdraw_copies takes the plan of another attempt. A plan that has to wait its turn ends before it looks for an endpoint, so that nothing said that none fits. News and answers may clear a request between the suspicion and the tick that acts on it, and nobody asked again.

Why it holds: a withdrawal asks whether the content is still suspected, and counts the endpoints that fit by the same need as the plan. Without one the copy is waited for, and the log says not_withdrawn with denied=no_endpoint. Crash, forwarding, routing tests pass as they are.

--- a/src/runlink/routing/request_forwarder_crashes.cpp
+++ b/src/runlink/routing/request_forwarder_crashes.cpp
@@ -145,6 +145,9 @@
 
 void request_forwarder::withdraw_copies(time_point now, crashes::request_fingerprint it)
 {
+    // An answer or a finding of another instance may have cleared it meanwhile.
+    if (attribution_.judge(now, it) == crashes::permission::free)
+        return;
     // Copies that wait at endpoints would each end one. One that was tried meanwhile is no such copy.
     for (const auto id : flows_of(it))
     {
@@ -154,7 +157,11 @@
                         [this](auto n) { return attempts_.at(n).has_head || attempts_.at(n).is_trial; });
         if (e.attempts.empty() || has_begun || !e.via->is_idempotent())
             continue;
-        const auto next = plan(now, e, true);
+        auto next = plan(now, e, true);
+        const bool waits = !next && next.error() == succession_denial::suspected;
+        // A plan that has to wait has not looked for an endpoint; without one it would be held for nothing.
+        if (waits && chooser_.count_fitting(now, endpoints_, need_of(now, e)) == 0)
+            next = succession_denial::no_endpoint;
         if (!next && next.error() != succession_denial::suspected)
         {
             note_denied(now, e, next.error(), "not_withdrawn");
--- a/tests/cut_stream_test.cpp
+++ b/tests/cut_stream_test.cpp
@@ -166,6 +166,40 @@
     check_whole(run_forwarding_script(script));
 }
 
+TEST_CASE("a suspected request is not withdrawn when no endpoint is left for it")
+{
+    const std::string script = R"(table 1
+proven
+endpoint e1 pool
+request r1 /llm/x key=k1 deadline=8000
+sent a1
+suspected acme
+advance 10
+head a1 confidence=90
+event a1 1
+end a1
+)";
+    check_whole(run_forwarding_script(script));
+}
+
+TEST_CASE("a request that was cleared at once is not withdrawn")
+{
+    const std::string script = R"(table 1
+proven
+endpoint e1 pool
+endpoint e2 pool
+request r1 /llm/x key=k1 deadline=8000
+sent a1
+suspected acme
+cleared acme
+advance 10
+head a1 confidence=90
+event a1 1
+end a1
+)";
+    check_whole(run_forwarding_script(script));
+}
+
 TEST_CASE("a moved stream goes on when its new endpoint fails")
 {
     const std::string script = R"(endpoint e3 pool
--- a/tests/support/forwarding_script.cpp
+++ b/tests/support/forwarding_script.cpp
@@ -303,6 +303,12 @@
         forwarder_.on_crash_news(now_, {{}, {}, {{content_of(all), crashes::conduct::harmful}}});
     }
 
+    /// `cleared ACCOUNT`: another instance had an answer to them.
+    void clear(const words& all)
+    {
+        forwarder_.on_crash_news(now_, {{}, {}, {{content_of(all), crashes::conduct::harmless}}});
+    }
+
     time_point now_{core::seconds{100}};
     request_forwarder forwarder_;
     std::map<flow_id, std::string> names_;
@@ -367,6 +373,7 @@
          }},
         {"suspected", [this](const words& all) { suspect(all); }},
         {"condemned", [this](const words& all) { condemn(all); }},
+        {"cleared", [this](const words& all) { clear(all); }},
         {"advance", [this](const words& all) { advance(all); }},
         {"stop",
          [this](const words& all)
