A successor goes to no version that the loss before it takes out

What callers saw: while a version was being rolled out, a moved or replaced request went to the new version once more, although its own pause or loss had just convicted that version in this instance.

Cause: the successor's endpoint is planned before the attempt is given up, and giving it up takes the sample by which versions are judged.

Why it holds: where a successor is certain, the sample counts first, and the successor is planned after it. Each flaw of an attempt counts once, so that the sample at its end adds nothing. If the verdict leaves no endpoint, the attempt is waited for as with any denial; its loss stays counted.

--- a/src/runlink/routing/request_forwarder_succession.cpp
+++ b/src/runlink/routing/request_forwarder_succession.cpp
@@ -64,6 +64,9 @@
     auto& it = flows_.at(found->second.flow);
     if (has_ended)
         note_broken(now, it, found->second, false);
+    // The loss may take its version out, so it counts before the endpoint is chosen.
+    if (plan(now, it, true))
+        sample_end(now, it, found->second, true);
     const auto next = plan(now, it, true);
     if (!next)
         return note_denied(now, it, next.error(), "not_replaced");
--- a/src/runlink/routing/request_forwarder_timers.cpp
+++ b/src/runlink/routing/request_forwarder_timers.cpp
@@ -109,6 +109,10 @@
 
 void request_forwarder::move(time_point now, flow& it)
 {
+    // The pause may take its version out, so it counts before the endpoint is chosen.
+    if (plan(now, it, true))
+        for (const auto id : it.attempts)
+            sample_given_up(now, it, attempts_.at(id), true);
     const auto next = plan(now, it, true);
     if (!next)
     {
@@ -119,13 +123,8 @@
     auto line = describe(now, it, "moved");
     line.reason = "no_progress";
     hooks_.log(line);
-    const auto attempts = it.attempts;
-    for (const auto id : attempts)
-    {
-        auto& from = attempts_.at(id);
-        sample_given_up(now, it, from, true);
-        chooser_.broke(now, from.endpoint);
-    }
+    for (const auto id : it.attempts)
+        chooser_.broke(now, attempts_.at(id).endpoint);
     cancel_attempts(now, it);
     repeat(now, it, next.value(), true);
 }
--- a/tests/cut_stream_test.cpp
+++ b/tests/cut_stream_test.cpp
@@ -45,6 +45,22 @@
 end a1
 )";
 
+/// Half of the sessions get version v2, among them `s15`; answers of the old one are there to compare with.
+std::string half_rolled_out()
+{
+    std::string out = "table 1\nproven\nendpoint o1 pool version=v1\norder 4000 10\n";
+    for (int n = 1; n <= 22; ++n)
+    {
+        const auto id = std::to_string(n);
+        out += "request q" + id + " /llm/x key=k1 session=s5\nsent a" + id + "\nhead a" + id +
+               " confidence=90\nend a" + id + "\n";
+    }
+    out += "advance 501\nrecord 50 revision=11\n";
+    for (int n = 1; n <= 6; ++n)
+        out += "endpoint n" + std::to_string(n) + " pool version=v2\n";
+    return out;
+}
+
 void check_whole(const std::string& trace)
 {
     INFO(trace);
@@ -216,3 +232,43 @@
     CHECK_FALSE(has(out, "break off r1"));
     CHECK(has(out, "end r1"));
 }
+
+TEST_CASE("a silent attempt is not replaced at a version that its own loss takes out")
+{
+    const std::string two_failures = R"(request f1 /llm/x key=k1 session=s15
+sent a23
+answer a23 500
+leave f1
+request f2 /llm/x key=k1 session=s15
+sent a25
+answer a25 500
+leave f2
+)";
+    const std::string third = R"(request r1 /llm/x key=k1 session=s15 deadline=8000
+sent a27
+advance 420
+asked n4 refused
+)";
+    const auto out = run_forwarding_script(half_rolled_out() + two_failures + third);
+    INFO(out);
+    CHECK(has(out, "start a27 r1 -> n4"));
+    CHECK(has(out, "cancel a27"));
+    CHECK(has(out, "start a28 r1 -> o1"));
+}
+
+TEST_CASE("a paused stream is not moved to a version that its own pause takes out")
+{
+    std::string script = half_rolled_out();
+    for (int n = 23; n <= 28; ++n)
+    {
+        const auto id = std::to_string(n);
+        script += "request r" + id + " /llm/x key=k1 session=s15 deadline=8000\nsent a" + id + "\nhead a" +
+                  id + " confidence=90\nevent a" + id + " 1\n";
+    }
+    const auto out = run_forwarding_script(script + "advance 480\n");
+    INFO(out);
+    // The fifth of the pauses takes the version out.
+    CHECK(has(out, "start a32 r26 -> n"));
+    CHECK(has(out, "cancel a27"));
+    CHECK(has(out, "start a33 r27 -> o1"));
+}
