Property: no run that could go on is given up for nothing

The random histories of the forwarder say after each event that no run that could go on was cancelled without a successor, another attempt's answer, a caller that left, a deadline, or news of its content that end or withdraw only what has not begun. Keys come and go beside old proofs, spent allowances, news of other instances, ends and lives of endpoints, lists, roll-outs with a flawed version, evacuations, cold endpoints, pauses of streams and of the process. Nothing is sent for a removed key after its grace, for a key with an old proof, or to a version that is taken out.

Changes to checks: time left is compared with the request's own bound and the deadline, not with one timeout; `runs once` holds for streams that cannot be resumed as well; 503 still stands for `not run`, but for the 401 of a key that is not in the table, which takes a proof that is new enough. What a table brings in holds from the proof before it on.

The model of callers and endpoints is in tests/support: declarations, history, witness.

--- /dev/null
+++ b/tests/support/forwarding_witness.cpp
@@ -0,0 +1,250 @@
+#include "support/forwarding_witness.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <catch2/catch.hpp>
+
+namespace runlink::tests
+{
+
+using namespace routing;
+
+forwarding_witness::forwarding_witness(const forwarder_options& options, surroundings around)
+    : key_grace_{options.key_grace}, max_key_age_{options.max_key_age.value()},
+      max_denial_age_{options.max_denial_age}, least_time_{options.least_time}, around_{std::move(around)}
+{
+}
+
+forwarder_hooks forwarding_witness::hooks()
+{
+    forwarder_hooks to;
+    to.start = [this](const attempt_order& it) { on_start(it); };
+    to.cancel = [this](core::attempt_id it) { on_cancel(it); };
+    to.forward_answer = [this](flow_id it, core::attempt_id from)
+    {
+        CHECK(attempts_.at(from).flow == it);
+        CHECK(attempts_.at(from).answered);
+        ++requests_.at(it).finals;
+        answered_.insert(it);
+    };
+    to.forward_head = [this](flow_id it, core::attempt_id from) { CHECK(attempts_.at(from).flow == it); };
+    to.forward_bytes = [this](flow_id it, std::string_view bytes)
+    {
+        auto& of = requests_.at(it);
+        CHECK(of.finals == 0);
+        CHECK(std::to_string(of.last_event + 1) == bytes);
+        ++of.last_event;
+    };
+    to.forward_end = [this](flow_id it)
+    {
+        auto& of = requests_.at(it);
+        CHECK(of.last_event == stream_length);
+        ++of.finals;
+        answered_.insert(it);
+        if (const auto gone = key_gone_for(of.key); gone && *gone >= key_grace_)
+            count("stream ended whole after the grace of its key");
+    };
+    to.break_off = [this](flow_id it) { ++requests_.at(it).finals; };
+    to.refuse = [this](flow_id it, const refusal& why)
+    {
+        auto& of = requests_.at(it);
+        ++of.finals;
+        of.told_not_run = why.not_run;
+        CHECK(why.not_run == (of.runs == 0));
+        const bool is_unknown_key = why.why.code == core::errc::unauthenticated;
+        CHECK((why.status == 503) == (why.not_run && !is_unknown_key));
+        CHECK((why.status == 401) == is_unknown_key);
+        if (is_unknown_key)
+        {
+            CHECK_FALSE(of.is_public);
+            CHECK_FALSE(keys_.contains(of.key));
+            CHECK(now_ - proven_at_.value() < max_denial_age_);
+        }
+    };
+    to.ask = [this](const endpoint_entry& it) { asked_.push_back(it.id); };
+    to.session_ran = [](const session_run&) {};
+    to.prompt_went = [](const prompt_sent&) {};
+    to.prompt_came = [](const prompt_answered&) {};
+    to.log = [this](const decision& it) { on_log(it); };
+    to.ended = [](const decision&, core::duration) {};
+    return to;
+}
+
+core::endpoint_id forwarding_witness::take_asked()
+{
+    auto out = std::move(asked_.back());
+    asked_.pop_back();
+    return out;
+}
+
+// Keys
+
+void forwarding_witness::on_keys(const std::set<std::string>& keys)
+{
+    // What a newer table brings in was declared after the proof of the one before.
+    for (const auto& it : keys)
+        if (!keys_.contains(it) && proven_at_)
+            key_held_at_[it] = *proven_at_;
+    keys_ = keys;
+}
+
+void forwarding_witness::on_proof(core::time_point now)
+{
+    proven_at_ = now;
+    for (const auto& it : keys_)
+        key_held_at_[it] = now;
+}
+
+std::optional<core::duration> forwarding_witness::key_gone_for(const std::string& key) const
+{
+    const auto found = key_held_at_.find(key);
+    if (keys_.contains(key) || found == key_held_at_.end())
+        return std::nullopt;
+    return now_ - found->second;
+}
+
+void forwarding_witness::check_key(const seen_request& of) const
+{
+    if (of.is_public)
+        return;
+    REQUIRE(proven_at_);
+    if (keys_.contains(of.key))
+    {
+        CHECK(now_ - *proven_at_ < max_key_age_);
+        return;
+    }
+    const auto gone = key_gone_for(of.key);
+    REQUIRE(gone);
+    CHECK(*gone < key_grace_);
+}
+
+// Orders
+
+void forwarding_witness::on_start(const attempt_order& it)
+{
+    seen_attempt as;
+    as.flow = it.flow;
+    as.endpoint = it.endpoint.id;
+    as.version = it.endpoint.version;
+    as.next_event = it.last_event ? around_.first_event_after(*it.last_event) : 1;
+    attempts_[it.id] = as;
+    auto& of = requests_.at(it.flow);
+    INFO("flow " << it.flow << ", attempt " << it.id << ", step " << step_);
+    CHECK(of.finals == 0);
+    CHECK_FALSE(of.caller_left);
+    CHECK(it.time_left <= of.longest);
+    CHECK(now_ < of.deadline);
+    if (!of.is_idempotent)
+        CHECK(of.runs == 0);
+    check_key(of);
+    CHECK(as.version != around_.bad_version());
+    if (!of.is_public && !keys_.contains(of.key))
+        count("sent within the grace of a removed key");
+    if (!of.open.empty())
+        count("second copy sent");
+    if (of.last_event > 0)
+        count("stream resumed");
+    of.open.insert(it.id);
+    of.tried.insert(it.endpoint.id);
+    started_.insert(it.flow);
+}
+
+void forwarding_witness::on_cancel(core::attempt_id id)
+{
+    auto& it = attempts_.at(id);
+    requests_.at(it.flow).open.erase(id);
+    if (it.sent && !it.answered && !it.is_unsealed)
+        cancelled_.push_back({id, it});
+    attempts_.erase(id);
+}
+
+void forwarding_witness::on_log(const decision& it)
+{
+    if (!it.denied.empty())
+        count("denied: " + std::string{it.denied});
+    if (it.event == "request_suspected")
+        suspected_.fresh.insert(it.content);
+    if (it.event == "request_harmful")
+        condemned_.fresh.insert(it.content);
+    if (it.event == "escalated")
+        requests_.at(flow_id{std::stoull(std::string{it.request})}).tried.clear();
+    if (it.event == "escalated" || it.event.starts_with("not_"))
+        count(std::string{it.event});
+}
+
+// Steps
+
+void forwarding_witness::content_news::pass()
+{
+    pending = std::exchange(fresh, {});
+}
+
+void forwarding_witness::begin_step(core::time_point now, std::string_view what)
+{
+    now_ = now;
+    step_ = what;
+}
+
+void forwarding_witness::end_step()
+{
+    for (const auto& it : cancelled_)
+        check_cancelled(it);
+    cancelled_.clear();
+    started_.clear();
+    answered_.clear();
+    if (step_ != "tick")
+        return;
+    suspected_.pass();
+    condemned_.pass();
+}
+
+void forwarding_witness::check_cancelled(const cancelled_run& it)
+{
+    const auto& [id, was] = it;
+    const auto& of = requests_.at(was.flow);
+    INFO("flow " << was.flow << ", attempt " << id << ", step " << step_);
+    if (started_.contains(was.flow))
+        return count("replaced: " + step_);
+    if (answered_.contains(was.flow))
+        return count("another copy answered");
+    if (of.caller_left || now_ >= of.deadline)
+        return;
+    const auto content = to_hex(of.content);
+    const bool is_verdict = of.finals > 0 && condemned_.contains(content);
+    const bool is_withdrawal = of.finals == 0 && suspected_.contains(content);
+    if (is_verdict)
+    {
+        CHECK(of.is_idempotent);
+        CHECK_FALSE(was.has_head);
+        return count(of.last_event > 0 ? "stream ended by a verdict after a move" : "ended by a verdict");
+    }
+    if (is_withdrawal)
+        return check_withdrawn(of, was);
+    FAIL_CHECK("a run that could go on was cancelled, and nothing took its place");
+}
+
+void forwarding_witness::check_withdrawn(const seen_request& of, const seen_attempt& was)
+{
+    count("withdrawn");
+    CHECK(of.is_idempotent);
+    CHECK_FALSE(was.has_head);
+    CHECK(around_.judge(of.content) != crashes::permission::free);
+    // It may be sent again, as far as that is seen from outside.
+    CHECK(of.runs < of.max_attempts);
+    CHECK(of.deadline - now_ > least_time_);
+    check_key(of);
+    CHECK(around_.has_untried(of.tried));
+}
+
+void forwarding_witness::check_over() const
+{
+    for (const auto& [id, it] : requests_)
+    {
+        INFO("flow " << id);
+        CHECK((it.finals == 1) != it.caller_left);
+        CHECK(it.open.empty());
+    }
+}
+
+} // namespace runlink::tests
