--- a/include/runlink/crashes/crash_attribution.hpp
+++ b/include/runlink/crashes/crash_attribution.hpp
@@ -123,6 +123,9 @@
     void begin_trial(time_point now, request_fingerprint it, endpoint_life at);
     /// The trial of this instance ended without a finding. `has_reached`: its endpoint may have run it.
     void end_trial(time_point now, request_fingerprint it, endpoint_life at, bool has_reached);
+    /// Whether the trial of this instance may go on at another endpoint: nothing shows that the one it is at
+    /// has ended, and another trial is left.
+    bool may_hand_on(request_fingerprint it) const;
     /// A connection broke on which a request ran that had been sent then. Returns whether the endpoint should
     /// be asked.
     bool on_broken(time_point now, request_fingerprint it, endpoint_life at, time_point sent_at);
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -299,15 +299,14 @@
 
     // Succession: an attempt that may still be answered is given up only in the step in which its successor
     // goes. Without one it is waited for.
+    /// Whether the request may go on as a suspect that is tried, or at all.
+    crashes::permission content_of(time_point now, const flow& it) const;
     succession_input input_of(time_point now, const flow& it, bool costs_allowance);
     succession plan(time_point now, const flow& it, bool costs_allowance);
     /// Sends what was planned in this step.
     void repeat(time_point now, flow& it, const successor& to, bool costs_allowance);
     /// An attempt that will hardly be answered. `has_ended`: its endpoint, as far as is known.
     void replace(time_point now, attempt_id id, bool has_ended);
-    /// Whether nothing but the request's own trial, which will hardly be answered, speaks against another
-    /// attempt.
-    bool is_trial_over(time_point now, const flow& it, succession_denial why, bool has_ended) const;
     /// Looks again whether attempts whose endpoints have ended may be replaced.
     void leave_ended(time_point now, flow& it);
     /// Nothing of the request is under way: sends it again, or ends it for the reason.
--- a/src/runlink/crashes/crash_attribution_trials.cpp
+++ b/src/runlink/crashes/crash_attribution_trials.cpp
@@ -36,6 +36,16 @@
     decide(now, it, has_reached);
 }
 
+bool crash_attribution::may_hand_on(request_fingerprint it) const
+{
+    const auto* record = find(it);
+    if (record == nullptr || !record->now_tried)
+        return false;
+    const auto& tried = *record->now_tried;
+    return tried.is_own && !tried.verdict_at && !unexplained_.contains(tried.endpoint) &&
+           record->trials < options_.most_trials;
+}
+
 void crash_attribution::begin_turn(time_point now, request_fingerprint it, record& of)
 {
     of.turn_at = now + turn_delay(it);
--- a/src/runlink/routing/request_forwarder_crashes.cpp
+++ b/src/runlink/routing/request_forwarder_crashes.cpp
@@ -145,6 +145,9 @@
 
 void request_forwarder::withdraw_copies(time_point now, crashes::request_fingerprint it)
 {
+    // An answer or a finding of another instance may have cleared it meanwhile.
+    if (attribution_.judge(now, it) == crashes::permission::free)
+        return;
     // Copies that wait at endpoints would each end one. One that was tried meanwhile is no such copy.
     for (const auto id : flows_of(it))
     {
@@ -154,19 +157,18 @@
                         [this](auto n) { return attempts_.at(n).has_head || attempts_.at(n).is_trial; });
         if (e.attempts.empty() || has_begun || !e.via->is_idempotent())
             continue;
-        auto again = e;
-        for (const auto n : e.attempts)
-            again.tried.erase(attempts_.at(n).endpoint); // it may be tried there
-        const auto next = plan(now, again, true);
-        const bool waits_for_turn = !next && next.error() == succession_denial::suspected &&
-                                    chooser_.peek(now, endpoints_, need_of(now, again)) != nullptr;
-        if (!next && !waits_for_turn)
+        const auto next = plan(now, e, true);
+        const bool waits = !next && next.error() == succession_denial::suspected;
+        // A plan that waits for its turn has not looked for an endpoint.
+        const bool has_place = !waits || chooser_.peek(now, endpoints_, need_of(now, e)) != nullptr;
+        if (!has_place || (!next && !waits))
         {
-            note_denied(now, e, next.error(), "not_withdrawn");
+            note_denied(now, e, has_place ? next.error() : succession_denial::no_endpoint, "not_withdrawn");
             continue;
         }
+        for (const auto n : e.attempts)
+            e.tried.erase(attempts_.at(n).endpoint); // it may be tried there
         cancel_attempts(now, e);
-        e.tried = std::move(again.tried);
         hold(now, e);
         arm(e, next_check(e));
     }
--- a/src/runlink/routing/request_forwarder_succession.cpp
+++ b/src/runlink/routing/request_forwarder_succession.cpp
@@ -8,6 +8,16 @@
 namespace runlink::routing
 {
 
+crashes::permission request_forwarder::content_of(time_point now, const flow& it) const
+{
+    // A trial is not in its own way: where it hangs, it goes on elsewhere, since every copy waits for it.
+    const bool is_trial = std::any_of(it.attempts.begin(), it.attempts.end(),
+                                      [this](attempt_id id) { return attempts_.at(id).is_trial; });
+    if (is_trial && attribution_.may_hand_on(it.fingerprint))
+        return crashes::permission::alone;
+    return attribution_.judge(now, it.fingerprint);
+}
+
 succession_input request_forwarder::input_of(time_point now, const flow& it, bool costs_allowance)
 {
     // Attempts that are still connecting may run as well.
@@ -23,7 +33,7 @@
     out.time_left = it.deadline - now;
     out.least_time = options_.least_time;
     out.key = key_of(now, it);
-    out.content = attribution_.judge(now, it.fingerprint);
+    out.content = content_of(now, it);
     out.costs_allowance = costs_allowance;
     out.allowance_left = retries_.at(it.service).left(now);
     return out;
@@ -64,8 +74,11 @@
     auto& it = flows_.at(found->second.flow);
     if (has_ended)
         note_broken(now, it, found->second, false);
+    // The loss may take its version out, so it counts before the endpoint is chosen.
+    if (plan(now, it, true))
+        sample_end(now, it, found->second, true);
     const auto next = plan(now, it, true);
-    if (!next && !is_trial_over(now, it, next.error(), has_ended))
+    if (!next)
     {
         if (has_ended && passes(next.error()))
         {
@@ -77,8 +90,6 @@
     }
     hooks_.cancel(id);
     note_lost(now, id, attempt_loss::broken);
-    if (!next)
-        return again_or_end(now, it, core::errc::endpoint_lost, true);
     repeat(now, it, next.value(), true);
 }
 
@@ -102,20 +113,6 @@
     arm(it, next_check(it));
 }
 
-bool request_forwarder::is_trial_over(time_point now, const flow& it, succession_denial why,
-                                      bool has_ended) const
-{
-    // All copies of its content wait for a trial, at every instance: one that hangs must not block them.
-    const auto hangs = [&](attempt_id id)
-    {
-        const auto& e = attempts_.at(id);
-        return e.is_trial && (has_ended || !e.has_head);
-    };
-    return why == succession_denial::suspected &&
-           std::any_of(it.attempts.begin(), it.attempts.end(), hangs) &&
-           chooser_.peek(now, endpoints_, need_of(now, it)) != nullptr;
-}
-
 void request_forwarder::again_or_end(time_point now, flow& it, core::errc why, bool costs_allowance)
 {
     if (!it.attempts.empty())
--- a/src/runlink/routing/request_forwarder_timers.cpp
+++ b/src/runlink/routing/request_forwarder_timers.cpp
@@ -113,8 +113,12 @@
 
 void request_forwarder::move(time_point now, flow& it)
 {
+    // The pause may take its version out, so it counts before the endpoint is chosen.
+    if (plan(now, it, true))
+        for (const auto id : it.attempts)
+            sample_given_up(now, it, attempts_.at(id), true);
     const auto next = plan(now, it, true);
-    if (!next && !is_trial_over(now, it, next.error(), false))
+    if (!next)
     {
         note_denied(now, it, next.error(), "not_moved");
         it.not_moved_at = now;
@@ -123,16 +127,9 @@
     auto line = describe(now, it, "moved");
     line.reason = "no_progress";
     hooks_.log(line);
-    const auto attempts = it.attempts;
-    for (const auto id : attempts)
-    {
-        auto& from = attempts_.at(id);
-        sample_given_up(now, it, from, true);
-        chooser_.broke(now, from.endpoint);
-    }
+    for (const auto id : it.attempts)
+        chooser_.broke(now, attempts_.at(id).endpoint);
     cancel_attempts(now, it);
-    if (!next)
-        return again_or_end(now, it, core::errc::endpoint_lost, true);
     repeat(now, it, next.value(), true);
 }
 
