A request is not sent again for the account that its key belongs to by now

What callers saw (by reading): a key that a change moves to another client account let a request of the old one be sent again, in the old account's name. Cause: a successor asked whether any account has the key. Why it holds: one check, used for the grace as well, asks for the request's own account.

--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -285,6 +285,8 @@
                          std::string_view reason);
 
     // Attempts
+    /// Whether the request's client account has its key there.
+    static bool has_key(const routing_table& table, const flow& it);
     key_standing key_of(time_point now, const flow& it) const;
     /// Since the key was last known to hold; negative while the table in force has it.
     milliseconds key_gone_for(time_point now, const flow& it) const;
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -23,7 +23,7 @@
 void request_forwarder::apply(routing_table_ptr table)
 {
     for (auto& [id, it] : flows_)
-        if (!it.account.empty() && table->find_account(it.request.key) != nullptr)
+        if (!it.account.empty() && has_key(*table, it))
             it.key_held_at.reset(); // it may have been given back
         else if (!it.account.empty() && !it.key_held_at)
             it.key_held_at = proven_at_;
@@ -80,12 +80,18 @@
 
 // Attempts
 
+bool request_forwarder::has_key(const routing_table& table, const flow& it)
+{
+    const auto* account = table.find_account(it.request.key);
+    return account != nullptr && account->id == it.account;
+}
+
 key_standing request_forwarder::key_of(time_point now, const flow& it) const
 {
     const bool needs_key = table_->has_accounts() && !it.via->is_public;
     if (!needs_key)
         return key_standing::holds;
-    if (table_->find_account(it.request.key) != nullptr)
+    if (has_key(*table_, it))
         return keys_hold(now) ? key_standing::holds : key_standing::unproven;
     const bool is_in_grace = it.key_held_at && now - *it.key_held_at < options_.key_grace;
     return is_in_grace ? key_standing::in_grace : key_standing::removed;
--- a/tests/cut_stream_test.cpp
+++ b/tests/cut_stream_test.cpp
@@ -469,3 +469,12 @@
     CHECK(has(out, "model=large"));
     CHECK(has(out, "end r1"));
 }
+
+TEST_CASE("a request is not sent again for the account that its key belongs to by now")
+{
+    const std::string given = "table 2 revoked=k1 given=k1\nproven\n";
+    const auto out =
+        run_forwarding_script(began + given + events_for_4800_ms(true) + "lose a1 broken\nadvance 10\n");
+    INFO(out);
+    CHECK_FALSE(has(out, "start a2"));
+}
--- a/tests/support/forwarding_script.cpp
+++ b/tests/support/forwarding_script.cpp
@@ -164,7 +164,7 @@
         return to;
     }
 
-    /// `table VERSION [without=ROUTE] [revoked=KEY] [cold=RATE] [look_region=R] [acme_region=R]`
+    /// `table VERSION [without=ROUTE] [revoked=KEY] [given=KEY] [cold=RATE] [look_region=R] [acme_region=R]`
     void set_table(const words& all)
     {
         std::vector<route> routes{make_route("/look/", route_kind::safe, "app"),
@@ -184,6 +184,8 @@
                                       {core::account_id{"bank"}, {"k2"}, 0, {}}};
         for (auto& it : accounts)
             std::erase(it.keys, option(all, "revoked"));
+        if (const auto key = option(all, "given"); !key.empty())
+            accounts[1].keys.push_back(key);
         if (const auto region = option(all, "look_region"); !region.empty())
             routes[0].regions.emplace_back(region);
         if (const auto region = option(all, "acme_region"); !region.empty())
