Instances tell each other at an order which sessions ran before it

Cause: instances told each other of a session's runs only while a roll-out was in its first part, and the first share was given 5.3 s after the order, because sessions ended after 5 s. Where they last longer (8.5 s here) a session that ran at one instance before the order goes on at another one that takes it for a new one.

Five sessions ran on v2 within 8.5 s of the end of their run on v1 (gaps 5.99, 7.00, 7.08, 8.33, 8.49 s); all five runs on v1 had ended before the order, at another instance. Neither the evacuation nor a fallback to all versions had a part: the choice was strictly the target.

Mend: with the order of a roll-out each instance tells the sessions that ran shortly before and may get the new version in the first part, once.

--- a/include/runlink/routing/gossip_messages.hpp
+++ b/include/runlink/routing/gossip_messages.hpp
@@ -40,7 +40,7 @@
     core::milliseconds age{}; ///< since that request was sent
 };
 
-/// A session ran on a version just now.
+/// A session ran on a version just now, or shortly before the order of a roll-out that was just heard.
 struct session_run
 {
     session_hash session;
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -115,6 +115,8 @@
     endpoint_directory& endpoints() { return endpoints_; }
     const endpoint_directory& endpoints() const { return endpoints_; }
     rollout_control& rollouts() { return rollouts_; }
+    /// An operator's order to roll out a version, written to the store at that time.
+    void on_order(time_point now, const rollout_order& order, time_point written_at);
 
     /// The process ends at `end`. From `closed_from` on only requests are taken that are over by then.
     void begin_stop(time_point closed_from, time_point end) { stop_ = stop_times{closed_from, end}; }
--- a/include/runlink/routing/rollout_control.hpp
+++ b/include/runlink/routing/rollout_control.hpp
@@ -109,7 +109,8 @@
     {
     }
 
-    void on_order(time_point now, const rollout_order& order);
+    /// Returns whether a roll-out begins with it.
+    bool on_order(time_point now, const rollout_order& order);
     void on_order_removed(const service_id& service);
     void on_record(time_point now, const rollout_record& record);
     /// The record is in the store no more.
--- a/include/runlink/routing/rollout_schedule.hpp
+++ b/include/runlink/routing/rollout_schedule.hpp
@@ -20,7 +20,8 @@
     double step_time = 0.02; ///< between the steps of the last part, as a part of the time of the roll-out
     /// Sessions must not be moved in the first half of a roll-out; the last part begins after this one.
     double hold_until = 0.52;
-    /// Before the first share is given: what ran before the order is at rest by then.
+    /// Before the first share is given. By then all instances have heard of the order and told each other of
+    /// the sessions that ran before it.
     core::milliseconds settle_time{5300};
     /// A good version is declared this long before the end: for the write, and for a second one by another
     /// instance if the first is lost.
--- a/include/runlink/routing/session_pins.hpp
+++ b/include/runlink/routing/session_pins.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "runlink/core/ids.hpp"
 #include "runlink/core/units.hpp"
@@ -20,6 +21,8 @@
 
     void ran(core::time_point now, session_hash session, const core::version_id& version);
     std::optional<core::version_id> find(core::time_point now, session_hash session) const;
+    /// The last run of each session that has not rested for too long.
+    std::vector<session_run> all(core::time_point now) const;
     /// Forgets sessions that rested for too long.
     void expire(core::time_point now);
     std::size_t size() const { return pins_.size(); }
--- a/src/runlink/gateway/gateway_daemon_store.cpp
+++ b/src/runlink/gateway/gateway_daemon_store.cpp
@@ -134,7 +134,7 @@
         take_endpoint(now, *endpoint);
     else if (const auto* order = std::get_if<routing::rollout_order>(&it))
     {
-        forwarder_.rollouts().on_order(written_at, *order);
+        forwarder_.on_order(now, *order, written_at);
         log_.write(now, rollout_order_line(*order), observe::log_rank::vital);
     }
     else if (const auto* harmful = std::get_if<control::harmful_entry>(&it))
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -52,6 +52,17 @@
     return !options_.max_key_age || is_fresh(now, *options_.max_key_age);
 }
 
+void request_forwarder::on_order(time_point now, const rollout_order& order, time_point written_at)
+{
+    if (!rollouts_.on_order(written_at, order))
+        return;
+    // Runs before the order were told to nobody. A session may rest for longer than the roll-out waits before
+    // its first share, and then go on at an instance that takes it for a new one.
+    for (const auto& it : pins_.all(now))
+        if (rollouts_.spreads_runs(order.service, it.session))
+            hooks_.session_ran(it);
+}
+
 void request_forwarder::on_caller_left(time_point now, flow_id id)
 {
     if (start_queue_.drop(id))
--- a/src/runlink/routing/rollout_control.cpp
+++ b/src/runlink/routing/rollout_control.cpp
@@ -48,11 +48,11 @@
     return &found->second;
 }
 
-void rollout_control::on_order(time_point now, const rollout_order& order)
+bool rollout_control::on_order(time_point now, const rollout_order& order)
 {
     auto& it = at(order.service);
     if (it.order.revision == order.revision)
-        return;
+        return false;
     const bool is_written_again = it.order.revision != 0 && is_running(it) &&
                                   it.order.target == order.target && it.order.allowed == order.allowed;
     if (is_written_again)
@@ -60,7 +60,7 @@
         // What was counted and found holds: with three such writes a version of which a fifth failed would be
         // judged anew each time.
         it.order.revision = order.revision;
-        return;
+        return false;
     }
     const auto record = it.record;
     auto settled = std::move(it.settled);
@@ -78,6 +78,7 @@
         it.record = record;
     if (it.record.state == rollout_state::succeeded)
         it.settled = it.record.target;
+    return true;
 }
 
 void rollout_control::on_order_removed(const service_id& service)
--- a/src/runlink/routing/rollout_test.cpp
+++ b/src/runlink/routing/rollout_test.cpp
@@ -215,6 +215,19 @@
     CHECK(older.due(start + schedule_options{}.settle_time).size() == 1);
 }
 
+TEST_CASE("a roll-out begins with its first order, not with one that is written again")
+{
+    rollout_control it{{}, 0};
+    CHECK(it.on_order(start, order));
+    CHECK_FALSE(it.on_order(start, order));
+    auto again = order;
+    ++again.revision;
+    CHECK_FALSE(it.on_order(start, again));
+    again.target = core::version_id{"v3"};
+    ++again.revision;
+    CHECK(it.on_order(start, again));
+}
+
 TEST_CASE("after a roll-out succeeded, the next one keeps its version as the old one")
 {
     rollout_control it{{}, 0};
--- a/src/runlink/routing/session_pins.cpp
+++ b/src/runlink/routing/session_pins.cpp
@@ -16,6 +16,15 @@
     return found->second.version;
 }
 
+std::vector<session_run> session_pins::all(core::time_point now) const
+{
+    std::vector<session_run> out;
+    for (const auto& [session, it] : pins_)
+        if (now - it.last <= ttl_)
+            out.push_back({session, it.version});
+    return out;
+}
+
 void session_pins::expire(core::time_point now)
 {
     std::erase_if(pins_, [&](const auto& it) { return now - it.second.last > ttl_; });
--- a/tests/exposure_test.cpp
+++ b/tests/exposure_test.cpp
@@ -22,7 +22,6 @@
 {
 
 constexpr int default_seeds = 2;
-constexpr double exposure_share = 0.15;
 constexpr double exposure_slack = 30;
 
 int seed_count()
@@ -35,7 +34,8 @@
 {
     std::ostringstream out;
     out << to_string(it.state) << ", " << it.exposed << " of " << it.requests << " exposed, " << it.bad
-        << " bad answers, " << it.late << " sends too late, " << it.unserved << " unserved";
+        << " bad answers, " << it.late << " sends too late, " << it.unserved << " unserved, " << it.moved
+        << " sessions moved in the first half";
     for (const auto& e : it.why)
         out << "\n  " << e;
     return out.str();
@@ -51,7 +51,7 @@
         INFO("seed " << n << ": " << told(seen));
         CHECK(seen.late == 0);
         CHECK(static_cast<double>(seen.exposed) <=
-              exposure_share * static_cast<double>(seen.requests) + exposure_slack);
+              of.exposure_share * static_cast<double>(seen.requests) + exposure_slack);
         CHECK(seen.state == routing::rollout_state::rolled_back);
     }
 }
@@ -199,3 +199,30 @@
     it.fresh.times = it.old.times = 5;
     check_brought_in(it);
 }
+
+// In a deployment whose sessions rest for 8.5 s at most, five requests of one roll-out went to the new
+// version in its first half though their sessions had just run on the old one. Each session had run at one
+// instance before the order, and went on at another one after the first share. Of one of them the logs say:
+//     3.855 s front-milano-a-16 "event":"dispatched", "session":"6975b9263bcf", "version":"v1"
+//     4.103 s front-milano-a-16 "event":"ended", "reason":"answered"
+//     4.487 s "event":"rollout_ordered" at the last of all instances
+//     9.840 s "event":"rollout_record", "state":"running", "share_percent":5
+//     11.101 s front-bologna-c-14 "event":"dispatched", "session":"6975b9263bcf", "version":"v2"
+// Instances told each other of runs since the order only, and the first share was given 5.3 s after it.
+TEST_CASE("a good version gets no session in the first half that just ran on the old one")
+{
+    rollout_case it;
+    it.requests_per_s = 600;
+    for (const auto ttl : {milliseconds{5000}, milliseconds{8500}})
+    {
+        it.session_ttl = ttl;
+        for (int n = 1; n <= seed_count(); ++n)
+        {
+            it.seed = static_cast<std::uint64_t>(n);
+            const auto seen = rollout_fleet{it}.run();
+            INFO("sessions rest for " << ttl.count() << " ms at most, seed " << n << ": " << told(seen));
+            CHECK(seen.moved == 0);
+            CHECK(seen.state == routing::rollout_state::succeeded);
+        }
+    }
+}
--- a/tests/support/forwarding_script.cpp
+++ b/tests/support/forwarding_script.cpp
@@ -377,9 +377,10 @@
         {"order",
          [this](const words& all)
          {
-             forwarder_.rollouts().on_order(now_,
-                                            {core::service_id{"pool"}, core::version_id{"v2"},
-                                             milliseconds{std::stol(all.at(1))}, std::stoull(all.at(2))});
+             forwarder_.on_order(now_,
+                                 {core::service_id{"pool"}, core::version_id{"v2"},
+                                  milliseconds{std::stol(all.at(1))}, std::stoull(all.at(2))},
+                                 now_);
          }},
         {"record", [this](const words& all) { forwarder_.rollouts().on_record(now_, record_of(all)); }},
         {"due",
--- a/tests/support/rollout_fleet.cpp
+++ b/tests/support/rollout_fleet.cpp
@@ -92,9 +92,8 @@
     {
         const auto domain = std::to_string(n % 3);
         instance it;
-        it.forwarder =
-            std::make_unique<request_forwarder>(forwarder_options{}, core::failure_domain_id{domain},
-                                                core::instance_id{"i" + std::to_string(n)}, hooks(n));
+        it.forwarder = std::make_unique<request_forwarder>(
+            options(), core::failure_domain_id{domain}, core::instance_id{"i" + std::to_string(n)}, hooks(n));
         it.forwarder->rollouts().set_follows_store(n < 3);
         it.forwarder->rollouts().on_verdict = [this](const auto&, const routing::version_fault& why)
         { outcome_.why.insert(to_string(why)); };
@@ -105,6 +104,15 @@
     put_endpoints("v1");
 }
 
+forwarder_options rollout_fleet::options() const
+{
+    forwarder_options out;
+    out.session_ttl = case_.session_ttl;
+    out.rollouts.schedule.exposure_share = case_.exposure_share;
+    out.rollouts.schedule.first_share_percent = case_.first_share_percent;
+    return out;
+}
+
 forwarder_hooks rollout_fleet::hooks(int n)
 {
     forwarder_hooks to;
@@ -127,8 +135,12 @@
     to.forward_answer = [](flow_id, core::attempt_id) {};
     to.forward_head = [](flow_id, core::attempt_id) {};
     to.forward_bytes = [](flow_id, std::string_view) {};
-    to.forward_end = [](flow_id) {};
-    to.break_off = [this](flow_id) { ++outcome_.unserved; };
+    to.forward_end = [this](flow_id it) { note_ended(it); };
+    to.break_off = [this](flow_id it)
+    {
+        note_ended(it);
+        ++outcome_.unserved;
+    };
     to.refuse = [this](flow_id, const refusal&) { ++outcome_.unserved; };
     to.session_ran = [this, n](const session_run& it)
     {
@@ -191,6 +203,7 @@
     in.path = of.path + "x";
     in.time_left = milliseconds{20000};
     in.session = core::session_id{std::to_string(random_() % sessions)};
+    session_of_[flow] = in.session;
     in.model = core::model_id{"m"};
     in.prompt = {{subject_of(flow), of.shared}, {in.id.str(), of.own}};
     in.prompt_tokens = of.shared + of.own;
@@ -204,6 +217,7 @@
     it->at = now_;
     instances_[static_cast<std::size_t>(n)].sends[order.id] = it;
     const bool is_new = order.endpoint.version == new_version;
+    note_sent(order);
     if (order_.revision != 0 && now_ < ordered_at_ + case_.allowed)
     {
         ++outcome_.requests;
@@ -221,6 +235,24 @@
           });
 }
 
+void rollout_fleet::note_sent(const attempt_order& order)
+{
+    constexpr int halves = 2;
+    auto& last = sessions_[session_of_.at(order.flow)];
+    const bool was_old = last.ended && now_ - *last.ended < case_.session_ttl && last.version == old_version;
+    const bool is_first_half = order_.revision != 0 && now_ < ordered_at_ + case_.allowed / halves;
+    if (was_old && is_first_half && order.endpoint.version == new_version)
+        ++outcome_.moved;
+    last = {order.flow, order.endpoint.version, std::nullopt};
+}
+
+void rollout_fleet::note_ended(flow_id flow)
+{
+    auto& last = sessions_.at(session_of_.at(flow));
+    if (last.flow == flow)
+        last.ended = now_;
+}
+
 milliseconds rollout_fleet::reading_time(const send& of)
 {
     const auto& kind = kind_of(of.order.flow);
@@ -360,7 +392,7 @@
     }
     order_ = {service, new_version, case_.allowed, ++revision_};
     for (auto& it : instances_)
-        it.forwarder->rollouts().on_order(now_, order_);
+        it.forwarder->on_order(now_, order_, now_);
 }
 
 void rollout_fleet::look_at_records(int n)
--- a/tests/support/rollout_fleet.hpp
+++ b/tests/support/rollout_fleet.hpp
@@ -42,6 +42,9 @@
     double requests_per_s = 200;
     milliseconds allowed{24000};
     milliseconds length{32000}; ///< since the order
+    milliseconds session_ttl{5000};
+    double exposure_share = 0.15;
+    std::uint32_t first_share_percent = 8;
     version_trouble fresh;
     version_trouble old; ///< of the old version, at the same time
     double datagrams_lost = 0;
@@ -57,6 +60,9 @@
     std::uint64_t bad = 0;      ///< bad answers of the new version
     std::uint64_t late = 0;     ///< sends to it more than 5 s after its 50th bad answer
     std::uint64_t unserved = 0; ///< requests without an answer
+    /// Requests on the new version in the first half, though their session's one before ran on the old one
+    /// and ended less than its time to live ago.
+    std::uint64_t moved = 0;
     routing::rollout_state state = routing::rollout_state::running; ///< of the record in the end
     std::set<std::string> why;                                      ///< verdicts
 };
@@ -78,6 +84,13 @@
         std::string route;
         bool is_cancelled = false;
     };
+    /// The last request of a session.
+    struct session_request
+    {
+        routing::flow_id flow{};
+        core::version_id version; ///< of its last send
+        std::optional<time_point> ended;
+    };
     struct instance
     {
         std::unique_ptr<routing::request_forwarder> forwarder;
@@ -86,11 +99,14 @@
         std::vector<routing::session_run> runs;
     };
 
+    routing::forwarder_options options() const;
     routing::forwarder_hooks hooks(int n);
     void put_endpoints(const std::string& version);
     void later(milliseconds after, std::function<void()> what);
     void arrive();
     void on_start(int n, const routing::attempt_order& order);
+    void note_sent(const routing::attempt_order& order);
+    void note_ended(routing::flow_id flow);
     void answer(int n, const std::shared_ptr<send>& it);
     void stream(int n, const std::shared_ptr<send>& it, milliseconds pace, std::uint64_t event, bool is_bad);
     milliseconds reading_time(const send& of);
@@ -112,6 +128,8 @@
     std::multimap<time_point, std::function<void()>> events_;
     std::vector<instance> instances_;
     std::map<std::string, std::set<std::string>> kept_; ///< prompt parts by endpoint
+    std::map<routing::flow_id, core::session_id> session_of_;
+    std::map<core::session_id, session_request> sessions_; ///< that have run
     routing::rollout_order order_;
     routing::rollout_record record_;
     std::uint64_t revision_ = 10;
