A version that was rolled back gets nothing when the next roll-out begins

What callers saw: for the three seconds until the endpoints of a rejected version were gone, requests went to it again, and sessions were moved there and back.

Cause: a new order replaced all that was known of the service's roll-out, the rejected version too. Where no roll-out has succeeded before, every version but the target then counted as old.

Mend: the rejected version is kept across orders, also when its record is read after the next order, and is avoided among the old ones, unless it is the target again. It stays the last resort where no other version has an endpoint.

--- a/include/runlink/routing/rollout_control.hpp
+++ b/include/runlink/routing/rollout_control.hpp
@@ -179,10 +179,15 @@
         version_trial trial;
         std::optional<time_point> tell_at;  ///< evidence, to other instances
         bool is_told_again = false;         ///< datagrams may be lost: what is told last is told twice
-        std::optional<version_id> rejected; ///< by a verdict on an order that is no more
+        std::optional<version_id> rejected; ///< by a verdict on an earlier order
     };
 
     static bool is_running(const rollout& it) { return it.record.state == rollout_state::running; }
+    /// Whether its target was found bad, here or by another instance.
+    static bool is_rejected(const rollout& it)
+    {
+        return it.is_bad || it.record.state == rollout_state::rolled_back;
+    }
     std::optional<rollout_record> next_record(rollout& it, time_point now);
     time_point next_change(const rollout& it) const;
     /// Whether a session that has not run on the new version may do so now.
--- a/src/runlink/routing/rollout_control.cpp
+++ b/src/runlink/routing/rollout_control.cpp
@@ -64,8 +64,13 @@
     }
     const auto record = it.record;
     auto settled = std::move(it.settled);
+    auto rejected = is_rejected(it) ? std::optional{it.record.target} : std::move(it.rejected);
     it = rollout{options_.trial};
     it.settled = std::move(settled);
+    // Its endpoints may still be listed, and with no version that is known to be good all but the target are
+    // old.
+    if (rejected != order.target)
+        it.rejected = std::move(rejected);
     it.order = order;
     it.seen = now;
     it.step_began = now;
@@ -87,14 +92,12 @@
     if (found == rollouts_.end())
         return;
     const auto& it = found->second;
-    const bool is_rejected = it.is_bad || it.record.state == rollout_state::rolled_back;
-    const auto target = it.record.target;
     const auto record = it.record;
+    auto rejected = is_rejected(it) ? std::optional{record.target} : it.rejected;
     found->second = rollout{options_.trial};
     // Its endpoints stay for some seconds, or for as long as the operator leaves them.
     found->second.record = record;
-    if (is_rejected)
-        found->second.rejected = target;
+    found->second.rejected = std::move(rejected);
 }
 
 void rollout_control::on_record(time_point now, const rollout_record& record)
@@ -107,11 +110,10 @@
     if (!belongs)
     {
         it.record.revision = record.revision;
-        if (it.order.revision != 0)
-            return;
-        it.record = record;
-        if (record.state == rollout_state::rolled_back)
+        if (record.state == rollout_state::rolled_back && record.target != it.order.target)
             it.rejected = record.target;
+        if (it.order.revision == 0)
+            it.record = record;
         return;
     }
     it.record = record;
@@ -185,6 +187,7 @@
     {
         out.excluded = target;
         out.only = it.settled; // entries of versions before that one may not have lapsed yet
+        out.avoided = it.rejected;
         return out;
     };
     if (it.record.state == rollout_state::succeeded)
@@ -192,7 +195,7 @@
         out.only = target; // also where this instance found it bad: the old endpoints have been stopped
         return out;
     }
-    if (it.is_bad || it.record.state == rollout_state::rolled_back)
+    if (is_rejected(it))
         return old_version();
     const bool ran_on_target = pinned && *pinned == target;
     const bool ran_on_old = pinned && *pinned != target;
--- a/src/runlink/routing/rollout_test.cpp
+++ b/src/runlink/routing/rollout_test.cpp
@@ -228,6 +228,43 @@
     CHECK(it.on_order(start, again));
 }
 
+// A bad version was rolled back at 24.92 s, and the next roll-out of the service was ordered at 25.17 s,
+// while endpoints of the bad one were still listed. Until these were gone, at 28.0 s, the logs have
+//     26.792 s "event":"dispatched", "version":"v2"
+// among others: the order made the instances forget which version had been rejected.
+TEST_CASE("a version that was rolled back gets nothing when the next roll-out is ordered")
+{
+    const rollout_record rejected{order.service, order.target, rollout_state::rolled_back, 0, 6};
+    const rollout_order next{order.service, core::version_id{"v3"}, milliseconds{24000}, 7};
+    const auto check = [&](const rollout_control& it)
+    {
+        const auto choice = it.choose(order.service, session_hash{0}, order.target);
+        CHECK(choice.excluded == next.target);
+        CHECK(choice.avoided == order.target);
+    };
+    rollout_control straight{{}, 0};
+    straight.on_order(start, order);
+    straight.on_record(start, rejected);
+    straight.on_order(start, next);
+    check(straight);
+    rollout_control with_pause{{}, 0};
+    with_pause.on_order(start, order);
+    with_pause.on_record(start, rejected);
+    with_pause.on_order_removed(order.service);
+    with_pause.on_order(start, next);
+    check(with_pause);
+    rollout_control started_since{{}, 0};
+    started_since.on_order(start, next);
+    started_since.on_record(start, rejected);
+    check(started_since);
+    // Ordered once more, it is judged anew.
+    rollout_control again{{}, 0};
+    again.on_order(start, order);
+    again.on_record(start, rejected);
+    again.on_order(start, {order.service, order.target, milliseconds{24000}, 7});
+    CHECK_FALSE(again.choose(order.service, session_hash{0}, std::nullopt).avoided);
+}
+
 TEST_CASE("after a roll-out succeeded, the next one keeps its version as the old one")
 {
     rollout_control it{{}, 0};
