Tests: a seed of the crash fleet gives the same run in any process

An endpoint kept what it ran in a set ordered by address. Connections that broke at one moment were lost in that order, so that the heap that earlier cases left behind decided which request was repeated first, and seeds meant other runs alone than beside other cases, and from build to build. Sends are numbered and kept in that order now. Nothing that is checked has changed.

--- a/tests/support/crash_fleet.cpp
+++ b/tests/support/crash_fleet.cpp
@@ -256,6 +256,7 @@
 {
     auto& by = instances_[static_cast<std::size_t>(n)];
     auto it = std::make_shared<send>();
+    it->number = ++sends_;
     it->order = order;
     it->of = by.flows.at(order.flow);
     it->instance = n;
--- a/tests/support/crash_fleet.hpp
+++ b/tests/support/crash_fleet.hpp
@@ -81,6 +81,7 @@
     };
     struct send
     {
+        std::uint64_t number = 0;
         routing::attempt_order order;
         asked of;
         int instance = 0;
@@ -88,12 +89,19 @@
         bool is_cancelled = false;
     };
     using send_ptr = std::shared_ptr<send>;
+    /// Connections that break at one moment are lost in this order. The order of addresses would depend on
+    /// what ran before in the process.
+    struct in_order_of_sending
+    {
+        bool operator()(const send_ptr& a, const send_ptr& b) const { return a->number < b->number; }
+    };
+    using running_sends = std::set<send_ptr, in_order_of_sending>;
     struct endpoint
     {
         routing::endpoint_entry entry;
         bool is_up = true;
         bool is_silent = false;
-        std::set<send_ptr> running;
+        running_sends running;
     };
     struct instance
     {
@@ -142,6 +150,7 @@
     std::map<std::string, std::vector<time_point>> ends_; ///< by harmful content
     std::set<crashes::request_fingerprint> recorded_;     ///< in the store
     std::uint64_t next_ = 1;
+    std::uint64_t sends_ = 0; ///< so far
     crash_outcome outcome_;
 };
 
