What a harmful request explains is told again to instances that missed it

What callers saw: a request that does nothing refused as harmful beside a request that ends endpoints, where a fifth of the datagrams is lost.

Cause: findings are told three times, the reports of ends only once. An instance that missed the report that a harmful request was at an endpoint counts that end against its own requests that were cut there, for as long as it remembers, although the finding is known to it.

Now an instance that saw an end under a request that is condemned tells of it again, without the innocent: at the verdict, once more within the time that verdicts wait, and with the findings. The same for ends under copies that were under way when the verdict came.

Why it holds: only instances that saw such an end tell, only ends of requests found harmful, four times each; to hear of an end twice changes nothing.

--- a/include/runlink/crashes/crash_attribution.hpp
+++ b/include/runlink/crashes/crash_attribution.hpp
@@ -55,7 +55,7 @@
     core::seconds harmful_for{600};
     /// How long ends are remembered.
     core::seconds memory{600};
-    /// Findings are told again after these times: datagrams may be lost.
+    /// Findings, and the ends that they explain, are told again after these times: datagrams may be lost.
     std::vector<milliseconds> told_again{milliseconds{200}, milliseconds{1000}};
     /// An answer of this instance clears a request that others suspect within this time of it.
     milliseconds answer_holds{2000};
@@ -160,6 +160,7 @@
     struct record
     {
         std::map<endpoint_life, duration> ends; ///< and how long it had been there
+        std::set<endpoint_life> own_ends;       ///< of these: it ran there for this instance
         time_point latest{};
         std::optional<time_point> turn_at; ///< of this instance; set while suspected
         std::optional<trial> now_tried;
@@ -179,10 +180,10 @@
         bool has_ended = false; ///< the endpoint, which is to be told
         std::vector<broken_run> runs;
     };
-    struct repeated_finding
+    struct repeated_news
     {
         time_point at{};
-        conduct_finding what;
+        crash_news what;
     };
 
     record* find(request_fingerprint it);
@@ -207,6 +208,8 @@
     void explain(endpoint_life by_harmful);
     void clear(request_fingerprint it);
     void tell(time_point now, const conduct_finding& it);
+    /// Tells again of ends that this instance saw under a harmful request: they speak against no other.
+    void tell_explained(time_point now, const std::vector<crash_report>& all);
     void make_room();
 
     attribution_options options_;
@@ -221,7 +224,7 @@
     recent_set<endpoint_life> ended_;
     end_rate rate_;
     recent_set<endpoint_life> explained_; ///< of these: by a harmful request
-    std::vector<repeated_finding> repeats_;
+    std::vector<repeated_news> repeats_;
 };
 
 } // namespace runlink::crashes
--- a/src/runlink/crashes/crash_attribution.cpp
+++ b/src/runlink/crashes/crash_attribution.cpp
@@ -180,8 +180,22 @@
     if (news.empty())
         return;
     hooks_.tell(news);
+    std::vector<crash_report> explained;
     for (const auto& it : news.reports)
+    {
         count(now, it.endpoint, it.running);
+        crash_report by_harmful{it.endpoint, {}};
+        for (const auto& run : it.running)
+        {
+            if (auto* record = find(run.request); record != nullptr)
+                record->own_ends.insert(it.endpoint);
+            if (judge(now, run.request) == permission::refused)
+                by_harmful.running.push_back(run);
+        }
+        if (!by_harmful.running.empty())
+            explained.push_back(std::move(by_harmful));
+    }
+    tell_explained(now, explained);
 }
 
 void crash_attribution::count(time_point now, endpoint_life ended, const std::vector<cut_run>& running)
--- a/src/runlink/crashes/crash_attribution_trials.cpp
+++ b/src/runlink/crashes/crash_attribution_trials.cpp
@@ -1,6 +1,7 @@
 // Trials of suspects, findings, and what is due as time passes.
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "runlink/crashes/crash_attribution.hpp"
@@ -84,10 +85,19 @@
     record.harmful_until = now + options_.harmful_for;
     record.latest = now;
     const auto ends = record.ends;
+    std::vector<crash_report> explained;
+    for (const auto& [where, ran] : ends)
+        if (record.own_ends.contains(where))
+            explained.push_back({where, {{it, std::chrono::ceil<milliseconds>(ran)}}});
     if (is_own)
         tell(now, {it, conduct::harmful});
     for (const auto& [where, ran] : ends)
         explain(where);
+    if (!explained.empty())
+    {
+        hooks_.tell({explained, {}, {}});
+        tell_explained(now, explained);
+    }
     hooks_.condemned(now, it, is_own);
 }
 
@@ -132,7 +142,17 @@
 {
     hooks_.tell({{}, {}, {it}});
     for (const auto after : options_.told_again)
-        repeats_.push_back({now + after, it});
+        repeats_.push_back({now + after, {{}, {}, {it}}});
+}
+
+void crash_attribution::tell_explained(time_point now, const std::vector<crash_report>& all)
+{
+    if (all.empty())
+        return;
+    // Once while verdicts on the innocent that were there wait for it.
+    repeats_.push_back({now + options_.verdict_delay / 2, {all, {}, {}}});
+    for (const auto after : options_.told_again)
+        repeats_.push_back({now + after, {all, {}, {}}});
 }
 
 void crash_attribution::on_news(time_point now, const crash_news& it)
@@ -217,8 +237,12 @@
         decide(now, it, true);
     crash_news again;
     for (const auto& it : repeats_)
-        if (now >= it.at)
-            again.findings.push_back(it.what);
+    {
+        if (now < it.at)
+            continue;
+        again.reports.insert(again.reports.end(), it.what.reports.begin(), it.what.reports.end());
+        again.findings.insert(again.findings.end(), it.what.findings.begin(), it.what.findings.end());
+    }
     std::erase_if(repeats_, [&](const auto& it) { return now >= it.at; });
     if (!again.empty())
         hooks_.tell(again);
--- a/src/runlink/crashes/crashes_test.cpp
+++ b/src/runlink/crashes/crashes_test.cpp
@@ -245,6 +245,49 @@
     CHECK(findings == 3);
 }
 
+TEST_CASE("what a harmful request explains is told again to those who missed it")
+{
+    // An instance had not heard that a suspect was at an endpoint that ended, since a datagram was lost, and
+    // counted that end against a long stream of its own. The suspect was condemned; nobody told of it again.
+    observer witness;
+    observer by{{}, 2};
+    witness.end(1, {guilty});
+    witness.told.clear(); // lost
+    by.end(1, {innocent});
+    by.end(2, {innocent});
+    by.it.on_recorded(by.now, guilty);
+    CHECK(by.it.standing_of(by.now, innocent).ends == 2);
+
+    witness.it.on_recorded(witness.now, guilty);
+    SECTION("at once") {}
+    SECTION("before a verdict that waits for it")
+    {
+        witness.told.clear(); // lost as well
+        witness.pass(witness.it.options().verdict_delay);
+    }
+    for (const auto& e : witness.told)
+        by.it.on_news(by.now, e);
+    CHECK(by.it.standing_of(by.now, innocent).ends == 1);
+    CHECK(by.it.judge(by.now, innocent) == permission::free);
+}
+
+TEST_CASE("an end under a request that is known to be harmful is told again")
+{
+    observer witness;
+    witness.it.on_recorded(witness.now, guilty);
+    witness.end(1, {guilty, innocent}); // a copy that was under way
+    witness.told.clear();               // lost
+    witness.pass(witness.it.options().verdict_delay);
+
+    observer by{{}, 2};
+    by.it.on_recorded(by.now, guilty);
+    by.end(1, {innocent});
+    CHECK(by.it.standing_of(by.now, innocent).ends == 1);
+    for (const auto& e : witness.told)
+        by.it.on_news(by.now, e);
+    CHECK(by.it.standing_of(by.now, innocent).ends == 0);
+}
+
 TEST_CASE("an account that fills the memory loses its own records")
 {
     attribution_options options;
