Ends under a suspect are told again, since who tries it judges by them

What callers saw: a request that ends endpoints goes on ending them where datagrams are lost; what it did looks like ends by chance to the instance that tries it, and makes ends by chance look likely.

Cause: the report of an end is told once, so that the owner of a trial judges by some of the ends under its suspect and counts the others as chance.

An instance that saw ends under a request tells of them again when the request becomes a suspect; later ends under suspects are told once more, within the time that verdicts wait.

Why it holds: only requests under which two endpoints ended, only by who saw it, once more each.

--- a/include/runlink/crashes/crash_attribution.hpp
+++ b/include/runlink/crashes/crash_attribution.hpp
@@ -207,6 +207,8 @@
     void condemn(time_point now, request_fingerprint it, bool is_own);
     void explain(endpoint_life by_harmful);
     void clear(request_fingerprint it);
+    /// The ends under a request that this instance saw.
+    static std::vector<crash_report> own_reports(request_fingerprint it, const record& of);
     void tell(time_point now, const conduct_finding& it);
     /// Tells again of ends that this instance saw under a harmful request: they speak against no other.
     void tell_explained(time_point now, const std::vector<crash_report>& all);
--- a/src/runlink/crashes/crash_attribution.cpp
+++ b/src/runlink/crashes/crash_attribution.cpp
@@ -180,21 +180,31 @@
     if (news.empty())
         return;
     hooks_.tell(news);
+    std::vector<crash_report> by_suspects;
     std::vector<crash_report> explained;
     for (const auto& it : news.reports)
     {
         count(now, it.endpoint, it.running);
-        crash_report by_harmful{it.endpoint, {}};
+        crash_report suspects{it.endpoint, {}};
+        crash_report harmful{it.endpoint, {}};
         for (const auto& run : it.running)
         {
-            if (auto* record = find(run.request); record != nullptr)
-                record->own_ends.insert(it.endpoint);
+            auto* record = find(run.request);
+            if (record == nullptr)
+                continue;
+            record->own_ends.insert(it.endpoint);
             if (judge(now, run.request) == permission::refused)
-                by_harmful.running.push_back(run);
+                harmful.running.push_back(run);
+            else if (is_suspect(*record))
+                suspects.running.push_back(run);
         }
-        if (!by_harmful.running.empty())
-            explained.push_back(std::move(by_harmful));
+        if (!suspects.running.empty())
+            by_suspects.push_back(std::move(suspects));
+        if (!harmful.running.empty())
+            explained.push_back(std::move(harmful));
     }
+    if (!by_suspects.empty())
+        repeats_.push_back({now + options_.verdict_delay / 2, {by_suspects, {}, {}}});
     tell_explained(now, explained);
 }
 
@@ -231,6 +241,9 @@
     if (!was_suspect && is_suspect(record))
     {
         begin_turn(now, it, record);
+        // Reports may be lost, and who tries it next has to know which ends are not by chance.
+        if (auto own = own_reports(it, record); !own.empty())
+            hooks_.tell({std::move(own), {}, {}});
         hooks_.suspected(now, it);
     }
     make_room();
--- a/src/runlink/crashes/crash_attribution_trials.cpp
+++ b/src/runlink/crashes/crash_attribution_trials.cpp
@@ -74,6 +74,15 @@
 
 // Findings
 
+std::vector<crash_report> crash_attribution::own_reports(request_fingerprint it, const record& of)
+{
+    std::vector<crash_report> out;
+    for (const auto& [where, ran] : of.ends)
+        if (of.own_ends.contains(where))
+            out.push_back({where, {{it, std::chrono::ceil<milliseconds>(ran)}}});
+    return out;
+}
+
 void crash_attribution::condemn(time_point now, request_fingerprint it, bool is_own)
 {
     auto& record = at(now, it);
@@ -85,10 +94,7 @@
     record.harmful_until = now + options_.harmful_for;
     record.latest = now;
     const auto ends = record.ends;
-    std::vector<crash_report> explained;
-    for (const auto& [where, ran] : ends)
-        if (record.own_ends.contains(where))
-            explained.push_back({where, {{it, std::chrono::ceil<milliseconds>(ran)}}});
+    const auto explained = own_reports(it, record);
     if (is_own)
         tell(now, {it, conduct::harmful});
     for (const auto& [where, ran] : ends)
--- a/src/runlink/crashes/crashes_test.cpp
+++ b/src/runlink/crashes/crashes_test.cpp
@@ -288,6 +288,29 @@
     CHECK(by.it.standing_of(by.now, innocent).ends == 0);
 }
 
+TEST_CASE("ends under a suspect are told again, since who tries it judges by them")
+{
+    observer witness;
+    observer by{{}, 2};
+    SECTION("those of before, when it becomes a suspect")
+    {
+        witness.end(1, {guilty});
+        witness.told.clear(); // lost
+        witness.it.on_news(witness.now, {{{endpoint_life{2}, {{guilty, run_time}}}}, {}, {}});
+    }
+    SECTION("those of later, before a verdict that waits for it")
+    {
+        for (std::uint64_t n = 2; n <= 3; ++n)
+            witness.it.on_news(witness.now, {{{endpoint_life{n}, {{guilty, run_time}}}}, {}, {}});
+        witness.end(1, {guilty});
+        witness.told.clear();
+        witness.pass(witness.it.options().verdict_delay);
+    }
+    for (const auto& e : witness.told)
+        by.it.on_news(by.now, e);
+    CHECK(by.it.standing_of(by.now, guilty).ends == 1);
+}
+
 TEST_CASE("an account that fills the memory loses its own records")
 {
     attribution_options options;
