A verdict is bounded for all requests of an instance, not for one

What callers saw: a request that does nothing refused as harmful where endpoints end now and then by themselves.

Cause: a request was convicted where the ends under it had a probability below 1e-5 by chance. The rate of ends was also taken for exactly what the other ends of the last ten seconds tell, one or two of them at times.

The constant makes way for the requests that the instance answered lately: expected wrong verdicts are bounded over time.

Why it holds: where no other endpoint ends, three ends are far beyond the bound. Where many do, one more trial decides.

--- a/include/runlink/crashes/crash_attribution.hpp
+++ b/include/runlink/crashes/crash_attribution.hpp
@@ -2,6 +2,7 @@
 /// Finds the request under which endpoints end, among all that were cut with them.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -39,10 +40,11 @@
     /// A request whose trials brought no finding so often is taken for harmful: each may have cost an
     /// endpoint.
     std::uint32_t most_trials = 4;
-    /// A request is convicted where endpoints that end by chance, at the rate seen lately, would end under it
-    /// as often with less than this probability: a long stream is cut several times where endpoints come and
-    /// go.
-    double most_chance = 0.00001;
+    /// A request is convicted where endpoints that end by chance, at the rate seen lately, would make an
+    /// instance with as many requests convict one of them no more often than this. A long stream is cut
+    /// several times where endpoints come and go, and among many requests some are cut as often as is next to
+    /// impossible for each; many instances judge.
+    std::chrono::hours one_wrong_in{2400};
     /// A broken connection is explained by then, or counts as no end of an endpoint.
     milliseconds explanation_time{1500};
     /// Ends that are seen within this time are told together.
@@ -165,6 +167,7 @@
         std::optional<time_point> turn_at; ///< of this instance; set while suspected
         std::optional<trial> now_tried;
         std::uint32_t trials = 0;
+        std::optional<endpoint_life> trial_end; ///< the latest endpoint that ended under a trial
         std::optional<time_point> harmful_until;
         bool is_recorded = false;  ///< in the store
         bool on_probation = false; ///< it was harmful, a long time ago
@@ -200,6 +203,9 @@
     void count(time_point now, endpoint_life ended, const std::vector<cut_run>& running);
     void count_one(time_point now, endpoint_life ended, const cut_run& of);
     void decide(time_point now, request_fingerprint it, bool has_reached);
+    bool is_beyond_chance(time_point now, request_fingerprint it) const;
+    /// Ends that other suspects have probably caused: endpoints ended under their trials.
+    std::set<endpoint_life> ends_by_others(request_fingerprint than) const;
     bool other_suspect_was_at(request_fingerprint it, endpoint_life where) const;
     void begin_turn(time_point now, request_fingerprint it, record& of);
     void drop_trial(request_fingerprint it, record& of);
--- a/include/runlink/crashes/end_rate.hpp
+++ b/include/runlink/crashes/end_rate.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 
 #include "runlink/core/units.hpp"
 #include "runlink/crashes/crash_messages.hpp"
@@ -33,9 +34,13 @@
     void ended(core::time_point now, endpoint_life it);
     /// That end has a cause and does not count as chance.
     void explained(endpoint_life it);
+    /// The time that the rate was learned in.
+    core::duration watched(core::time_point now) const;
     /// Probability that so many endpoints or more end by chance while one request is there for this long in
     /// all. `under_it`: those that ended under it, and how long it had been there.
-    double chance_of(core::time_point now, const std::map<endpoint_life, core::duration>& under_it) const;
+    /// `by_others`: ends that another request has probably caused.
+    double chance_of(core::time_point now, const std::map<endpoint_life, core::duration>& under_it,
+                     const std::set<endpoint_life>& by_others = {}) const;
 
 private:
     end_rate_options options_;
--- a/src/runlink/crashes/crash_attribution.cpp
+++ b/src/runlink/crashes/crash_attribution.cpp
@@ -228,6 +228,8 @@
     record.ends.emplace(ended, of.ran);
     record.latest = now;
     auto& tried = record.now_tried;
+    if (tried && tried->endpoint == ended)
+        record.trial_end = ended;
     if (tried && tried->is_own && tried->endpoint == ended)
     {
         tried->has_ended = true;
--- a/src/runlink/crashes/crash_attribution_trials.cpp
+++ b/src/runlink/crashes/crash_attribution_trials.cpp
@@ -59,12 +59,33 @@
                        });
 }
 
+std::set<endpoint_life> crash_attribution::ends_by_others(request_fingerprint than) const
+{
+    std::set<endpoint_life> out;
+    for (const auto& [request, it] : records_)
+        if (request != than && it.trial_end && it.ends.contains(*it.trial_end))
+            for (const auto& [where, ran] : it.ends)
+                out.insert(where);
+    return out;
+}
+
+bool crash_attribution::is_beyond_chance(time_point now, request_fingerprint it) const
+{
+    const auto chance = rate_.chance_of(now, records_.at(it).ends, ends_by_others(it));
+    const auto watched = rate_.watched(now);
+    const auto requests = std::count_if(answered_.begin(), answered_.end(),
+                                        [&](const auto& e) { return now - e.second <= watched; });
+    using seconds_or_part = std::chrono::duration<double>;
+    const auto expected_wrong = chance * static_cast<double>(std::max<std::ptrdiff_t>(requests, 1));
+    return expected_wrong * seconds_or_part{options_.one_wrong_in} < seconds_or_part{watched};
+}
+
 void crash_attribution::decide(time_point now, request_fingerprint it, bool has_reached)
 {
     auto& record = records_.at(it);
     const auto where = record.now_tried->endpoint;
-    const bool is_certain = record.now_tried->has_ended && !other_suspect_was_at(it, where) &&
-                            rate_.chance_of(now, record.ends) < options_.most_chance;
+    const bool is_certain =
+        record.now_tried->has_ended && !other_suspect_was_at(it, where) && is_beyond_chance(now, it);
     if (is_certain || record.trials >= options_.most_trials)
         return condemn(now, it, true);
     drop_trial(it, record);
--- a/src/runlink/crashes/crashes_test.cpp
+++ b/src/runlink/crashes/crashes_test.cpp
@@ -205,6 +205,55 @@
     CHECK(by.condemned.empty());
 }
 
+TEST_CASE("among many requests, one that is cut three times where endpoints end now and then is no culprit")
+{
+    // One endpoint of eighteen ended every two seconds. A long stream was cut by three of them, its trial by
+    // the last, and refused: that is as unlikely as one in a hundred thousand for each request, and many
+    // came.
+    constexpr std::uint64_t requests = 160;
+    observer by;
+    for (std::uint64_t n = 0; n < requests; ++n)
+    {
+        if (n % 80 == 0)
+            by.it.on_news(by.now, {{{endpoint_life{100 + n}, {}}}, {}, {}});
+        by.it.on_answered(by.now, request_fingerprint{1000 + n});
+        by.pass(milliseconds{50});
+    }
+    for (std::uint64_t n = 1; n <= 2; ++n)
+        by.end(n, {innocent});
+    by.try_and_end(innocent, 3);
+    CHECK(by.condemned.empty());
+}
+
+TEST_CASE("where no other endpoint ends, three ends convict among many requests")
+{
+    constexpr std::uint64_t requests = 160;
+    observer by;
+    for (std::uint64_t n = 0; n < requests; ++n)
+    {
+        by.it.on_answered(by.now, request_fingerprint{1000 + n});
+        by.pass(milliseconds{50});
+    }
+    for (std::uint64_t n = 1; n <= 2; ++n)
+        by.end(n, {guilty});
+    by.try_and_end(guilty, 3);
+    CHECK(by.condemned == std::vector{guilty});
+}
+
+TEST_CASE("ends that another suspect has probably caused hide no harmful request")
+{
+    constexpr request_fingerprint other{3};
+    observer by;
+    for (std::uint64_t n = 1; n <= 2; ++n)
+        by.end(n, {guilty});
+    for (std::uint64_t n = 11; n <= 14; ++n)
+        by.it.on_news(by.now, {{{endpoint_life{n}, {{other, run_time}}}}, {}, {}});
+    by.it.on_news(by.now, {{}, {{other, endpoint_life{15}}}, {}}); // an instance tries it
+    by.it.on_news(by.now, {{{endpoint_life{15}, {{other, run_time}}}}, {}, {}});
+    by.try_and_end(guilty, 3);
+    CHECK(by.condemned == std::vector{guilty});
+}
+
 TEST_CASE("trials without a finding come to an end")
 {
     observer by;
