--- a/include/runlink/crashes/crash_attribution.hpp
+++ b/include/runlink/crashes/crash_attribution.hpp
@@ -2,6 +2,7 @@
 /// Finds the request under which endpoints end, among all that were cut with them.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -39,10 +40,11 @@
     /// A request whose trials brought no finding so often is taken for harmful: each may have cost an
     /// endpoint.
     std::uint32_t most_trials = 4;
-    /// A request is convicted where endpoints that end by chance, at the rate seen lately, would end under it
-    /// as often with less than this probability: a long stream is cut several times where endpoints come and
-    /// go.
-    double most_chance = 0.00001;
+    /// A request is convicted where endpoints that end by chance, at the rate seen lately, would make an
+    /// instance with as many requests convict one of them no more often than this. A long stream is cut
+    /// several times where endpoints come and go, and among many requests some are cut as often as is next to
+    /// impossible for each; many instances judge.
+    std::chrono::hours one_wrong_in{2400};
     /// A broken connection is explained by then, or counts as no end of an endpoint.
     milliseconds explanation_time{1500};
     /// Ends that are seen within this time are told together.
@@ -55,7 +57,7 @@
     core::seconds harmful_for{600};
     /// How long ends are remembered.
     core::seconds memory{600};
-    /// Findings are told again after these times: datagrams may be lost.
+    /// Findings, and the ends that they explain, are told again after these times: datagrams may be lost.
     std::vector<milliseconds> told_again{milliseconds{200}, milliseconds{1000}};
     /// An answer of this instance clears a request that others suspect within this time of it.
     milliseconds answer_holds{2000};
@@ -163,10 +165,12 @@
     struct record
     {
         std::map<endpoint_life, duration> ends; ///< and how long it had been there
+        std::set<endpoint_life> own_ends;       ///< of these: it ran there for this instance
         time_point latest{};
         std::optional<time_point> turn_at; ///< of this instance; set while suspected
         std::optional<trial> now_tried;
         std::uint32_t trials = 0;
+        std::optional<endpoint_life> trial_end; ///< the latest endpoint that ended under a trial
         std::optional<time_point> harmful_until;
         bool is_recorded = false;  ///< in the store
         bool on_probation = false; ///< it was harmful, a long time ago
@@ -182,10 +186,10 @@
         bool has_ended = false; ///< the endpoint, which is to be told
         std::vector<broken_run> runs;
     };
-    struct repeated_finding
+    struct repeated_news
     {
         time_point at{};
-        conduct_finding what;
+        crash_news what;
     };
 
     record* find(request_fingerprint it);
@@ -202,6 +206,9 @@
     void count(time_point now, endpoint_life ended, const std::vector<cut_run>& running);
     void count_one(time_point now, endpoint_life ended, const cut_run& of);
     void decide(time_point now, request_fingerprint it, bool has_reached);
+    bool is_beyond_chance(time_point now, request_fingerprint it) const;
+    /// Ends that other suspects have probably caused: endpoints ended under their trials.
+    std::set<endpoint_life> ends_by_others(request_fingerprint than) const;
     bool other_suspect_was_at(request_fingerprint it, endpoint_life where) const;
     void begin_turn(time_point now, request_fingerprint it, record& of);
     void drop_trial(request_fingerprint it, record& of);
@@ -209,7 +216,11 @@
     void condemn(time_point now, request_fingerprint it, bool is_own);
     void explain(endpoint_life by_harmful);
     void clear(request_fingerprint it);
+    /// The ends under a request that this instance saw.
+    static std::vector<crash_report> own_reports(request_fingerprint it, const record& of);
     void tell(time_point now, const conduct_finding& it);
+    /// Tells again of ends that this instance saw under a harmful request: they speak against no other.
+    void tell_explained(time_point now, const std::vector<crash_report>& all);
     void make_room();
 
     attribution_options options_;
@@ -224,7 +235,7 @@
     recent_set<endpoint_life> ended_;
     end_rate rate_;
     recent_set<endpoint_life> explained_; ///< of these: by a harmful request
-    std::vector<repeated_finding> repeats_;
+    std::vector<repeated_news> repeats_;
 };
 
 } // namespace runlink::crashes
--- a/src/runlink/crashes/crash_attribution_trials.cpp
+++ b/src/runlink/crashes/crash_attribution_trials.cpp
@@ -1,6 +1,7 @@
 // Trials of suspects, findings, and what is due as time passes.
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "runlink/crashes/crash_attribution.hpp"
@@ -68,12 +69,33 @@
                        });
 }
 
+std::set<endpoint_life> crash_attribution::ends_by_others(request_fingerprint than) const
+{
+    std::set<endpoint_life> out;
+    for (const auto& [request, it] : records_)
+        if (request != than && it.trial_end && it.ends.contains(*it.trial_end))
+            for (const auto& [where, ran] : it.ends)
+                out.insert(where);
+    return out;
+}
+
+bool crash_attribution::is_beyond_chance(time_point now, request_fingerprint it) const
+{
+    const auto chance = rate_.chance_of(now, records_.at(it).ends, ends_by_others(it));
+    const auto watched = rate_.watched(now);
+    const auto requests = std::count_if(answered_.begin(), answered_.end(),
+                                        [&](const auto& e) { return now - e.second <= watched; });
+    using seconds_or_part = std::chrono::duration<double>;
+    const auto expected_wrong = chance * static_cast<double>(std::max<std::ptrdiff_t>(requests, 1));
+    return expected_wrong * seconds_or_part{options_.one_wrong_in} < seconds_or_part{watched};
+}
+
 void crash_attribution::decide(time_point now, request_fingerprint it, bool has_reached)
 {
     auto& record = records_.at(it);
     const auto where = record.now_tried->endpoint;
-    const bool is_certain = record.now_tried->has_ended && !other_suspect_was_at(it, where) &&
-                            rate_.chance_of(now, record.ends) < options_.most_chance;
+    const bool is_certain =
+        record.now_tried->has_ended && !other_suspect_was_at(it, where) && is_beyond_chance(now, it);
     if (is_certain || record.trials >= options_.most_trials)
         return condemn(now, it, true);
     drop_trial(it, record);
@@ -83,6 +105,15 @@
 
 // Findings
 
+std::vector<crash_report> crash_attribution::own_reports(request_fingerprint it, const record& of)
+{
+    std::vector<crash_report> out;
+    for (const auto& [where, ran] : of.ends)
+        if (of.own_ends.contains(where))
+            out.push_back({where, {{it, std::chrono::ceil<milliseconds>(ran)}}});
+    return out;
+}
+
 void crash_attribution::condemn(time_point now, request_fingerprint it, bool is_own)
 {
     auto& record = at(now, it);
@@ -94,10 +125,16 @@
     record.harmful_until = now + options_.harmful_for;
     record.latest = now;
     const auto ends = record.ends;
+    const auto explained = own_reports(it, record);
     if (is_own)
         tell(now, {it, conduct::harmful});
     for (const auto& [where, ran] : ends)
         explain(where);
+    if (!explained.empty())
+    {
+        hooks_.tell({explained, {}, {}});
+        tell_explained(now, explained);
+    }
     hooks_.condemned(now, it, is_own);
 }
 
@@ -142,7 +179,17 @@
 {
     hooks_.tell({{}, {}, {it}});
     for (const auto after : options_.told_again)
-        repeats_.push_back({now + after, it});
+        repeats_.push_back({now + after, {{}, {}, {it}}});
+}
+
+void crash_attribution::tell_explained(time_point now, const std::vector<crash_report>& all)
+{
+    if (all.empty())
+        return;
+    // Once while verdicts on the innocent that were there wait for it.
+    repeats_.push_back({now + options_.verdict_delay / 2, {all, {}, {}}});
+    for (const auto after : options_.told_again)
+        repeats_.push_back({now + after, {all, {}, {}}});
 }
 
 void crash_attribution::on_news(time_point now, const crash_news& it)
@@ -227,8 +274,12 @@
         decide(now, it, true);
     crash_news again;
     for (const auto& it : repeats_)
-        if (now >= it.at)
-            again.findings.push_back(it.what);
+    {
+        if (now < it.at)
+            continue;
+        again.reports.insert(again.reports.end(), it.what.reports.begin(), it.what.reports.end());
+        again.findings.insert(again.findings.end(), it.what.findings.begin(), it.what.findings.end());
+    }
     std::erase_if(repeats_, [&](const auto& it) { return now >= it.at; });
     if (!again.empty())
         hooks_.tell(again);
--- a/src/runlink/crashes/crashes_test.cpp
+++ b/src/runlink/crashes/crashes_test.cpp
@@ -205,6 +205,55 @@
     CHECK(by.condemned.empty());
 }
 
+TEST_CASE("among many requests, one that is cut three times where endpoints end now and then is no culprit")
+{
+    // One endpoint of eighteen ended every two seconds. A long stream was cut by three of them, its trial by
+    // the last, and refused: that is as unlikely as one in a hundred thousand for each request, and many
+    // came.
+    constexpr std::uint64_t requests = 160;
+    observer by;
+    for (std::uint64_t n = 0; n < requests; ++n)
+    {
+        if (n % 80 == 0)
+            by.it.on_news(by.now, {{{endpoint_life{100 + n}, {}}}, {}, {}});
+        by.it.on_answered(by.now, request_fingerprint{1000 + n});
+        by.pass(milliseconds{50});
+    }
+    for (std::uint64_t n = 1; n <= 2; ++n)
+        by.end(n, {innocent});
+    by.try_and_end(innocent, 3);
+    CHECK(by.condemned.empty());
+}
+
+TEST_CASE("where no other endpoint ends, three ends convict among many requests")
+{
+    constexpr std::uint64_t requests = 160;
+    observer by;
+    for (std::uint64_t n = 0; n < requests; ++n)
+    {
+        by.it.on_answered(by.now, request_fingerprint{1000 + n});
+        by.pass(milliseconds{50});
+    }
+    for (std::uint64_t n = 1; n <= 2; ++n)
+        by.end(n, {guilty});
+    by.try_and_end(guilty, 3);
+    CHECK(by.condemned == std::vector{guilty});
+}
+
+TEST_CASE("ends that another suspect has probably caused hide no harmful request")
+{
+    constexpr request_fingerprint other{3};
+    observer by;
+    for (std::uint64_t n = 1; n <= 2; ++n)
+        by.end(n, {guilty});
+    for (std::uint64_t n = 11; n <= 14; ++n)
+        by.it.on_news(by.now, {{{endpoint_life{n}, {{other, run_time}}}}, {}, {}});
+    by.it.on_news(by.now, {{}, {{other, endpoint_life{15}}}, {}}); // an instance tries it
+    by.it.on_news(by.now, {{{endpoint_life{15}, {{other, run_time}}}}, {}, {}});
+    by.try_and_end(guilty, 3);
+    CHECK(by.condemned == std::vector{guilty});
+}
+
 TEST_CASE("trials without a finding come to an end")
 {
     observer by;
@@ -245,6 +294,72 @@
     CHECK(findings == 3);
 }
 
+TEST_CASE("what a harmful request explains is told again to those who missed it")
+{
+    // An instance had not heard that a suspect was at an endpoint that ended, since a datagram was lost, and
+    // counted that end against a long stream of its own. The suspect was condemned; nobody told of it again.
+    observer witness;
+    observer by{{}, 2};
+    witness.end(1, {guilty});
+    witness.told.clear(); // lost
+    by.end(1, {innocent});
+    by.end(2, {innocent});
+    by.it.on_recorded(by.now, guilty);
+    CHECK(by.it.standing_of(by.now, innocent).ends == 2);
+
+    witness.it.on_recorded(witness.now, guilty);
+    SECTION("at once") {}
+    SECTION("before a verdict that waits for it")
+    {
+        witness.told.clear(); // lost as well
+        witness.pass(witness.it.options().verdict_delay);
+    }
+    for (const auto& e : witness.told)
+        by.it.on_news(by.now, e);
+    CHECK(by.it.standing_of(by.now, innocent).ends == 1);
+    CHECK(by.it.judge(by.now, innocent) == permission::free);
+}
+
+TEST_CASE("an end under a request that is known to be harmful is told again")
+{
+    observer witness;
+    witness.it.on_recorded(witness.now, guilty);
+    witness.end(1, {guilty, innocent}); // a copy that was under way
+    witness.told.clear();               // lost
+    witness.pass(witness.it.options().verdict_delay);
+
+    observer by{{}, 2};
+    by.it.on_recorded(by.now, guilty);
+    by.end(1, {innocent});
+    CHECK(by.it.standing_of(by.now, innocent).ends == 1);
+    for (const auto& e : witness.told)
+        by.it.on_news(by.now, e);
+    CHECK(by.it.standing_of(by.now, innocent).ends == 0);
+}
+
+TEST_CASE("ends under a suspect are told again, since who tries it judges by them")
+{
+    observer witness;
+    observer by{{}, 2};
+    SECTION("those of before, when it becomes a suspect")
+    {
+        witness.end(1, {guilty});
+        witness.told.clear(); // lost
+        witness.it.on_news(witness.now, {{{endpoint_life{2}, {{guilty, run_time}}}}, {}, {}});
+    }
+    SECTION("those of later, before a verdict that waits for it")
+    {
+        for (std::uint64_t n = 2; n <= 3; ++n)
+            witness.it.on_news(witness.now, {{{endpoint_life{n}, {{guilty, run_time}}}}, {}, {}});
+        witness.end(1, {guilty});
+        witness.told.clear();
+        witness.pass(witness.it.options().verdict_delay);
+    }
+    for (const auto& e : witness.told)
+        by.it.on_news(by.now, e);
+    CHECK(by.it.standing_of(by.now, guilty).ends == 1);
+}
+
 TEST_CASE("an account that fills the memory loses its own records")
 {
     attribution_options options;
