--- a/soak/scenario.hpp
+++ b/soak/scenario.hpp
@@ -50,6 +50,8 @@
     std::string rolled_out() const { return trial_ ? trial_->name() : std::string{}; }
 
 private:
+    static constexpr int most_fault_ms = 3500;
+
     struct fault
     {
         const char* name;
