Soak: a proxy keeps the order of delayed bytes, and may stand for a long way

Bytes that came just after the end of a delay overtook those that were still held back. An event stream on such a link would have been garbled by the soak itself. Each direction now has a queue. `distance` delays at any time, as for an instance far from the store.

--- a/soak/fault_proxy.cpp
+++ b/soak/fault_proxy.cpp
@@ -105,18 +105,24 @@
     const auto bytes = (to_far ? it->near : it->far)->readAll();
     if (bytes.isEmpty())
         return;
-    if (fault_ == link_fault::delay)
-        return write_later(it, to_far, bytes);
+    const auto after = distance + (fault_ == link_fault::delay ? delay : core::milliseconds{});
+    if (after.count() > 0 || !(to_far ? it->waiting_to_far : it->waiting_to_near).empty())
+        return write_later(it, to_far, after, bytes);
     (to_far ? it->far : it->near)->write(bytes);
 }
 
-void fault_proxy::write_later(const link_ptr& it, bool to_far, const QByteArray& bytes)
+void fault_proxy::write_later(const link_ptr& it, bool to_far, core::milliseconds after,
+                              const QByteArray& bytes)
 {
-    QTimer::singleShot(delay, &server_,
-                       [this, it, to_far, bytes]
+    (to_far ? it->waiting_to_far : it->waiting_to_near).push_back(bytes);
+    QTimer::singleShot(after, &server_,
+                       [this, it, to_far]
                        {
-                           if (links_.contains(it.get()))
-                               (to_far ? it->far : it->near)->write(bytes);
+                           if (!links_.contains(it.get()))
+                               return;
+                           auto& waiting = to_far ? it->waiting_to_far : it->waiting_to_near;
+                           (to_far ? it->far : it->near)->write(waiting.front());
+                           waiting.pop_front();
                        });
 }
 
--- a/soak/fault_proxy.hpp
+++ b/soak/fault_proxy.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 
@@ -41,12 +42,15 @@
     void reset_all();
 
     core::milliseconds delay{120};
+    core::milliseconds distance{0}; ///< by which bytes pass later at any time
 
 private:
     struct link
     {
         std::unique_ptr<QTcpSocket> near;
         std::unique_ptr<QTcpSocket> far;
+        std::deque<QByteArray> waiting_to_far;
+        std::deque<QByteArray> waiting_to_near;
     };
     using link_ptr = std::shared_ptr<link>;
 
@@ -54,7 +58,8 @@
     /// Listens at the own port, sooner or later: another connection may be using it for a moment.
     void listen();
     void pass(const link_ptr& it, bool to_far);
-    void write_later(const link_ptr& it, bool to_far, const QByteArray& bytes);
+    /// Behind all that waits already.
+    void write_later(const link_ptr& it, bool to_far, core::milliseconds after, const QByteArray& bytes);
     bool holds(bool to_far) const;
     void end(const link_ptr& it, bool in_order);
 
