Stand-ins: long streams that pause, by the request's name

Endpoints never paused between events, so that no stream was ever moved for a pause. Requests named `long-` are answered by streams of many seconds with pauses of 0.9 to 1.5 of the route's target gap, the same in every run. The stream route's timeout may be set, and a run tells whether its connection ended before it was over.

--- a/standins/operator_documents.cpp
+++ b/standins/operator_documents.cpp
@@ -5,7 +5,8 @@
 
 using nlohmann::json;
 
-json make_configuration(int version, const std::vector<std::string>& keys)
+json make_configuration(int version, const std::vector<std::string>& keys,
+                        core::milliseconds timeout_of_streams)
 {
     json look{{"name", "look"},      {"hostname", operator_host}, {"pathPrefix", "/look/"},
               {"routeType", "safe"}, {"timeoutMs", 2000},         {"targetLatencyMs", 400},
@@ -21,9 +22,9 @@
                    {"resumable", true},
                    {"sizes", {"small", "large"}},
                    {"maxAttempts", 3},
-                   {"timeoutMs", 6000},
+                   {"timeoutMs", timeout_of_streams.count()},
                    {"targetLatencyMs", 800},
-                   {"targetGapMs", 400}});
+                   {"targetGapMs", stream_target_gap.count()}});
     return {{"version", version},
             {"routes", {look, pay, stream}},
             {"services", {{{"name", "app"}}, {{"name", "pool"}, {"engine", {{"slots", 16}}}}}},
--- a/standins/served_endpoint.cpp
+++ b/standins/served_endpoint.cpp
@@ -1,9 +1,11 @@
 #include "served_endpoint.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <QTimer>
 
+#include "operator_documents.hpp"
 #include "runlink/core/hash.hpp"
 
 namespace runlink::standins
@@ -20,6 +22,13 @@
 /// Some streams take seconds, so that callers leave and instances stop in their middle.
 constexpr std::uint64_t slow_one_in = 6;
 constexpr core::milliseconds slow_pace{250};
+constexpr std::uint64_t least_long_events = 36;
+constexpr std::uint64_t long_event_spread = 20;
+constexpr core::milliseconds long_pace{150};
+/// Rare enough that a stream has attempts left at its later pauses.
+constexpr std::uint64_t pause_one_in = 16;
+constexpr std::uint64_t least_pause_percent = 90; ///< of the target gap
+constexpr std::uint64_t most_pause_percent = 150;
 
 core::milliseconds times(core::milliseconds it, double factor)
 {
@@ -57,7 +66,18 @@
 
 std::uint64_t served_endpoint::event_count(const std::string& request)
 {
-    return 1 + core::stable_hash(request) % most_events;
+    const auto hash = core::stable_hash(request);
+    return is_long(request) ? least_long_events + hash % long_event_spread : 1 + hash % most_events;
+}
+
+core::milliseconds served_endpoint::pause_after(const std::string& request, std::uint64_t n)
+{
+    const auto hash = core::stable_hash(event_data(request, n));
+    if (!is_long(request) || n >= event_count(request) || hash % pause_one_in != 0)
+        return {};
+    const auto percent =
+        least_pause_percent + hash / pause_one_in % (most_pause_percent - least_pause_percent + 1);
+    return times(stream_target_gap, static_cast<double>(percent) / whole_percent);
 }
 
 net::http_fields served_endpoint::fields_for(const std::string& request) const
@@ -88,8 +108,9 @@
     it->path = head.target;
     if (const auto* last = head.fields.find("Last-Event-Id"))
         it->first_event = std::stoull(*last) + 1;
-    from->on_left = [it] { it->is_over = true; };
-    const auto& own_pace = core::stable_hash(it->request, 2) % slow_one_in == 0 ? slow_pace : pace;
+    from->on_left = [it] { it->was_left = !std::exchange(it->is_over, true); };
+    const auto short_pace = core::stable_hash(it->request, 2) % slow_one_in == 0 ? slow_pace : pace;
+    const auto own_pace = is_long(it->request) ? long_pace : short_pace;
     it->pace = how == mode::slow ? times(own_pace, slow_times) : own_pace;
     it->is_harmful = it->path.find(harmful_text) != std::string::npos;
     on_run(*this, it);
@@ -161,7 +182,8 @@
     // In two pieces, so that a break may come in the middle of an event.
     to->write(net::write_chunk(event.substr(0, event.size() / 2)));
     to->write(net::write_chunk(event.substr(event.size() / 2)));
-    QTimer::singleShot(it->pace, &context_, [this, to, it, n] { step(to, it, n + 1); });
+    const auto wait = std::max(it->pace, pause_after(it->request, n));
+    QTimer::singleShot(wait, &context_, [this, to, it, n] { step(to, it, n + 1); });
 }
 
 } // namespace runlink::standins
--- a/standins/served_endpoint.hpp
+++ b/standins/served_endpoint.hpp
@@ -38,6 +38,7 @@
         std::string path;
         std::uint64_t first_event = 1;
         bool is_over = false;
+        bool was_left = false;     ///< its connection ended before it was over
         bool is_harmful = false;   ///< it ends the endpoint, and is never answered whole
         core::milliseconds pace{}; ///< between two events
     };
@@ -60,6 +61,12 @@
     }
     /// How many events answer a request.
     static std::uint64_t event_count(const std::string& request);
+    /// Requests whose names begin so are answered by streams of many seconds, with pauses.
+    static constexpr const char* long_prefix = "long-";
+    static bool is_long(const std::string& request) { return request.starts_with(long_prefix); }
+    /// The pause behind an event of a long stream; none after most. The stream's next attempt goes on behind
+    /// it without one.
+    static core::milliseconds pause_after(const std::string& request, std::uint64_t n);
 
     mode answers = mode::normal;
     /// What it does with one request, where that differs from `answers`.
