--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -12,7 +12,6 @@
 #include <QTimer>
 #include <QUdpSocket>
 
-#include "operator_documents.hpp"
 #include "support/suspension.hpp"
 
 namespace runlink::soak
@@ -66,6 +65,7 @@
         it.readiness = free_port();
         it.peers = free_port();
         it.store = std::make_unique<fault_proxy>(store_port_);
+        it.store->distance = n % 2 == 0 ? milliseconds{} : options_.store_distance;
         write_settings(it);
         instances_.push_back(std::move(it));
         start_instance(n);
@@ -84,9 +84,12 @@
     }
 }
 
-void fleet::write_configuration(const std::vector<std::string>& keys)
+void fleet::write_configuration(std::vector<std::string> keys)
 {
-    store_.put(standins::configuration_key, standins::make_configuration(++configuration_, keys));
+    keys_ = std::move(keys);
+    checker_.cuts().changed(now());
+    store_.put(standins::configuration_key,
+               standins::make_configuration(++configuration_, keys_, options_.stream_timeout));
 }
 
 void fleet::add_endpoint(const std::string& service, const std::string& version)
--- a/soak/fleet.hpp
+++ b/soak/fleet.hpp
@@ -12,6 +12,7 @@
 #include <QProcess>
 
 #include "kv_standin.hpp"
+#include "operator_documents.hpp"
 #include "runlink/net/http_exchange.hpp"
 #include "served_endpoint.hpp"
 #include "soak/fault_proxy.hpp"
@@ -30,6 +31,9 @@
     int engines = 4;
     int services = 3;
     milliseconds stop_grace{8000}; ///< above the time that callers wait, or streams are cut as planned
+    milliseconds stream_timeout = standins::stream_timeout; ///< of the route
+    /// Every second instance is so far from the store: proofs are old, and news late, when they arrive.
+    milliseconds store_distance{0};
 };
 
 /// An endpoint behind a proxy.
@@ -81,7 +85,9 @@
     /// The endpoint's process ends. Its entry runs out, and it is back at its address after that, under a new
     /// id or as a later life of the old one.
     void end_endpoint(proxied_endpoint& it, milliseconds entry_left, milliseconds away);
-    void write_configuration(const std::vector<std::string>& keys);
+    void write_configuration(std::vector<std::string> keys);
+    /// Of the client account.
+    const std::vector<std::string>& keys() const { return keys_; }
 
     standins::kv_standin& store() { return store_; }
     std::vector<instance>& instances() { return instances_; }
@@ -100,6 +106,7 @@
     std::vector<instance> instances_;
     net::connection_pool pool_;
     QObject context_; ///< restarts that are due end with the fleet
+    std::vector<std::string> keys_;
     int configuration_ = 0;
     int next_endpoint_ = 1;
     bool is_ending_ = false;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -27,6 +27,15 @@
         std::cout << "BROKEN " << it << "\n";
 }
 
+/// Streams may last for their deadline, also under a planned stop.
+void set_for_long_streams(soak::scenario_options& options, soak::fleet_options& deployment)
+{
+    deployment.stream_timeout = core::milliseconds{20000};
+    deployment.stop_grace = core::milliseconds{17000};
+    deployment.store_distance = core::milliseconds{350};
+    options.recovery += deployment.stop_grace;
+}
+
 /// Returns whether all promises held.
 bool run_seed(const soak::scenario_options& options, soak::fleet_options deployment, bool keep_logs)
 {
@@ -68,6 +77,8 @@
     cli.add_option("--engines", deployment.engines, "Endpoints of the model service")
         ->check(CLI::Range(1, 60));
     cli.add_flag("--planned", options.only_planned, "Only stops, reloads and changes that operators plan");
+    cli.add_flag("--pauses", options.pauses,
+                 "Streams of many seconds that pause, keys removed in series, instances far from the store");
     cli.add_flag("--rollouts", options.rolls_out, "Begin with a roll-out of a version, mostly a bad one");
     cli.add_flag("--quiet", options.is_quiet, "No faults but those of the version");
     cli.add_option("--harmful", options.harmful_callers,
@@ -80,6 +91,8 @@
     const QCoreApplication application{argc, argv};
     options.suspends = !deployment.shim.empty();
     options.length = core::milliseconds{length_s * 1000};
+    if (options.pauses)
+        set_for_long_streams(options, deployment);
     int failed = 0;
     for (int n = 0; n < seeds; ++n)
     {
--- a/soak/promise_checker.cpp
+++ b/soak/promise_checker.cpp
@@ -80,6 +80,8 @@
     auto& it = found->second;
     ++it.runs;
     it.last_run = run;
+    it.last_run_at = now;
+    it.last_endpoint = by.id();
     look("runs");
     if (it.is_harmful)
         check_harmful(now, it.instance);
@@ -161,6 +163,29 @@
         fail("cancel: " + id + " is still run though its caller left");
 }
 
+bool promise_checker::check_cut(time_point now, const std::string& id, const caller_outcome& it,
+                                milliseconds allowed)
+{
+    const auto& of = requests_.at(id);
+    if (of.kind != request_kind::stream || it.left || !is_success(it.status))
+        return false;
+    look("ends of streams");
+    const auto removed = removed_keys_.find(of.key);
+    if (removed != removed_keys_.end() && of.sent < removed->second &&
+        now - removed->second > bounds_.key_revocation)
+        look("streams that outlived their keys");
+    if (it.is_whole || now - of.sent > allowed * bounds_.cut_share)
+        return false;
+    const auto run = of.last_run.lock();
+    const auto broken = broken_.find(of.last_endpoint);
+    const bool was_broken = broken != broken_.end() && broken->second >= of.last_run_at;
+    if (!run || (run->is_over && !run->was_left) || was_broken)
+        return false;
+    look("cuts");
+    cuts_.cut(now, of.instance, id);
+    return true;
+}
+
 void promise_checker::ended_under(time_point now, const std::string& id)
 {
     look("ended endpoints");
@@ -176,8 +201,26 @@
         ++harmful_late_;
 }
 
-void promise_checker::finish()
+void promise_checker::check_cut_rates(time_point now)
+{
+    for (const auto& it : cuts_.judge(now))
+        fail(it);
+    const auto beside = cuts_.beside_changes(now, std::nullopt);
+    const auto other = cuts_.at_other_times(now, std::nullopt);
+    look("calm ms beside changes", static_cast<std::uint64_t>(beside.time.count()));
+    look("calm ms at other times", static_cast<std::uint64_t>(other.time.count()));
+    look("calm cuts beside changes", beside.cuts.size());
+    look("calm cuts at other times", other.cuts.size());
+    for (const auto* it :
+         {"streams that outlived their keys", "calm ms beside changes", "calm ms at other times"})
+        if (looked_at_[it] == 0)
+            fail(std::string{"cuts: nothing to look at, "} + it);
+}
+
+void promise_checker::finish(time_point now)
 {
+    if (cuts_.is_watching())
+        check_cut_rates(now);
     if (harmful_late_ > bounds_.most_harmful_sends)
         fail("harmful: a request that had ended three endpoints was sent " + std::to_string(harmful_late_) +
              " times more; " + std::to_string(ends_.size()) + " ended in all");
--- a/soak/promise_checker.hpp
+++ b/soak/promise_checker.hpp
@@ -11,19 +11,11 @@
 
 #include "runlink/core/units.hpp"
 #include "served_endpoint.hpp"
+#include "soak/cut_record.hpp"
 
 namespace runlink::soak
 {
 
-using core::milliseconds;
-using core::time_point;
-
-/// The clock of the soak, the same as that of the instances.
-inline time_point now()
-{
-    return core::runtime_clock::now();
-}
-
 /// What a request allows.
 enum class request_kind
 {
@@ -55,6 +47,8 @@
     std::uint32_t stream_attempts = 3;
     double exposure_share = 0.15;
     double exposure_slack = 30;
+    /// A stream that ends after more of its time than this was not cut for nothing.
+    double cut_share = 0.7;
     /// After so many bad answers of a version, and this long, it gets nothing any more.
     std::uint64_t bad_answers = 50;
     milliseconds roll_back{5000};
@@ -75,6 +69,13 @@
     /// The caller of this request left a moment ago: nothing may be working for it any more.
     void check_left(time_point now, const std::string& id);
 
+    /// Looks at the end of a stream that was given so much time. Returns whether its instance cut it: in the
+    /// middle of its answer, with time left, while its endpoint was at work.
+    bool check_cut(time_point now, const std::string& id, const caller_outcome& it, milliseconds allowed);
+    /// Connections to the endpoint were broken.
+    void endpoint_broken(time_point now, const std::string& id) { broken_[id] = now; }
+    cut_record& cuts() { return cuts_; }
+
     /// A fault that concerns an instance, or all of them, lasts until then.
     void disturbed(time_point until, std::optional<int> instance);
     void key_removed(time_point now, const std::string& key) { removed_keys_[key] = now; }
@@ -93,7 +94,7 @@
     void fail(const std::string& what) { faults_.push_back(what); }
 
     /// Checks what can only be said at the end.
-    void finish();
+    void finish(time_point now);
     const std::vector<std::string>& faults() const { return faults_; }
     std::uint64_t request_count() const { return requests_.size(); }
     std::uint64_t served_count() const { return served_; }
@@ -112,6 +113,8 @@
         bool refused = false;
         bool is_harmful = false;
         std::weak_ptr<standins::served_endpoint::run> last_run;
+        time_point last_run_at{};
+        std::string last_endpoint;
     };
 
     bool is_calm(time_point now, int instance) const;
@@ -121,12 +124,15 @@
     void check_harmful(time_point now, int instance);
     void check_answer(const std::string& id, const request& of, const caller_outcome& it);
     void check_stream(const std::string& id, const caller_outcome& it);
-    void look(const std::string& check) { ++looked_at_[check]; }
+    void check_cut_rates(time_point now);
+    void look(const std::string& check, std::uint64_t n = 1) { looked_at_[check] += n; }
 
     promise_bounds bounds_;
     std::map<std::string, request> requests_;
     std::map<std::string, time_point> removed_keys_;
     std::map<std::string, time_point> leaving_;
+    std::map<std::string, time_point> broken_; ///< connections of endpoints, the last time
+    cut_record cuts_;
     std::map<int, time_point> disturbed_until_;
     time_point all_disturbed_until_{};
     struct roll_out
--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -11,7 +11,9 @@
 namespace
 {
 
-constexpr milliseconds call_pause{60}; ///< of a caller between two requests
+constexpr int long_callers_per_instance = 6;
+constexpr milliseconds long_deadline{15000}; ///< a long stream with its pauses takes two thirds of it
+constexpr milliseconds call_pause{60};       ///< of a caller between two requests
 constexpr milliseconds harmful_pause{40};
 constexpr milliseconds harmful_deadline{2500};
 constexpr milliseconds harmful_begin{2000};
@@ -27,6 +29,8 @@
 scenario::scenario(scenario_options options, fleet& on, promise_checker& checker)
     : options_{options}, fleet_{on}, checker_{checker}, random_{options.seed}, began_{now()}
 {
+    if (options_.pauses)
+        keys_ = std::make_unique<key_rotation>(fleet_, checker_);
 }
 
 void scenario::note(const std::string& what)
@@ -75,6 +79,8 @@
     begin_load();
     if (options_.rolls_out)
         begin_trial();
+    if (options_.pauses)
+        keys_->begin([this](const std::string& key) { note("key of the series removed: " + key); });
     const auto end = now() + options_.length;
     while (now() < end)
     {
@@ -93,7 +99,7 @@
     if (checker_.served_count() == served)
         checker_.fail("recovery: nothing is served after the last fault");
     is_loading_ = false;
-    checker_.finish();
+    checker_.finish(now());
     if (trial_)
         trial_->finish();
 }
@@ -116,6 +122,16 @@
             callers_.push_back(std::make_unique<caller>(it.callers));
             call_again(callers_.size() - 1);
         }
+    if (options_.pauses)
+    {
+        checker_.cuts().watch(now(), fleet_.options().instances);
+        for (const auto& it : fleet_.instances())
+            for (int n = 0; n < long_callers_per_instance; ++n)
+            {
+                long_callers_.push_back(std::make_unique<caller>(it.callers));
+                call_long(long_callers_.size() - 1);
+            }
+    }
     harmful_callers_.resize(static_cast<std::size_t>(options_.harmful_callers));
     for (int n = 0; n < options_.harmful_callers; ++n)
         later(harmful_begin, [this, n] { call_harmful(n); });
@@ -138,14 +154,33 @@
     it.deadline = pick_time(600, 3000);
     if (pick(12) == 0)
         it.leave_after = pick_time(5, 60);
+    send(*callers_[n], it, instance, kind, [this, n] { call_again(n); });
+}
+
+void scenario::call_long(std::size_t n)
+{
+    if (!is_loading_)
+        return;
+    call it;
+    it.id = standins::served_endpoint::long_prefix + std::to_string(next_request_++);
+    it.path = "/llm/" + it.id;
+    it.key = keys_->pick(static_cast<std::size_t>(random_()));
+    it.picks_model = true;
+    it.deadline = long_deadline;
+    send(*long_callers_[n], it, static_cast<int>(n) / long_callers_per_instance, request_kind::stream,
+         [this, n] { call_long(n); });
+}
+
+void scenario::send(caller& by, const call& it, int instance, request_kind kind, std::function<void()> then)
+{
     const auto sent_at = now();
     checker_.sent(sent_at, it.id, kind, it.key, instance);
-    callers_[n]->start(it,
-                       [this, n, it, instance, sent_at](const caller_outcome& outcome)
-                       {
-                           on_outcome(it, instance, sent_at, outcome);
-                           later(call_pause, [this, n] { call_again(n); });
-                       });
+    by.start(it,
+             [this, it, instance, sent_at, then = std::move(then)](const caller_outcome& outcome)
+             {
+                 on_outcome(it, instance, sent_at, outcome);
+                 later(call_pause, then);
+             });
 }
 
 void scenario::call_harmful(int n)
@@ -177,6 +212,14 @@
     checker_.ended(of.id, it);
     if (it.left)
         later(left_check, [this, id = of.id] { checker_.check_left(now(), id); });
+    const auto allowed = std::min(of.deadline, fleet_.options().stream_timeout);
+    if (options_.pauses && checker_.check_cut(now(), of.id, it, allowed))
+    {
+        note(of.id + " was cut at i" + std::to_string(instance));
+        if (options_.only_planned)
+            checker_.fail("cut: " + of.path + " in the middle at i" + std::to_string(instance) +
+                          ", its endpoint was at work");
+    }
     const auto took = now() - sent_at;
     const bool was_read = took > read_slack;
     const bool had_time = took < of.deadline - deadline_slack;
--- a/soak/scenario.hpp
+++ b/soak/scenario.hpp
@@ -11,6 +11,7 @@
 
 #include "soak/caller.hpp"
 #include "soak/fleet.hpp"
+#include "soak/key_rotation.hpp"
 #include "soak/rollout_trial.hpp"
 
 namespace runlink::soak
@@ -26,6 +27,8 @@
     int callers_per_instance = 4;
     /// Only stops, reloads and changes that operators plan: then nothing at all may be cut.
     bool only_planned = false;
+    /// Streams of many seconds that pause, and keys that are removed in series meanwhile.
+    bool pauses = false;
     /// A roll-out from the beginning, of one kind of version or another (see `rollout_trial`).
     bool rolls_out = false;
     /// Nothing happens but load, and the roll-out if there is one.
@@ -64,11 +67,15 @@
     void begin_load();
     void begin_trial();
     void call_again(std::size_t caller);
+    void call_long(std::size_t caller);
+    void send(caller& by, const call& it, int instance, request_kind kind, std::function<void()> then);
     void call_harmful(int n);
     void on_outcome(const call& of, int instance, time_point sent_at, const caller_outcome& it);
     std::vector<fault> make_faults();
     void strike_one();
     void note(const std::string& what);
+    /// Unplanned, of an instance, or of the store.
+    void trouble(milliseconds time, std::optional<int> instance);
 
     // Faults
     void stop_instance();
@@ -98,6 +105,7 @@
     std::mt19937_64 random_;
     std::vector<std::unique_ptr<caller>> callers_;
     std::vector<std::unique_ptr<caller>> harmful_callers_;
+    std::vector<std::unique_ptr<caller>> long_callers_;
     QObject context_; ///< ends what is still planned with the scenario
     std::vector<std::string> story_;
     time_point began_{};
@@ -105,6 +113,7 @@
     bool key_b_removed_ = false;
     bool rollout_began_ = false;
     std::unique_ptr<rollout_trial> trial_;
+    std::unique_ptr<key_rotation> keys_;
     bool is_loading_ = false;
 };
 
--- a/soak/scenario_faults.cpp
+++ b/soak/scenario_faults.cpp
@@ -45,6 +45,12 @@
     it.strike();
 }
 
+void scenario::trouble(milliseconds time, std::optional<int> instance)
+{
+    checker_.disturbed(now() + time, instance);
+    checker_.cuts().troubled(now(), now() + time, instance);
+}
+
 void scenario::stop_instance()
 {
     const auto n = pick_instance();
@@ -57,7 +63,7 @@
 {
     const auto n = pick_instance();
     fleet_.signal_instance(n, SIGKILL);
-    checker_.disturbed(now() + milliseconds{1000}, n);
+    trouble(milliseconds{1000}, n);
 }
 
 void scenario::pause_instance()
@@ -65,7 +71,7 @@
     const auto n = pick_instance();
     const auto time = pick_time(least_fault_ms, 2 * most_fault_ms / 3);
     fleet_.signal_instance(n, SIGSTOP);
-    checker_.disturbed(now() + time, n);
+    trouble(time, n);
     later(time, [this, n] { fleet_.signal_instance(n, SIGCONT); });
 }
 
@@ -76,7 +82,7 @@
     const auto n = pick_instance();
     const auto time = pick_time(least_fault_ms, 2 * most_fault_ms);
     fleet_.signal_instance(n, SIGSTOP);
-    checker_.disturbed(now() + time, n);
+    trouble(time, n);
     later(time, [this, n, time] { fleet_.resume_instance(n, time); });
 }
 
@@ -93,7 +99,7 @@
     auto& proxy = *fleet_.instances().at(static_cast<std::size_t>(n)).store;
     const auto time = pick_time(least_fault_ms, most_fault_ms);
     proxy.set_fault(faults[pick(4)]);
-    checker_.disturbed(now() + time, n);
+    trouble(time, n);
     later(time, [&proxy] { proxy.set_fault(link_fault::none); });
 }
 
@@ -103,7 +109,7 @@
     constexpr mode modes[] = {mode::silent, mode::refuse, mode::lose_answers};
     const auto time = pick_time(least_fault_ms, most_fault_ms);
     fleet_.store().answers = modes[pick(3)];
-    checker_.disturbed(now() + time, std::nullopt);
+    trouble(time, std::nullopt);
     later(time, [this] { fleet_.store().answers = mode::normal; });
 }
 
@@ -125,7 +131,9 @@
 
 void scenario::reset_endpoint_links()
 {
-    pick_endpoint().proxy.reset_all();
+    auto& it = pick_endpoint();
+    checker_.endpoint_broken(now(), it.server.id());
+    it.proxy.reset_all();
 }
 
 void scenario::misbehave()
@@ -153,12 +161,15 @@
     if (key_b_removed_)
         return;
     key_b_removed_ = true;
-    fleet_.write_configuration({"key-a"});
+    auto keys = fleet_.keys();
+    std::erase(keys, "key-b");
+    fleet_.write_configuration(std::move(keys));
     checker_.key_removed(now(), "key-b");
 }
 
 void scenario::forget_history()
 {
+    checker_.cuts().troubled(now(), now(), std::nullopt);
     fleet_.store().forget_history();
 }
 
