--- a/soak/fault_proxy.cpp
+++ b/soak/fault_proxy.cpp
@@ -49,6 +49,7 @@
 
 void fault_proxy::reset_all()
 {
+    on_reset();
     while (!links_.empty())
     {
         const auto it = links_.begin()->second; // outlives its place in the map
--- a/soak/fault_proxy.hpp
+++ b/soak/fault_proxy.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -40,6 +41,8 @@
     void set_fault(link_fault it);
     link_fault fault() const { return fault_; }
     void reset_all();
+    /// Told by `reset_all`.
+    std::function<void()> on_reset = [] {};
 
     core::milliseconds delay{120};
     core::milliseconds distance{0}; ///< by which bytes pass later at any time
