A stop closes no connection whose request nobody has read yet

Cause: the stop closes idle connections each time round, and idle asked the socket's buffer, which the event loop fills. On a machine with much to do the request is still in the kernel.

Why it holds: the kernel is asked for unread bytes. What crosses the close on its way stays unread and is safe to send again.

--- a/include/runlink/net/http_listener.hpp
+++ b/include/runlink/net/http_listener.hpp
@@ -72,6 +72,7 @@
     void close_if_idle();
 
 private:
+    bool has_unread_bytes() const;
     void on_readable();
     void on_disconnected();
     void on_result(codec_error ec);
--- a/src/runlink/net/http_exchange_test.cpp
+++ b/src/runlink/net/http_exchange_test.cpp
@@ -246,6 +246,20 @@
     CHECK_FALSE(kept->is_open());
 }
 
+TEST_CASE("a stop closes no connection whose request nobody has read yet")
+{
+    int requests = 0;
+    http_listener listener{[&](const auto&, const auto&, const auto&) { ++requests; },
+                           [](const auto&, codec_error) {}};
+    QTcpSocket caller;
+    caller.connectToHost(QHostAddress::LocalHost, listener.listen("127.0.0.1", 0).value());
+    REQUIRE(wait_for([&] { return listener.connection_count() == 1; }));
+    caller.write("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(caller.waitForBytesWritten());
+    listener.close_idle();
+    CHECK(wait_for([&] { return requests == 1; }));
+}
+
 TEST_CASE("the kernel is told to probe a connection that rests, and for how long it may stay silent")
 {
     raw_peer peer;
--- a/src/runlink/net/http_listener.cpp
+++ b/src/runlink/net/http_listener.cpp
@@ -3,6 +3,8 @@
 #include <utility>
 #include <vector>
 
+#include <sys/ioctl.h>
+
 #include <QHostAddress>
 #include <QNetworkProxy>
 
@@ -137,9 +139,17 @@
         end_after_flush();
 }
 
+bool caller_connection::has_unread_bytes() const
+{
+    // Bytes that came since the event loop last looked are in the kernel only.
+    int waiting = 0;
+    const bool is_told = ::ioctl(static_cast<int>(socket_->socketDescriptor()), FIONREAD, &waiting) == 0;
+    return socket_->bytesAvailable() > 0 || (is_told && waiting > 0);
+}
+
 void caller_connection::close_if_idle()
 {
-    if (is_idle() && !closed_ && socket_->bytesAvailable() == 0)
+    if (is_idle() && !closed_ && !has_unread_bytes())
         end_after_flush();
 }
 
