A paused stream keeps its last attempt for a loss

Cause: a pause, which mostly passes, spent what only a loss needs. Evidence: cut_stream_test, the new case failed before. Silence of the endpoint itself (it takes no connection) still takes the last attempt, and so does a stream that has not begun.

--- a/include/runlink/routing/succession.hpp
+++ b/include/runlink/routing/succession.hpp
@@ -30,6 +30,7 @@
 {
     may_run_once,    ///< an attempt may have run, and no other may
     attempts_spent,  ///< of the route, or sends of one request
+    last_attempt,    ///< it is kept for a loss
     time_spent,      ///< too little is left
     key_removed,     ///< for longer than its grace
     proof_too_old,   ///< of the key
--- a/src/runlink/routing/request_forwarder_timers.cpp
+++ b/src/runlink/routing/request_forwarder_timers.cpp
@@ -113,6 +113,13 @@
 
 void request_forwarder::move(time_point now, flow& it)
 {
+    // A pause may pass. The last attempt is kept for a loss, after which nothing else is left.
+    if (it.head_forwarded && input_of(now, it, true).runs_left == 1)
+    {
+        note_denied(now, it, succession_denial::last_attempt, "not_moved");
+        it.not_moved_at = now;
+        return arm(it, next_check(it));
+    }
     // The pause may take its version out, so it counts before the endpoint is chosen.
     if (plan(now, it, true))
         for (const auto id : it.attempts)
--- a/src/runlink/routing/succession.cpp
+++ b/src/runlink/routing/succession.cpp
@@ -9,6 +9,7 @@
     {
     case succession_denial::may_run_once: return "may_run_once";
     case succession_denial::attempts_spent: return "attempts_spent";
+    case succession_denial::last_attempt: return "last_attempt";
     case succession_denial::time_spent: return "time_spent";
     case succession_denial::key_removed: return "key_removed";
     case succession_denial::proof_too_old: return "proof_too_old";
--- a/tests/cut_stream_test.cpp
+++ b/tests/cut_stream_test.cpp
@@ -485,3 +485,27 @@
     CHECK_FALSE(has(out, "break off r1"));
     CHECK(has(out, "end r1"));
 }
+
+TEST_CASE("a paused stream keeps its last attempt for a loss")
+{
+    const std::string script = R"(endpoint e3 pool
+lose a1 broken
+asked e1 answered
+sent a2
+head a2
+event a2 2
+advance 480
+event a2 3
+lose a2 broken
+asked e3 answered
+advance 30
+sent a3
+head a3
+event a3 4
+end a3
+)";
+    const auto out = run_forwarding_script(began + script);
+    INFO(out);
+    CHECK_FALSE(has(out, "cancel a2"));
+    CHECK(has(out, "end r1"));
+}
--- a/tests/forwarding_property_test.cpp
+++ b/tests/forwarding_property_test.cpp
@@ -22,6 +22,7 @@
 const char* const to_meet[] = {
     "denied: may_run_once",
     "denied: attempts_spent",
+    "denied: last_attempt",
     "denied: time_spent",
     "denied: key_removed",
     "denied: proof_too_old",
--- a/tests/support/forwarding_history.cpp
+++ b/tests/support/forwarding_history.cpp
@@ -186,7 +186,8 @@
     auto& to = forwarder_.rollouts();
     const auto* it = to.find(declared_service());
     if (it == nullptr || it->state != rollout_state::running)
-        forwarder_.on_order(now_, {declared_service(), pick_version(), rollout_time, ++revision_}, now_);
+        return forwarder_.on_order(now_, {declared_service(), pick_version(), rollout_time, ++revision_},
+                                   now_);
     if (pick(4) == 0)
         return to.on_order_removed(declared_service());
     // Another instance wrote it.
