One step that gives an attempt up for its successor

An attempt at an endpoint that had ended was replaced later by a copy of the first try, without the sample that may take its version out.

--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -309,6 +309,8 @@
     succession plan(time_point now, const flow& it, bool costs_allowance);
     /// Sends what was planned in this step.
     void repeat(time_point now, flow& it, const successor& to, bool costs_allowance);
+    /// Gives up an attempt for its successor, or tells what speaks against one.
+    std::optional<succession_denial> try_replace(time_point now, attempt_id id);
     /// An attempt that will hardly be answered. `has_ended`: its endpoint, as far as is known.
     void replace(time_point now, attempt_id id, bool has_ended);
     /// Looks again whether attempts whose endpoints have ended may be replaced.
--- a/src/runlink/routing/request_forwarder_succession.cpp
+++ b/src/runlink/routing/request_forwarder_succession.cpp
@@ -66,6 +66,22 @@
     arm(it, next_check(it));
 }
 
+std::optional<succession_denial> request_forwarder::try_replace(time_point now, attempt_id id)
+{
+    auto& from = attempts_.at(id);
+    auto& it = flows_.at(from.flow);
+    // The loss may take its version out, so it counts before the endpoint is chosen.
+    if (plan(now, it, true))
+        sample_end(now, it, from, true);
+    const auto next = plan(now, it, true);
+    if (!next)
+        return next.error();
+    hooks_.cancel(id);
+    note_lost(now, id, attempt_loss::broken);
+    repeat(now, it, next.value(), true);
+    return std::nullopt;
+}
+
 void request_forwarder::replace(time_point now, attempt_id id, bool has_ended)
 {
     const auto found = attempts_.find(id);
@@ -74,40 +90,30 @@
     auto& it = flows_.at(found->second.flow);
     if (has_ended)
         note_broken(now, it, found->second, false);
-    // The loss may take its version out, so it counts before the endpoint is chosen.
-    if (plan(now, it, true))
-        sample_end(now, it, found->second, true);
-    const auto next = plan(now, it, true);
-    if (!next)
+    const auto why = try_replace(now, id);
+    if (!why)
+        return;
+    if (has_ended && passes(*why))
     {
-        if (has_ended && passes(next.error()))
-        {
-            found->second.has_ended = true;
-            it.leave_at = now + options_.leave_interval;
-            arm(it, next_check(it));
-        }
-        return note_denied(now, it, next.error(), "not_replaced");
+        attempts_.at(id).has_ended = true;
+        it.leave_at = now + options_.leave_interval;
+        arm(it, next_check(it));
     }
-    hooks_.cancel(id);
-    note_lost(now, id, attempt_loss::broken);
-    repeat(now, it, next.value(), true);
+    note_denied(now, it, *why, "not_replaced");
 }
 
 void request_forwarder::leave_ended(time_point now, flow& it)
 {
     it.leave_at.reset();
-    for (const auto id : it.attempts)
+    const auto all = it.attempts;
+    for (const auto id : all)
     {
         if (!attempts_.at(id).has_ended)
             continue;
-        const auto next = plan(now, it, true);
-        if (next)
-        {
-            hooks_.cancel(id);
-            note_lost(now, id, attempt_loss::broken);
-            return repeat(now, it, next.value(), true);
-        }
-        if (passes(next.error()))
+        const auto why = try_replace(now, id);
+        if (!why)
+            return;
+        if (passes(*why))
             it.leave_at = now + options_.leave_interval;
     }
     arm(it, next_check(it));
