--- a/src/runlink/routing/request_forwarder_succession.cpp
+++ b/src/runlink/routing/request_forwarder_succession.cpp
@@ -70,7 +70,7 @@
 {
     auto& from = attempts_.at(id);
     auto& it = flows_.at(from.flow);
-    // The loss may take its version out, so it counts before the endpoint is chosen.
+    // The loss may end the use of its version, so it counts before the next endpoint is looked for.
     if (plan(now, it, true))
         sample_end(now, it, from, true);
     const auto next = plan(now, it, true);
--- a/src/runlink/routing/request_forwarder_timers.cpp
+++ b/src/runlink/routing/request_forwarder_timers.cpp
@@ -120,7 +120,7 @@
         it.not_moved_at = now;
         return arm(it, next_check(it));
     }
-    // The pause may take its version out, so it counts before the endpoint is chosen.
+    // The pause may end the use of its version, so it counts before the next endpoint is looked for.
     if (plan(now, it, true))
         for (const auto id : it.attempts)
             sample_given_up(now, it, attempts_.at(id), true);
