Log the limits that endpoints name in their answers

One reader takes what an answer says of the endpoint that was asked, whatever its status and whatever has become of the attempt; a 421 or an answer without the request's id says nothing, and what is no number is no statement. Nothing acts on it yet.

--- a/include/runlink/gateway/gateway.hpp
+++ b/include/runlink/gateway/gateway.hpp
@@ -77,6 +77,9 @@
     {
         core::attempt_id id{};
         routing::flow_id flow{};
+        core::endpoint_id endpoint;
+        core::request_id request;
+        core::time_point sent_at{};
         net::exchange exchange;
         net::http_response_head head;
         routing::attempt_head typed;
@@ -90,8 +93,10 @@
     void refuse(const connection_ptr& to, const routing::refusal& why, const std::string& request);
 
     void start(const routing::attempt_order& order);
-    net::exchange_hooks exchange_hooks(const attempt_ptr& it, const core::request_id& request);
+    net::exchange_hooks exchange_hooks(const attempt_ptr& it);
     void on_head(const attempt_ptr& it, const net::http_response_head& head);
+    /// Whatever has become of the attempt.
+    void take_statement(const attempt& from, const net::http_response_head& head);
     void on_body(const attempt_ptr& it, std::string_view bytes);
     void on_end(const attempt_ptr& it);
     void on_failed(const attempt_ptr& it, net::exchange_failure why);
--- a/include/runlink/gateway/header_names.hpp
+++ b/include/runlink/gateway/header_names.hpp
@@ -28,6 +28,7 @@
     std::string not_run = "Runlink-Not-Run";
     std::string digest = "Runlink-Digest";
     std::string confidence = "Runlink-Confidence";
+    std::string limit = "Runlink-Limit"; ///< requests a second from all instances together
     /// Set by the system only: what callers send under these names is dropped, whatever the spelling.
     std::vector<std::string> reserved;
     /// A model name by which callers leave the choice to the router.
--- a/include/runlink/routing/forwarder_hooks.hpp
+++ b/include/runlink/routing/forwarder_hooks.hpp
@@ -30,6 +30,8 @@
     std::string version;
     std::string model;
     std::string failure_domain;
+    std::string_view source; ///< who said it: `answer` of the endpoint itself, or `peer`
+    std::string limit;       ///< requests a second that an endpoint takes from all instances together
     std::optional<core::run_outcome> outcome; ///< of a request that has ended
     int status = -1;
     int confidence = -1;
--- a/include/runlink/routing/messages.hpp
+++ b/include/runlink/routing/messages.hpp
@@ -76,6 +76,14 @@
     std::optional<int> confidence; ///< 0 to 100, the model's opinion of its answer
 };
 
+/// What an endpoint says of itself in the head of an answer.
+struct endpoint_statement
+{
+    /// Requests a second that it takes from all instances together; nothing: it names no limit.
+    std::optional<double> requests_per_s;
+    bool is_limit_readable = true; ///< otherwise nothing is known of its limit
+};
+
 /// Why an attempt ended without a whole answer.
 enum class attempt_loss
 {
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -137,6 +137,10 @@
     void on_stream_end(time_point now, attempt_id id);
     void on_lost(time_point now, attempt_id id, attempt_loss loss);
 
+    /// What an endpoint says of itself in the answer to a request that was sent at `asked_at`, also where
+    /// nobody waits for that answer any more.
+    void on_statement(time_point now, const endpoint_id& id, time_point asked_at,
+                      const endpoint_statement& it);
     void on_asked(time_point now, const endpoint_id& id, core::contact what);
     /// A session ran at another instance.
     void on_peer_run(time_point now, const session_run& it) { pins_.ran(now, it.session, it.version); }
@@ -381,6 +385,7 @@
     std::map<flow_id, flow> flows_;
     std::map<attempt_id, attempt> attempts_;
     std::set<std::pair<time_point, flow_id>> timers_;
+    std::map<endpoint_id, double> named_limits_; ///< in answers, in requests a second
     std::uint64_t next_attempt_ = 1;
     forwarder_counters counters_;
 };
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "runlink/gateway/statement_reader.hpp"
+
 namespace runlink::gateway
 {
 namespace
@@ -119,34 +121,44 @@
     auto it = std::make_shared<attempt>();
     it->id = order.id;
     it->flow = flow;
+    it->endpoint = order.endpoint.id;
+    it->request = order.request;
     attempts_.emplace(order.id, it);
     net::exchange_options options;
     options.connect_timeout = options_.connect_timeout;
     options.max_rest = order.fresh_connection ? core::milliseconds{0} : options_.max_rest;
     const net::peer_address peer{order.endpoint.host, order.endpoint.port};
-    it->exchange = pool_.send(peer, write_attempt(names_, from.head, from.body, order), options,
-                              exchange_hooks(it, order.request));
+    it->exchange =
+        pool_.send(peer, write_attempt(names_, from.head, from.body, order), options, exchange_hooks(it));
 }
 
-net::exchange_hooks gateway::exchange_hooks(const attempt_ptr& it, const core::request_id& request)
+net::exchange_hooks gateway::exchange_hooks(const attempt_ptr& it)
 {
     net::exchange_hooks out;
     out.sent = [this, it]
     {
-        forwarder_->on_sent(clock_(), it->id);
+        it->sent_at = clock_();
+        forwarder_->on_sent(it->sent_at, it->id);
         on_activity();
     };
     out.head = [this, it](const net::http_response_head& head) { on_head(it, head); };
     out.body = [this, it](std::string_view bytes) { on_body(it, bytes); };
     out.end = [this, it] { on_end(it); };
     out.failed = [this, it](net::exchange_failure why) { on_failed(it, why); };
-    out.is_due = [this, request](const net::http_response_head& head)
-    { return is_answer_to(names_, head, request); };
+    out.is_due = [this, it](const net::http_response_head& head)
+    { return is_answer_to(names_, head, it->request); };
     return out;
 }
 
+void gateway::take_statement(const attempt& from, const net::http_response_head& head)
+{
+    if (const auto says = read_statement(names_, head, from.request))
+        forwarder_->on_statement(clock_(), from.endpoint, from.sent_at, *says);
+}
+
 void gateway::on_head(const attempt_ptr& it, const net::http_response_head& head)
 {
+    take_statement(*it, head);
     it->head = head;
     it->typed = read_attempt_head(names_, head);
     if (!it->typed.is_event_stream)
@@ -299,6 +311,8 @@
     text("version", it.version);
     text("model", it.model);
     text("failure_domain", it.failure_domain);
+    text("source", it.source);
+    text("limit", it.limit);
     if (it.outcome)
         text("outcome", to_string(*it.outcome));
     number("status", it.status);
--- a/src/runlink/gateway/gateway_test.cpp
+++ b/src/runlink/gateway/gateway_test.cpp
@@ -3,6 +3,7 @@
 #include "runlink/gateway/gateway_settings.hpp"
 #include "runlink/gateway/gossip_link.hpp"
 #include "runlink/gateway/loop_watch.hpp"
+#include "runlink/gateway/statement_reader.hpp"
 #include "runlink/gateway/translation.hpp"
 #include "runlink/proto/gossip_codec.hpp"
 #include "support/wait_for.hpp"
@@ -66,6 +67,42 @@
     CHECK_FALSE(read_request(names, make_head({})));
 }
 
+TEST_CASE("a limit is read from whatever answer of the endpoint that was asked; what is no number is none")
+{
+    const header_names names;
+    const core::request_id request{"r1"};
+    const auto read = [&](int status, const std::vector<std::string>& limits)
+    {
+        net::http_response_head head;
+        head.status = status;
+        head.fields.add(names.request_id, "r1");
+        for (const auto& it : limits)
+            head.fields.add("runlink-LIMIT", it);
+        return read_statement(names, head, request);
+    };
+    for (const int status : {200, 429, 500, 503, 504})
+        CHECK(read(status, {"2.5"})->requests_per_s == 2.5);
+    CHECK(read(200, {"0"})->requests_per_s == 0.0);
+    CHECK(read(200, {"3", "3.0"})->requests_per_s == 3.0);
+    CHECK_FALSE(read(200, {})->requests_per_s);
+    CHECK(read(200, {})->is_limit_readable);
+    for (const auto* it :
+         {"", " ", "nan", "inf", "-1", "-0", "two", "2 a second", "1e999", "Thu, 03 Dec 2026 10:00:00 GMT"})
+    {
+        INFO(it);
+        CHECK_FALSE(read(200, {it})->requests_per_s);
+        CHECK_FALSE(read(200, {it})->is_limit_readable);
+    }
+    CHECK_FALSE(read(200, {"2", "3"})->is_limit_readable);
+    CHECK_FALSE(read(421, {"2"}));
+    net::http_response_head surplus;
+    surplus.status = 503;
+    surplus.fields.add(names.limit, "2");
+    CHECK_FALSE(read_statement(names, surplus, request));
+    surplus.fields.add(names.request_id, "r0");
+    CHECK_FALSE(read_statement(names, surplus, request));
+}
+
 TEST_CASE("what only the system may set never comes from a caller, however it is spelled")
 {
     header_names names;
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -85,6 +85,7 @@
     chooser_.placement().expire(now);
     liveness_.keep_only(endpoints_);
     warm_up_.expire(now);
+    std::erase_if(named_limits_, [this](const auto& it) { return endpoints_.find(it.first) == nullptr; });
     attribution_.watch(now, endpoints_.size());
     attribution_.expire(now);
 }
