--- a/include/runlink/gateway/gateway.hpp
+++ b/include/runlink/gateway/gateway.hpp
@@ -60,6 +60,9 @@
     std::function<void(const routing::prompt_sent&)> on_prompt_went = [](const auto&) {};
     std::function<void(const routing::prompt_answered&)> on_prompt_came = [](const auto&) {};
     std::function<void(const crashes::crash_news&)> on_crash_seen = [](const auto&) {};
+    /// What other instances are to know of limits that endpoints name; see `forwarder_hooks`.
+    std::function<void(const std::vector<core::instance_id>&, const std::vector<places::limit_report>&)>
+        on_limits_told = [](const auto&, const auto&) {};
     /// A request is harmful, which is to outlast this process.
     std::function<void(crashes::request_fingerprint)> on_found_harmful = [](auto) {};
 
--- a/include/runlink/net/http_exchange.hpp
+++ b/include/runlink/net/http_exchange.hpp
@@ -34,6 +34,7 @@
 enum class exchange_failure
 {
     not_connected, ///< the connection did not come up; no byte of the request was sent
+    withheld,      ///< `may_send` said no; no byte of the request was sent
     reset,         ///< the connection broke after bytes may have been sent
     closed,        ///< the peer closed in order before its answer was whole
     malformed,     ///< the peer sent bytes that are no answer
@@ -45,6 +46,8 @@
 /// What happens to an exchange. After `end` or `failed` nothing more is called.
 struct exchange_hooks
 {
+    /// The connection has come up: whether the request may still leave. Optional.
+    std::function<bool()> may_send;
     std::function<void()> sent; ///< the connection is up; bytes leave from now on
     std::function<void(const http_response_head&)> head;
     std::function<void(std::string_view)> body;
--- a/include/runlink/proto/gossip_codec.hpp
+++ b/include/runlink/proto/gossip_codec.hpp
@@ -8,6 +8,7 @@
 
 #include "runlink/control/relay.hpp"
 #include "runlink/crashes/crash_messages.hpp"
+#include "runlink/places/named_limits.hpp"
 #include "runlink/routing/gossip_messages.hpp"
 #include "runlink/routing/load_digest.hpp"
 
@@ -15,8 +16,9 @@
 {
 
 /// What one datagram holds; empty for bytes that are no message.
-using datagram = std::variant<std::monostate, routing::gossip_message, control::sync_request,
-                              control::sync_reply, routing::load_digest, crashes::crash_news>;
+using datagram =
+    std::variant<std::monostate, routing::gossip_message, control::sync_request, control::sync_reply,
+                 routing::load_digest, crashes::crash_news, places::limit_reports>;
 
 std::string encode(const datagram& it);
 datagram decode_datagram(std::string_view bytes);
--- a/include/runlink/routing/endpoint_chooser.hpp
+++ b/include/runlink/routing/endpoint_chooser.hpp
@@ -58,11 +58,9 @@
                                const endpoint_need& need) const;
     /// Where costs are equal, another endpoint comes first from now on.
     void pass_turn() { ++turn_; }
-    /// How many endpoints fit, those that are passed over for failures included.
-    std::size_t count_fitting(time_point now, const endpoint_directory& from, const endpoint_need& need) const
-    {
-        return allowed(now, from, need).size();
-    }
+    using candidates = std::vector<const endpoint_entry*>;
+    /// Endpoints that fit, those that are passed over for failures included.
+    candidates fitting(time_point now, const endpoint_directory& from, const endpoint_need& need) const;
 
     prompt_placement& placement() { return placement_; }
     const prompt_placement& placement() const { return placement_; }
@@ -87,11 +85,9 @@
         std::uint32_t failures = 0; ///< in a row
         time_point aside_until = time_point::min();
     };
-    using candidates = std::vector<const endpoint_entry*>;
 
     const load& at(const endpoint_id& id) const;
     void eject(time_point now, load& it);
-    candidates allowed(time_point now, const endpoint_directory& from, const endpoint_need& need) const;
     candidates sound(time_point now, const candidates& from) const;
     const endpoint_entry* soonest(time_point now, const candidates& from, const prompt_need& need) const;
     const endpoint_entry* least_loaded(const candidates& from) const;
--- a/include/runlink/routing/forwarder_hooks.hpp
+++ b/include/runlink/routing/forwarder_hooks.hpp
@@ -8,8 +8,10 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "runlink/crashes/crash_messages.hpp"
+#include "runlink/places/named_limits.hpp"
 #include "runlink/routing/gossip_messages.hpp"
 #include "runlink/routing/messages.hpp"
 
@@ -50,6 +52,9 @@
     std::int64_t key_gone_ms = -1;       ///< since a key that is gone was last known to hold
     std::int64_t allowance_left = -1;    ///< repeats that the service may still send
     std::int64_t endpoints_fitting = -1; ///< that another attempt might have gone to
+    std::int64_t endpoints_limited = -1; ///< that would fit, had they not named a limit
+    std::int64_t place_ms = -1;          ///< until one of these may be sent to
+    std::int64_t statement_age_ms = -1;  ///< since the endpoint said so
     std::optional<bool> is_sender;       ///< whether this instance sends to that cold endpoint
 };
 
@@ -77,6 +82,9 @@
     std::function<void(const prompt_answered&)> prompt_came;
     /// What other instances are to know of endpoints that ended.
     std::function<void(const crashes::crash_news&)> crash_seen = [](const auto&) {};
+    /// What other instances are to know of limits that endpoints name; `to` empty: all instances.
+    std::function<void(const std::vector<core::instance_id>& to, const std::vector<places::limit_report>&)>
+        tell_limits = [](const auto&, const auto&) {};
     /// This instance has found out that endpoints end under a request; the finding is to outlast it.
     std::function<void(crashes::request_fingerprint)> found_harmful = [](auto) {};
     std::function<void(const decision&)> log;
@@ -109,6 +117,9 @@
     std::uint64_t trials = 0;          ///< of suspected requests
     std::uint64_t found_harmful = 0;   ///< requests
     std::uint64_t harmful_refused = 0;
+    std::uint64_t limited_sends = 0;     ///< to endpoints that named a limit
+    std::uint64_t withheld = 0;          ///< sends that lost their place while they connected
+    std::uint64_t waited = 0;            ///< requests that waited for a place
     std::uint64_t successors_denied = 0; ///< attempts that were waited for since no other might go
 };
 
--- a/include/runlink/routing/messages.hpp
+++ b/include/runlink/routing/messages.hpp
@@ -88,6 +88,7 @@
 enum class attempt_loss
 {
     not_sent, ///< the endpoint has no byte of it
+    withheld, ///< the same; it had its connection, and might not be sent any more
     broken,   ///< the connection or the answer broke; it may have run
 };
 
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -13,6 +13,7 @@
 
 #include "runlink/crashes/crash_attribution.hpp"
 #include "runlink/places/evacuations.hpp"
+#include "runlink/places/named_limits.hpp"
 #include "runlink/places/region_map.hpp"
 #include "runlink/places/warm_up.hpp"
 #include "runlink/routing/admission.hpp"
@@ -21,6 +22,7 @@
 #include "runlink/routing/forwarder_hooks.hpp"
 #include "runlink/routing/liveness.hpp"
 #include "runlink/routing/messages.hpp"
+#include "runlink/routing/place_queue.hpp"
 #include "runlink/routing/retry_allowance.hpp"
 #include "runlink/routing/rollout_control.hpp"
 #include "runlink/routing/routing_table.hpp"
@@ -64,10 +66,11 @@
     chooser_options chooser;
     cascade_options cascade;
     places::warm_up_options warm_up;
+    places::named_limit_options named_limits;
     crashes::attribution_options crashes;
     /// A suspected request waits this long for its turn.
     milliseconds most_hold{2000};
-    milliseconds hold_interval{20}; ///< between two looks whether it may go
+    milliseconds hold_interval{20}; ///< between two looks whether a request that waits may go
     /// Between two looks whether a request may leave an endpoint that has ended.
     milliseconds leave_interval{100};
     places::region_map regions;
@@ -81,8 +84,8 @@
 class request_forwarder
 {
 public:
-    request_forwarder(forwarder_options options, failure_domain_id own_domain, const core::instance_id& self,
-                      forwarder_hooks hooks);
+    request_forwarder(forwarder_options options, const failure_domain_id& own_domain,
+                      const core::instance_id& self, forwarder_hooks hooks);
     request_forwarder(const request_forwarder&) = delete;
     request_forwarder& operator=(const request_forwarder&) = delete;
 
@@ -110,9 +113,14 @@
     void on_readmitted(time_point now, const failure_domain_id& domain);
     /// All orders that stand.
     void on_evacuations(time_point now, const std::set<failure_domain_id>& all);
+    /// Another instance is there, or is gone.
+    void put_instance(time_point now, const core::instance_id& id, const failure_domain_id& domain);
+    void remove_instance(time_point now, const core::instance_id& id);
+    /// All instances are known.
+    void settle_instances(time_point now);
     /// What cold endpoints get, and which instances send it.
-    places::warm_up& warm_up() { return warm_up_; }
     const places::warm_up& warm_up() const { return warm_up_; }
+    const places::named_limits& named_limits() const { return named_limits_; }
     const places::evacuations& evacuated() const { return evacuations_; }
     endpoint_directory& endpoints() { return endpoints_; }
     const endpoint_directory& endpoints() const { return endpoints_; }
@@ -126,6 +134,8 @@
     void on_request(time_point now, flow_id id, inbound_request request);
     void on_caller_left(time_point now, flow_id id);
 
+    /// The attempt's connection has come up: whether its bytes may still leave.
+    bool may_write(time_point now, attempt_id id);
     /// Bytes of the attempt may have left.
     void on_sent(time_point now, attempt_id id);
     /// A whole answer that is not a stream. The edge keeps it.
@@ -141,6 +151,8 @@
     /// nobody waits for that answer any more.
     void on_statement(time_point now, const endpoint_id& id, time_point asked_at,
                       const endpoint_statement& it);
+    /// Another instance's news of endpoints that name limits.
+    void on_limits_told(time_point now, const places::limit_reports& it);
     void on_asked(time_point now, const endpoint_id& id, core::contact what);
     /// A session ran at another instance.
     void on_peer_run(time_point now, const session_run& it) { pins_.ran(now, it.session, it.version); }
@@ -209,7 +221,8 @@
         std::uint32_t runs = 0;   ///< attempts that may have run
         bool head_forwarded = false;
         bool hedged = false;
-        std::optional<time_point> held_since; ///< it waits for its turn to be tried alone
+        std::optional<time_point> held_since; ///< it waits for its turn to be tried alone, or for a place
+        bool waits_for_place = false;
         /// What spoke against another attempt since the latest one was sent.
         std::optional<succession_denial> denied;
         std::optional<std::uint64_t> last_event;
@@ -257,12 +270,29 @@
     bool keys_hold(time_point now) const;
 
     // Endpoints
+    /// Empty for one that is not listed.
+    failure_domain_id domain_of(const endpoint_id& id) const;
     /// Whether the request may go to the endpoint now.
     bool may_use(time_point now, const flow& it, const endpoint_entry& to) const;
     /// Whether the declarations allow it, and no order forbids it.
     bool is_allowed(const flow& it, const endpoint_entry& to) const;
-    /// Until an endpoint may be used that is only too cold now.
+    /// Until an endpoint may be used that is only too cold now, or names a limit.
     duration time_to_place(time_point now, const flow& it) const;
+    /// Whether a more urgent request, or an older one, waits for a place there.
+    bool is_outranked(const flow& it, const endpoint_entry& at) const;
+    /// Endpoints that would fit had they not named a limit.
+    std::vector<opening> openings(time_point now, const flow& it) const;
+    /// Whether the request has a place before its answer would be late.
+    bool may_wait(time_point now, const flow& it) const;
+    void wait_for_place(time_point now, flow& it);
+    /// When the caller of a request without a place is to come back.
+    milliseconds put_off(time_point now, const flow& it);
+    void end_wait(flow& it);
+    static place_queue::entry place_of(const flow& it) { return {it.priority, it.arrived, it.id}; }
+    /// Tells other instances what is due.
+    void tell_limits(time_point now);
+    void log_limit(const endpoint_id& id, places::limit_change what, std::string_view source,
+                   milliseconds age);
     void readmit(time_point now, const failure_domain_id& domain);
     void suspect(time_point now, const endpoint_entry& it, places::cold_reason why);
     void suspect_unreachable(time_point now, const endpoint_id& id);
@@ -370,6 +400,8 @@
     endpoint_chooser chooser_;
     liveness liveness_;
     places::warm_up warm_up_;
+    places::named_limits named_limits_;
+    place_queue place_queue_;
     places::evacuations evacuations_;
     crashes::crash_attribution attribution_;
     std::vector<crashes::request_fingerprint> suspected_; ///< their copies are to be withdrawn
@@ -385,7 +417,6 @@
     std::map<flow_id, flow> flows_;
     std::map<attempt_id, attempt> attempts_;
     std::set<std::pair<time_point, flow_id>> timers_;
-    std::map<endpoint_id, double> named_limits_; ///< in answers, in requests a second
     std::uint64_t next_attempt_ = 1;
     forwarder_counters counters_;
 };
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -13,6 +13,16 @@
 constexpr int status_body_too_large = 413;
 constexpr int status_header_too_large = 431;
 
+routing::attempt_loss loss_of(net::exchange_failure it)
+{
+    switch (it)
+    {
+    case net::exchange_failure::not_connected: return routing::attempt_loss::not_sent;
+    case net::exchange_failure::withheld: return routing::attempt_loss::withheld;
+    default: return routing::attempt_loss::broken;
+    }
+}
+
 } // namespace
 
 gateway::gateway(gateway_options options, header_names names, observe::decision_log& log,
@@ -56,6 +66,8 @@
     out.prompt_went = [this](const routing::prompt_sent& it) { on_prompt_went(it); };
     out.prompt_came = [this](const routing::prompt_answered& it) { on_prompt_came(it); };
     out.crash_seen = [this](const crashes::crash_news& it) { on_crash_seen(it); };
+    out.tell_limits = [this](const std::vector<core::instance_id>& to,
+                             const std::vector<places::limit_report>& it) { on_limits_told(to, it); };
     out.found_harmful = [this](crashes::request_fingerprint it) { on_found_harmful(it); };
     out.log = [this](const routing::decision& it) { log(it); };
     out.ended = [this](const routing::decision& it, core::duration after) { on_ended(it, after); };
@@ -135,6 +147,7 @@
 net::exchange_hooks gateway::exchange_hooks(const attempt_ptr& it)
 {
     net::exchange_hooks out;
+    out.may_send = [this, it] { return forwarder_->may_write(clock_(), it->id); };
     out.sent = [this, it]
     {
         it->sent_at = clock_();
@@ -201,9 +214,7 @@
 void gateway::on_failed(const attempt_ptr& it, net::exchange_failure why)
 {
     attempts_.erase(it->id);
-    const auto loss = why == net::exchange_failure::not_connected ? routing::attempt_loss::not_sent
-                                                                  : routing::attempt_loss::broken;
-    forwarder_->on_lost(clock_(), it->id, loss);
+    forwarder_->on_lost(clock_(), it->id, loss_of(why));
     on_activity();
 }
 
@@ -332,6 +343,9 @@
     number("key_gone_ms", it.key_gone_ms);
     number("allowance_left", it.allowance_left);
     number("endpoints_fitting", it.endpoints_fitting);
+    number("endpoints_limited", it.endpoints_limited);
+    number("place_ms", it.place_ms);
+    number("statement_age_ms", it.statement_age_ms);
     if (it.is_sender)
         number("sends", *it.is_sender ? 1 : 0);
     const bool is_routine = it.event == "dispatched" || it.event == "stream_began" ||
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -64,6 +64,15 @@
     edge_.on_prompt_went = [this](const routing::prompt_sent& it) { gossip_.tell(it); };
     edge_.on_prompt_came = [this](const routing::prompt_answered& it) { gossip_.tell(it); };
     edge_.on_crash_seen = [this](const crashes::crash_news& it) { gossip_.tell(it); };
+    edge_.on_limits_told =
+        [this](const std::vector<core::instance_id>& to, const std::vector<places::limit_report>& it)
+    {
+        const places::limit_reports message{settings_.id, it};
+        if (to.empty())
+            gossip_.tell(message);
+        else
+            gossip_.send_to(to, message);
+    };
     edge_.on_found_harmful = [this](crashes::request_fingerprint it)
     {
         if (!findings_.found(clock_(), it))
--- a/src/runlink/gateway/gateway_daemon_peers.cpp
+++ b/src/runlink/gateway/gateway_daemon_peers.cpp
@@ -60,7 +60,7 @@
     {
         log_state("settled", std::to_string(gossip_.peer_count()) + " other instances");
         relay_.start(now);
-        forwarder_.warm_up().settle();
+        forwarder_.settle_instances(now);
     };
     return out;
 }
@@ -71,6 +71,10 @@
     if (relay_.is_direct())
         registry_.announce(now, it.sender);
     relay_.on_request(now, it);
+    // One that starts has had no answer yet that names a limit.
+    const auto limits = forwarder_.named_limits().all(now);
+    if (it.is_joining && !limits.empty())
+        gossip_.send_to({it.sender.id}, places::limit_reports{settings_.id, limits});
 }
 
 void gateway_daemon::take_peer(core::time_point now, const control::peer_entry& it)
@@ -83,7 +87,7 @@
         return;
     }
     gossip_.put_peer(it);
-    forwarder_.warm_up().instances().put(it.id);
+    forwarder_.put_instance(now, it.id, it.failure_domain);
     relay_.put_peer(it.id, it.failure_domain, it.link_mbps);
 }
 
@@ -91,7 +95,7 @@
 {
     registry_.unlisted(id);
     gossip_.remove_peer(id);
-    forwarder_.warm_up().instances().remove(id);
+    forwarder_.remove_instance(clock_(), id);
     relay_.remove_peer(id);
 }
 
@@ -143,6 +147,8 @@
         on_load_digest(now, *load);
     else if (const auto* crashes = std::get_if<crashes::crash_news>(&it))
         forwarder_.on_crash_news(now, *crashes);
+    else if (const auto* limits = std::get_if<places::limit_reports>(&it))
+        forwarder_.on_limits_told(now, *limits);
     else if (const auto* reply = std::get_if<control::sync_reply>(&it))
     {
         if (join_.is_asking())
--- a/src/runlink/gateway/gateway_test.cpp
+++ b/src/runlink/gateway/gateway_test.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 #include "runlink/gateway/gateway_settings.hpp"
 #include "runlink/gateway/gossip_link.hpp"
 #include "runlink/gateway/loop_watch.hpp"
@@ -250,6 +252,18 @@
     CHECK(told.domain == load.domain);
     CHECK(told.loads.at(0).endpoint.value() == 7);
     CHECK(told.loads.at(0).left == core::milliseconds{90});
+    const places::limit_reports limits{
+        core::instance_id{"a"},
+        {{core::endpoint_id{"e1"}, 2.5, core::milliseconds{40}, 7},
+         {core::endpoint_id{"e2"}, std::nullopt, core::milliseconds{9}, 3},
+         {core::endpoint_id{"e3"}, std::numeric_limits<double>::quiet_NaN(), core::milliseconds{9}, 3}}};
+    const auto heard = std::get<places::limit_reports>(proto::decode_datagram(proto::encode(limits)));
+    CHECK(heard.sender == limits.sender);
+    REQUIRE(heard.reports.size() == 2);
+    CHECK(heard.reports[0].requests_per_s == 2.5);
+    CHECK(heard.reports[0].age == core::milliseconds{40});
+    CHECK(heard.reports[0].sends == 7);
+    CHECK_FALSE(heard.reports[1].requests_per_s);
     CHECK(std::holds_alternative<std::monostate>(proto::decode_datagram("\xff\xff")));
     CHECK(std::holds_alternative<std::monostate>(proto::decode_datagram("")));
 }
--- a/src/runlink/net/http_exchange.cpp
+++ b/src/runlink/net/http_exchange.cpp
@@ -36,6 +36,7 @@
     switch (it)
     {
     case exchange_failure::not_connected: return "not_connected";
+    case exchange_failure::withheld: return "withheld";
     case exchange_failure::reset: return "reset";
     case exchange_failure::closed: return "closed";
     case exchange_failure::malformed: return "malformed";
@@ -107,6 +108,8 @@
     if (!hooks_)
         return;
     const auto guard = shared_from_this();
+    if (hooks_->may_send && !hooks_->may_send())
+        return fail(exchange_failure::withheld);
     stream_.write(std::exchange(request_, {}));
     hooks_->sent();
 }
--- a/src/runlink/net/http_exchange_test.cpp
+++ b/src/runlink/net/http_exchange_test.cpp
@@ -84,6 +84,22 @@
 
 } // namespace
 
+TEST_CASE("a request that may not be sent any more when its connection has come up sends no byte")
+{
+    raw_peer peer;
+    connection_pool pool;
+    outcome it;
+    auto hooks = it.hooks();
+    hooks.may_send = [] { return false; };
+    pool.send(peer.address(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n", {}, std::move(hooks));
+    REQUIRE(wait_for([&] { return it.failure.has_value(); }));
+    CHECK(it.failure == exchange_failure::withheld);
+    CHECK_FALSE(it.sent);
+    REQUIRE(wait_for([&] { return peer.connections == 1; }));
+    CHECK(peer.received.empty());
+    CHECK(pool.busy_count() == 0);
+}
+
 TEST_CASE("an answer without a length that is reset in transit is a failure, one that is closed is whole")
 {
     raw_peer peer;
--- a/src/runlink/places/places_test.cpp
+++ b/src/runlink/places/places_test.cpp
@@ -54,7 +54,7 @@
         {
             for (int other = 0; other < size(); ++other)
                 if (!misses(n, other))
-                    at(n).instances().put(instance(other));
+                    at(n).instances().put(instance(other), {});
             at(n).settle();
         }
     }
@@ -188,7 +188,7 @@
         it.set_limit(pool, limit);
         it.told(start, endpoint(1), pool, limit.cold_time); // while it knows no other instance
         for (int other = 0; other < 65; ++other)
-            it.instances().put(instance(other));
+            it.instances().put(instance(other), {});
         it.settle();
     }
     std::size_t sent = 0;
--- a/src/runlink/places/sender_set.cpp
+++ b/src/runlink/places/sender_set.cpp
@@ -1,40 +1,81 @@
 #include "runlink/places/sender_set.hpp"
 
+#include <algorithm>
+#include <functional>
+#include <utility>
+
 #include "runlink/core/hash.hpp"
 
 namespace runlink::places
 {
 
-void sender_set::put(const core::instance_id& id)
+bool sender_set::put(const core::instance_id& id, const core::failure_domain_id& domain)
 {
-    if (instances_.insert(id).second)
-        drawn_.clear();
+    const auto [found, is_new] = instances_.try_emplace(id, domain);
+    if (!is_new && found->second == domain)
+        return false;
+    found->second = domain;
+    drawn_.clear();
+    return true;
 }
 
-void sender_set::remove(const core::instance_id& id)
+bool sender_set::remove(const core::instance_id& id)
 {
-    if (id != self_ && instances_.erase(id) > 0)
+    const bool was_there = id != self_ && instances_.erase(id) > 0;
+    if (was_there)
         drawn_.clear();
+    return was_there;
+}
+
+bool sender_set::is_sender(const core::endpoint_id& endpoint, std::size_t count,
+                           const core::failure_domain_id& near) const
+{
+    return count >= instances_.size() || draw({endpoint, near}).rank < count;
+}
+
+const std::vector<core::instance_id>& sender_set::other_senders(const core::endpoint_id& endpoint,
+                                                                std::size_t count,
+                                                                const core::failure_domain_id& near) const
+{
+    const draw_key key{endpoint, near};
+    auto& it = draw(key);
+    if (it.count != count)
+    {
+        it.others = list_others(key, count);
+        it.count = count;
+    }
+    return it.others;
+}
+
+sender_set::lot sender_set::lot_of(const core::instance_id& id, const draw_key& of) const
+{
+    const bool is_near = !of.near.empty() && instances_.at(id) == of.near;
+    return {is_near, core::stable_hash(id.str(), core::stable_hash(of.endpoint.str()))};
 }
 
-bool sender_set::is_sender(const core::endpoint_id& endpoint, std::size_t count) const
+sender_set::drawing& sender_set::draw(const draw_key& of) const
 {
-    if (count >= instances_.size())
-        return true;
-    const auto found = drawn_.find(endpoint);
-    if (found != drawn_.end())
-        return found->second;
-    return drawn_[endpoint] = draw(endpoint, count);
+    const auto [found, is_new] = drawn_.try_emplace(of);
+    auto& out = found->second;
+    if (!is_new)
+        return out;
+    const auto own = lot_of(self_, of);
+    for (const auto& [id, domain] : instances_)
+        out.rank += lot_of(id, of) > own ? 1 : 0;
+    return out;
 }
 
-bool sender_set::draw(const core::endpoint_id& endpoint, std::size_t count) const
+std::vector<core::instance_id> sender_set::list_others(const draw_key& of, std::size_t count) const
 {
-    const auto seed = core::stable_hash(endpoint.str());
-    const auto own = core::stable_hash(self_.str(), seed);
-    std::size_t ahead = 0;
-    for (const auto& it : instances_)
-        ahead += core::stable_hash(it.str(), seed) > own ? 1 : 0;
-    return ahead < count;
+    std::vector<std::pair<lot, core::instance_id>> all;
+    for (const auto& [id, domain] : instances_)
+        all.emplace_back(lot_of(id, of), id);
+    std::sort(all.begin(), all.end(), std::greater<>{});
+    std::vector<core::instance_id> out;
+    for (std::size_t n = 0; n < std::min(count, all.size()); ++n)
+        if (all[n].second != self_)
+            out.push_back(all[n].second);
+    return out;
 }
 
 } // namespace runlink::places
--- a/src/runlink/proto/gossip_codec.cpp
+++ b/src/runlink/proto/gossip_codec.cpp
@@ -1,6 +1,7 @@
 #include "runlink/proto/gossip_codec.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 #include "gossip.pb.h"
 
@@ -135,6 +136,41 @@
     }
 }
 
+void write(const places::limit_reports& it, wire::Datagram& to)
+{
+    auto& out = *to.mutable_limits();
+    out.set_sender(it.sender.str());
+    for (const auto& e : it.reports)
+    {
+        auto* report = out.add_reports();
+        report->set_endpoint(e.endpoint.str());
+        report->set_limited(e.requests_per_s.has_value());
+        report->set_requests_per_s(e.requests_per_s.value_or(0));
+        report->set_age_ms(static_cast<std::uint32_t>(e.age.count()));
+        report->set_sends(e.sends);
+    }
+}
+
+/// A limit that is no number is dropped.
+datagram read(const wire::LimitReports& in)
+{
+    places::limit_reports out;
+    out.sender = core::instance_id{in.sender()};
+    for (const auto& e : in.reports())
+    {
+        if (!std::isfinite(e.requests_per_s()) || e.requests_per_s() < 0)
+            continue;
+        places::limit_report it;
+        it.endpoint = core::endpoint_id{e.endpoint()};
+        if (e.limited())
+            it.requests_per_s = e.requests_per_s();
+        it.age = core::milliseconds{e.age_ms()};
+        it.sends = e.sends();
+        out.reports.push_back(std::move(it));
+    }
+    return out;
+}
+
 datagram read(const wire::CrashNews& in)
 {
     crashes::crash_news out;
@@ -260,6 +296,7 @@
     case wire::Datagram::kReply: return read(in.reply());
     case wire::Datagram::kLoad: return read(in.load());
     case wire::Datagram::kCrashes: return read(in.crashes());
+    case wire::Datagram::kLimits: return read(in.limits());
     case wire::Datagram::MESSAGE_NOT_SET: break;
     }
     return {};
--- a/src/runlink/routing/endpoint_chooser.cpp
+++ b/src/runlink/routing/endpoint_chooser.cpp
@@ -79,7 +79,7 @@
 
 // Choice
 
-endpoint_chooser::candidates endpoint_chooser::allowed(time_point now, const endpoint_directory& from,
+endpoint_chooser::candidates endpoint_chooser::fitting(time_point now, const endpoint_directory& from,
                                                        const endpoint_need& need) const
 {
     auto all = from.usable(now, need.service);
@@ -150,7 +150,7 @@
 const endpoint_entry* endpoint_chooser::peek(time_point now, const endpoint_directory& from,
                                              const endpoint_need& need) const
 {
-    const auto all = allowed(now, from, need);
+    const auto all = fitting(now, from, need);
     if (all.empty())
         return nullptr;
     const auto good = sound(now, all);
--- /dev/null
+++ b/src/runlink/routing/place_queue.cpp
@@ -0,0 +1,78 @@
+#include "runlink/routing/place_queue.hpp"
+
+#include <algorithm>
+#include <functional>
+
+namespace runlink::routing
+{
+namespace
+{
+
+/// Callers are put off to later times than others no further than this: the room may be found sooner.
+constexpr milliseconds longest_put_off{5000};
+
+} // namespace
+
+std::optional<time_point> place_behind(std::size_t ahead, std::vector<opening> openings)
+{
+    const auto later = [](const opening& a, const opening& b) { return a.first > b.first; };
+    std::make_heap(openings.begin(), openings.end(), later);
+    for (; !openings.empty(); --ahead)
+    {
+        std::pop_heap(openings.begin(), openings.end(), later);
+        auto& it = openings.back();
+        if (ahead == 0)
+            return it.first;
+        it.first += it.interval;
+        std::push_heap(openings.begin(), openings.end(), later);
+    }
+    return std::nullopt;
+}
+
+void place_queue::remove(const service_id& service, const entry& it)
+{
+    const auto found = waiting_.find(service);
+    if (found == waiting_.end())
+        return;
+    found->second.erase(it);
+    if (found->second.empty())
+        waiting_.erase(found);
+}
+
+std::vector<flow_id> place_queue::before(const service_id& service, const entry& it) const
+{
+    std::vector<flow_id> out;
+    const auto found = waiting_.find(service);
+    if (found != waiting_.end())
+        for (auto e = found->second.begin(); e != found->second.end() && *e < it; ++e)
+            out.push_back(e->id);
+    return out;
+}
+
+std::size_t place_queue::count_before(const service_id& service, const entry& it) const
+{
+    const auto found = waiting_.find(service);
+    if (found == waiting_.end())
+        return 0;
+    const auto& all = found->second;
+    return static_cast<std::size_t>(std::distance(all.begin(), all.lower_bound(it)));
+}
+
+std::size_t place_queue::size() const
+{
+    std::size_t out = 0;
+    for (const auto& [service, all] : waiting_)
+        out += all.size();
+    return out;
+}
+
+time_point place_queue::put_off(time_point now, const service_id& service, time_point first,
+                                duration interval)
+{
+    auto& next = put_off_to_[service];
+    const auto out = std::min(std::max(first, next), std::max<time_point>(first, now + longest_put_off));
+    next = out + interval;
+    return out;
+}
+
+} // namespace runlink::routing
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -9,15 +9,17 @@
 namespace runlink::routing
 {
 
-request_forwarder::request_forwarder(forwarder_options options, failure_domain_id own_domain,
+request_forwarder::request_forwarder(forwarder_options options, const failure_domain_id& own_domain,
                                      const core::instance_id& self, forwarder_hooks hooks)
-    : options_{std::move(options)}, hooks_{std::move(hooks)}, chooser_{options_.chooser,
-                                                                       std::move(own_domain)},
+    : options_{std::move(options)}, hooks_{std::move(hooks)}, chooser_{options_.chooser, own_domain},
       liveness_{options_.liveness}, warm_up_{options_.warm_up, self},
+      named_limits_{options_.named_limits, self, warm_up_.instances(),
+                    [this](const endpoint_id& it) { return domain_of(it); }},
       attribution_{options_.crashes, core::stable_hash(self.str()), attribution_hooks()},
       rollouts_{options_.rollouts, core::stable_hash(self.str())}, pins_{options_.session_ttl},
       cascade_{options_.cascade}, admission_{options_.admission}, start_queue_{options_.start}
 {
+    warm_up_.instances().put(self, own_domain);
 }
 
 void request_forwarder::apply(routing_table_ptr table)
@@ -85,7 +87,7 @@
     chooser_.placement().expire(now);
     liveness_.keep_only(endpoints_);
     warm_up_.expire(now);
-    std::erase_if(named_limits_, [this](const auto& it) { return endpoints_.find(it.first) == nullptr; });
+    named_limits_.forget_if(now, [this](const endpoint_id& id) { return endpoints_.find(id) == nullptr; });
     attribution_.watch(now, endpoints_.size());
     attribution_.expire(now);
 }
@@ -124,6 +126,7 @@
 {
     const auto& endpoint = *to.endpoint;
     it.held_since.reset();
+    end_wait(it);
     it.denied.reset();
     it.leave_at.reset();
     attempt_order order;
@@ -162,6 +165,9 @@
     if (warm_up_.is_cold(now, endpoint.id))
         ++counters_.cold_sends;
     warm_up_.sent(now, endpoint.id);
+    if (named_limits_.limit_of(endpoint.id))
+        ++counters_.limited_sends;
+    named_limits_.sent(now, endpoint.id);
     if (to.is_trial)
     {
         ++counters_.trials;
@@ -192,6 +198,24 @@
     hooks_.log(line);
 }
 
+bool request_forwarder::may_write(time_point now, attempt_id id)
+{
+    const auto found = attempts_.find(id);
+    if (found == attempts_.end())
+        return false;
+    const auto& it = found->second;
+    if (named_limits_.is_counted(it.endpoint, it.started))
+        return true;
+    // The endpoint has named a limit since the attempt was ordered.
+    if (!named_limits_.may_send(now, it.endpoint))
+    {
+        ++counters_.withheld;
+        return false;
+    }
+    named_limits_.sent(now, it.endpoint);
+    return true;
+}
+
 void request_forwarder::on_sent(time_point now, attempt_id id)
 {
     const auto found = attempts_.find(id);
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -23,6 +23,17 @@
     return status >= first_success && status < first_redirect;
 }
 
+std::string_view to_string(attempt_loss it)
+{
+    switch (it)
+    {
+    case attempt_loss::not_sent: return "not_sent";
+    case attempt_loss::withheld: return "withheld";
+    case attempt_loss::broken: return "broken";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 // Answers
@@ -202,13 +213,13 @@
     auto* it = find(id);
     if (it == nullptr)
         return;
-    const bool is_unsent = loss == attempt_loss::not_sent;
+    const bool is_unsent = loss != attempt_loss::broken;
     if (!is_unsent)
         note_broken(now, *it, attempts_.at(id), true);
     const auto endpoint = attempts_.at(id).endpoint;
     note_lost(now, id, loss);
     again_or_end(now, *it, core::errc::endpoint_lost, !is_unsent);
-    if (is_unsent)
+    if (loss == attempt_loss::not_sent)
         replace_silent_attempts(now, endpoint, false);
 }
 
@@ -219,13 +230,16 @@
     ++counters_.attempts_lost;
     auto line = describe(now, it, "attempt_lost");
     line.endpoint = from->endpoint.str();
-    line.reason = loss == attempt_loss::not_sent ? "not_sent" : "broken";
+    line.reason = to_string(loss);
     line.content = to_hex(it.fingerprint);
     line.attempt = from->number;
     hooks_.log(line);
+    if (loss != attempt_loss::broken)
+        ++it.unsent;
+    if (loss == attempt_loss::withheld)
+        return;
     if (loss == attempt_loss::not_sent)
     {
-        ++it.unsent;
         chooser_.not_reached(now, from->endpoint);
         return suspect_unreachable(now, from->endpoint);
     }
@@ -251,7 +265,8 @@
     }
     refusal out;
     out.not_run = it.runs == 0;
-    out.why = {why, it.service.str(), retry_after(now, it)};
+    out.why = {why, it.service.str(),
+               why == core::errc::no_endpoint ? put_off(now, it) : retry_after(now, it)};
     if (out.not_run)
         ++counters_.refused;
     else
@@ -277,6 +292,7 @@
                                          : core::run_outcome::unknown;
     hooks_.log(line);
     hooks_.ended(line, now - it.arrived);
+    end_wait(it);
     timers_.erase({it.check_at, it.id});
     flows_.erase(it.id);
 }
--- a/src/runlink/routing/request_forwarder_arrival.cpp
+++ b/src/runlink/routing/request_forwarder_arrival.cpp
@@ -30,6 +30,7 @@
 void request_forwarder::on_wake(time_point now, time_point since)
 {
     paused_since_ = since;
+    named_limits_.restart_pace(now);
     start_queue_.open(now); // keys may need a new proof, which is a moment away
 }
 
@@ -68,16 +69,18 @@
     auto& kept = flows_.emplace(id, std::move(it)).first->second;
     retries_.try_emplace(kept.service, options_.retries).first->second.on_first(now);
     const auto first = plan(now, kept, false);
-    if (!first && first.error() != succession_denial::suspected)
+    if (first)
+        send(now, kept, first.value());
+    else if (first.error() == succession_denial::suspected)
+        hold(now, kept);
+    else if (first.error() == succession_denial::no_endpoint && may_wait(now, kept))
+        wait_for_place(now, kept);
+    else
     {
         kept.denied = first.error();
         ++counters_.without_place;
         return end_without_answer(now, kept, core::errc::no_endpoint);
     }
-    if (first)
-        send(now, kept, first.value());
-    else
-        hold(now, kept);
     arm(kept, next_check(kept));
 }
 
--- a/src/runlink/routing/request_forwarder_crashes.cpp
+++ b/src/runlink/routing/request_forwarder_crashes.cpp
@@ -115,15 +115,24 @@
         send(now, it, next.value());
         return arm(it, next_check(it));
     }
-    const bool may_wait =
+    const bool waits_for_place = next.error() == succession_denial::no_endpoint && may_wait(now, it);
+    const bool waits_for_turn =
         next.error() == succession_denial::suspected || next.error() == succession_denial::allowance_spent;
-    if (may_wait && now - *it.held_since < options_.most_hold)
+    if (waits_for_place)
+        wait_for_place(now, it);
+    if (waits_for_place || (waits_for_turn && now - *it.held_since < options_.most_hold))
     {
         it.last_progress = now;
         return arm(it, next_check(it));
     }
     it.denied = next.error();
-    end_without_answer(now, it, it.sends > 0 ? core::errc::endpoint_lost : core::errc::overloaded);
+    const bool has_no_place = next.error() == succession_denial::no_endpoint;
+    if (has_no_place)
+        ++counters_.without_place;
+    end_without_answer(now, it,
+                       has_no_place   ? core::errc::no_endpoint
+                       : it.sends > 0 ? core::errc::endpoint_lost
+                                      : core::errc::overloaded);
 }
 
 std::vector<flow_id> request_forwarder::flows_of(crashes::request_fingerprint it) const
--- a/src/runlink/routing/request_forwarder_endpoints.cpp
+++ b/src/runlink/routing/request_forwarder_endpoints.cpp
@@ -113,6 +113,12 @@
     hooks_.log(line);
 }
 
+failure_domain_id request_forwarder::domain_of(const endpoint_id& id) const
+{
+    const auto* it = endpoints_.find(id);
+    return it == nullptr ? failure_domain_id{} : it->failure_domain;
+}
+
 bool request_forwarder::is_allowed(const flow& it, const endpoint_entry& to) const
 {
     const auto& domain = to.failure_domain;
@@ -122,7 +128,8 @@
 
 bool request_forwarder::may_use(time_point now, const flow& it, const endpoint_entry& to) const
 {
-    return is_allowed(it, to) && warm_up_.may_send(now, to.id);
+    return is_allowed(it, to) && warm_up_.may_send(now, to.id) && named_limits_.may_send(now, to.id) &&
+           !is_outranked(it, to);
 }
 
 duration request_forwarder::time_to_place(time_point now, const flow& it) const
@@ -130,7 +137,8 @@
     auto first = time_point::max();
     for (const auto* e : endpoints_.usable(now, it.service))
         if (is_allowed(it, *e))
-            first = std::min(first, warm_up_.next_send(now, e->id));
+            first = std::min(first,
+                             std::max(warm_up_.next_send(now, e->id), named_limits_.next_send(now, e->id)));
     return first == time_point::max() ? duration{} : first - now;
 }
 
--- a/src/runlink/routing/request_forwarder_statements.cpp
+++ b/src/runlink/routing/request_forwarder_statements.cpp
@@ -1,7 +1,11 @@
-// What endpoints say of themselves in their answers.
+// What endpoints say of themselves in their answers, and what other instances have heard of them.
 
+#include <algorithm>
 #include <charconv>
+#include <chrono>
+#include <utility>
 
+#include "runlink/core/hash.hpp"
 #include "runlink/routing/request_forwarder.hpp"
 
 namespace runlink::routing
@@ -18,31 +22,146 @@
 
 } // namespace
 
-void request_forwarder::on_statement(time_point, const endpoint_id& id, time_point,
+// Statements
+
+void request_forwarder::on_statement(time_point now, const endpoint_id& id, time_point asked_at,
                                      const endpoint_statement& it)
 {
+    if (it.is_limit_readable)
+        return log_limit(id, named_limits_.answered(now, id, it.requests_per_s, asked_at), "answer", {});
     decision line;
     line.event = "endpoint_limit";
+    line.reason = "unreadable";
     line.source = "answer";
     line.endpoint = id.str();
-    if (!it.is_limit_readable)
+    hooks_.log(line);
+}
+
+void request_forwarder::on_limits_told(time_point now, const places::limit_reports& it)
+{
+    for (const auto& e : it.reports)
     {
-        line.reason = "unreadable";
-        return hooks_.log(line);
+        const auto news = named_limits_.told(now, it.sender, e);
+        log_limit(e.endpoint, news.change, "peer", news.age);
     }
-    const auto known = named_limits_.find(id);
-    const auto before = known == named_limits_.end() ? std::nullopt : std::optional{known->second};
-    if (it.requests_per_s == before)
+}
+
+void request_forwarder::log_limit(const endpoint_id& id, places::limit_change what, std::string_view source,
+                                  milliseconds age)
+{
+    if (what == places::limit_change::none)
         return;
-    line.reason = it.requests_per_s ? "named" : "ended";
-    if (it.requests_per_s)
+    decision line;
+    line.event = "endpoint_limit";
+    line.reason = to_string(what);
+    line.source = source;
+    line.endpoint = id.str();
+    line.statement_age_ms = age.count();
+    if (const auto limit = named_limits_.limit_of(id))
     {
-        line.limit = to_text(*it.requests_per_s);
-        named_limits_[id] = *it.requests_per_s;
+        line.limit = to_text(*limit);
+        line.is_sender = named_limits_.is_sender(id);
     }
-    else
-        named_limits_.erase(id);
     hooks_.log(line);
 }
 
+void request_forwarder::tell_limits(time_point now)
+{
+    const auto due = named_limits_.take_due(now);
+    std::vector<places::limit_report> for_all;
+    for (const auto& id : due.to_all)
+        for_all.push_back(named_limits_.report(now, id));
+    if (!for_all.empty())
+        hooks_.tell_limits({}, for_all);
+    for (const auto& id : due.to_senders)
+        if (const auto to = named_limits_.other_senders(id); !to.empty())
+            hooks_.tell_limits(to, {named_limits_.report(now, id)});
+}
+
+// Instances
+
+void request_forwarder::put_instance(time_point now, const core::instance_id& id,
+                                     const failure_domain_id& domain)
+{
+    if (warm_up_.instances().put(id, domain))
+        named_limits_.restart_pace(now);
+}
+
+void request_forwarder::remove_instance(time_point now, const core::instance_id& id)
+{
+    if (warm_up_.instances().remove(id))
+        named_limits_.restart_pace(now);
+}
+
+void request_forwarder::settle_instances(time_point now)
+{
+    warm_up_.settle();
+    named_limits_.settle(now);
+}
+
+// Requests that wait for a place
+
+bool request_forwarder::is_outranked(const flow& it, const endpoint_entry& at) const
+{
+    if (!named_limits_.limit_of(at.id))
+        return false;
+    for (const auto id : place_queue_.before(it.service, place_of(it)))
+    {
+        const auto& other = flows_.at(id);
+        if (!other.tried.contains(at.id) && is_allowed(other, at))
+            return true;
+    }
+    return false;
+}
+
+std::vector<opening> request_forwarder::openings(time_point now, const flow& it) const
+{
+    auto need = need_of(now, it);
+    need.may_use = [this, &it](const endpoint_entry& e)
+    { return is_allowed(it, e) && named_limits_.limit_of(e.id).has_value(); };
+    std::vector<opening> out;
+    for (const auto* e : chooser_.fitting(now, endpoints_, need))
+        out.push_back({std::max(warm_up_.next_send(now, e->id), named_limits_.next_send(now, e->id)),
+                       named_limits_.interval(now, e->id)});
+    return out;
+}
+
+bool request_forwarder::may_wait(time_point now, const flow& it) const
+{
+    const auto open = openings(now, it);
+    const auto at = place_behind(place_queue_.count_before(it.service, place_of(it)), open);
+    const auto late_at =
+        it.head_forwarded ? it.last_progress + it.via->target_gap : it.arrived + it.via->target_latency;
+    return at && *at < std::min<time_point>(late_at, it.deadline - options_.least_time);
+}
+
+void request_forwarder::wait_for_place(time_point now, flow& it)
+{
+    hold(now, it);
+    if (std::exchange(it.waits_for_place, true))
+        return;
+    ++counters_.waited;
+    place_queue_.add(it.service, place_of(it));
+}
+
+void request_forwarder::end_wait(flow& it)
+{
+    if (std::exchange(it.waits_for_place, false))
+        place_queue_.remove(it.service, place_of(it));
+}
+
+milliseconds request_forwarder::put_off(time_point now, const flow& it)
+{
+    const auto open = openings(now, it);
+    const auto at = place_behind(place_queue_.count_before(it.service, place_of(it)), open);
+    if (!at)
+        return retry_after(now, it);
+    double per_us = 0;
+    for (const auto& e : open)
+        per_us += 1.0 / static_cast<double>(std::max<duration::rep>(e.interval.count(), 1));
+    const duration interval{static_cast<duration::rep>(1.0 / per_us)};
+    const auto to = place_queue_.put_off(now, it.service, *at, interval);
+    return admission_.retry_after(to - now, core::stable_hash(it.request.id.str()));
+}
+
 } // namespace runlink::routing
--- a/src/runlink/routing/request_forwarder_succession.cpp
+++ b/src/runlink/routing/request_forwarder_succession.cpp
@@ -131,6 +131,11 @@
         hold(now, it);
         return arm(it, next_check(it));
     }
+    if (next.error() == succession_denial::no_endpoint && may_wait(now, it))
+    {
+        wait_for_place(now, it);
+        return arm(it, next_check(it));
+    }
     it.denied = next.error();
     const bool is_spent = next.error() == succession_denial::allowance_spent;
     end_without_answer(now, it, is_spent ? core::errc::overloaded : why);
@@ -156,7 +161,13 @@
     to.key_gone_ms = key_gone_for(now, it).count();
     to.allowance_left = static_cast<std::int64_t>(std::max(retries_.at(it.service).left(now), 0.0));
     to.endpoints_fitting =
-        static_cast<std::int64_t>(chooser_.count_fitting(now, endpoints_, need_of(now, it)));
+        static_cast<std::int64_t>(chooser_.fitting(now, endpoints_, need_of(now, it)).size());
+    const auto limited = openings(now, it);
+    if (limited.empty())
+        return;
+    to.endpoints_limited = static_cast<std::int64_t>(limited.size());
+    if (const auto at = place_behind(place_queue_.count_before(it.service, place_of(it)), limited))
+        to.place_ms = std::chrono::ceil<milliseconds>(*at - now).count();
 }
 
 } // namespace runlink::routing
--- a/src/runlink/routing/request_forwarder_timers.cpp
+++ b/src/runlink/routing/request_forwarder_timers.cpp
@@ -144,6 +144,7 @@
 {
     attribution_.tick(now);
     settle_verdicts(now);
+    tell_limits(now);
     if (start_queue_.size() > 0)
         take_held(now);
     while (!timers_.empty() && timers_.begin()->first <= now)
@@ -162,8 +163,9 @@
         return time_point{};
     auto held =
         may_release_ && start_queue_.size() > 0 ? std::optional{time_point{}} : start_queue_.next_due();
-    if (const auto at = attribution_.next_due())
-        held = std::min(held.value_or(*at), *at);
+    for (const auto& at : {attribution_.next_due(), named_limits_.next_due()})
+        if (at)
+            held = std::min(held.value_or(*at), *at);
     if (timers_.empty() || !held)
         return timers_.empty() ? held : std::optional{timers_.begin()->first};
     return std::min(timers_.begin()->first, *held);
--- a/tests/support/forwarding_history.cpp
+++ b/tests/support/forwarding_history.cpp
@@ -39,8 +39,8 @@
         keys_.insert(key_name(n));
     apply_table();
     prove();
-    forwarder_.warm_up().instances().put(core::instance_id{"other"});
-    forwarder_.warm_up().settle();
+    forwarder_.put_instance(now_, core::instance_id{"other"}, {});
+    forwarder_.settle_instances(now_);
     for (int n = 0; n < endpoint_count; ++n)
     {
         entries_[n].name = core::endpoint_name{"e" + std::to_string(n)};
@@ -71,6 +71,7 @@
     seen_.count("tried alone", n.trials);
     seen_.count("found harmful", n.found_harmful);
     seen_.count("end of an endpoint seen", n.endpoints_ended);
+    seen_.count("waited for a place", n.waited);
 }
 
 milliseconds forwarding_history::pick_time(std::uint64_t least_ms, std::uint64_t spread_ms)
@@ -118,6 +119,7 @@
     case 5: return tell_news();
     case 6: return order_rollouts();
     case 7: return pick(3) == 0 ? change_evacuations() : change_keys();
+    case 8: return pick(3) == 0 ? change_limit() : request(now_);
     default: return request(now_);
     }
 }
@@ -296,6 +298,23 @@
     tell("own end", [&] { forwarder_.on_asked(now_, id, core::contact::refused); });
 }
 
+void forwarding_history::change_limit()
+{
+    const auto& id = entries_[static_cast<int>(pick(endpoint_count))].id;
+    if (limits_.erase(id) == 0)
+        limits_[id] = static_cast<double>(pick(40)) / 10;
+}
+
+void forwarding_history::state(const seen_attempt& from)
+{
+    endpoint_statement says;
+    if (const auto found = limits_.find(from.endpoint); found != limits_.end())
+        says.requests_per_s = found->second;
+    tell("statement", [&] { forwarder_.on_statement(now_, from.endpoint, from.sent_at, says); });
+    if (says.requests_per_s || forwarder_.named_limits().limit_of(from.endpoint) == std::nullopt)
+        seen_.on_limit(from.endpoint, says.requests_per_s);
+}
+
 // Other instances
 
 void forwarding_history::tell_news()
@@ -382,7 +401,14 @@
     {
         if (pick(8) == 0)
             return end(id, "not sent", [&] { forwarder_.on_lost(now_, id, attempt_loss::not_sent); });
+        if (!forwarder_.may_write(now_, id))
+        {
+            seen_.count("withheld");
+            return end(id, "withheld", [&] { forwarder_.on_lost(now_, id, attempt_loss::withheld); });
+        }
+        seen_.on_written(it.endpoint);
         it.sent = true;
+        it.sent_at = now_;
         ++of.runs;
         CHECK(of.runs <= of.max_attempts);
         return tell("sent", [&] { forwarder_.on_sent(now_, id); });
@@ -408,6 +434,7 @@
 
 void forwarding_history::answer(core::attempt_id id, const attempt_head& head)
 {
+    state(seen_.attempts().at(id));
     end(id, "answer", [&] { forwarder_.on_answer(now_, id, head); });
 }
 
@@ -416,6 +443,7 @@
     if (!it.has_head)
     {
         it.has_head = true;
+        state(it);
         it.is_unsealed = !is_sealed;
         const auto confidence = static_cast<int>(pick(100));
         return tell("head",
--- a/tests/support/forwarding_history.hpp
+++ b/tests/support/forwarding_history.hpp
@@ -66,6 +66,10 @@
     void answer_question();
     /// An endpoint refuses connections: it has ended, whatever its runs say later.
     void end_endpoint();
+    /// An endpoint begins to name a limit, names another one, or none.
+    void change_limit();
+    /// What the endpoint says of itself in an answer.
+    void state(const seen_attempt& from);
 
     // Other instances
     /// Tells of the content of a request that is under way, if there is one.
@@ -98,6 +102,7 @@
     std::uint64_t next_life_ = 1; ///< of endpoints that other instances saw end
     std::uint64_t next_flow_ = 1;
     std::map<int, routing::endpoint_entry> entries_;
+    std::map<core::endpoint_id, double> limits_;
     forwarding_witness seen_;
     routing::request_forwarder forwarder_;
 };
--- a/tests/support/forwarding_witness.cpp
+++ b/tests/support/forwarding_witness.cpp
@@ -119,6 +119,36 @@
     CHECK(*gone < key_grace_);
 }
 
+// Limits
+
+void forwarding_witness::on_limit(const core::endpoint_id& id, std::optional<double> requests_per_s)
+{
+    if (!requests_per_s)
+    {
+        limited_.erase(id);
+        return;
+    }
+    auto& it = limited_[id];
+    // A higher limit allows more at once, a lower one counts from when it was named.
+    if (it.written.empty() || *requests_per_s < it.requests_per_s)
+        it = {*requests_per_s, now_, {}};
+    it.requests_per_s = *requests_per_s;
+}
+
+void forwarding_witness::on_written(const core::endpoint_id& id)
+{
+    const auto found = limited_.find(id);
+    if (found == limited_.end())
+        return;
+    auto& it = found->second;
+    constexpr core::seconds window{4};
+    it.written.push_back(now_);
+    std::erase_if(it.written, [&](auto at) { return now_ - at > window; });
+    INFO("endpoint " << id << ", limit " << it.requests_per_s << ", step " << step_);
+    CHECK(static_cast<double>(it.written.size()) <= 1.5 * 4 * it.requests_per_s + 5);
+    count("sent to an endpoint that names a limit");
+}
+
 // Orders
 
 void forwarding_witness::on_start(const attempt_order& it)
--- a/tests/support/forwarding_witness.hpp
+++ b/tests/support/forwarding_witness.hpp
@@ -45,6 +45,7 @@
     core::version_id version;
     std::uint64_t next_event = 1;
     bool sent = false;
+    core::time_point sent_at{};
     bool has_head = false;
     bool answered = false;
     bool is_unsealed = false; ///< its answer lacks the endpoint's digest
@@ -84,6 +85,10 @@
     void on_keys(const std::set<std::string>& keys);
     void on_proof(core::time_point now);
 
+    /// An answer of the endpoint names this limit, or none.
+    void on_limit(const core::endpoint_id& id, std::optional<double> requests_per_s);
+    /// Bytes of a request reach the endpoint.
+    void on_written(const core::endpoint_id& id);
     /// One event is told to the forwarder.
     void begin_step(core::time_point now, std::string_view what);
     /// What it did with the event is known.
@@ -123,6 +128,15 @@
     std::map<std::string, core::time_point> key_held_at_;
     std::optional<core::time_point> proven_at_;
 
+    /// What endpoints named, and what they have got since they first did.
+    struct limited_endpoint
+    {
+        double requests_per_s = 0;
+        core::time_point named_at{};
+        std::vector<core::time_point> written;
+    };
+    std::map<core::endpoint_id, limited_endpoint> limited_;
+
     // The step under way
     core::time_point now_{};
     std::string step_;
--- a/tests/support/statement_fleet.cpp
+++ b/tests/support/statement_fleet.cpp
@@ -43,6 +43,12 @@
                                                  std::vector<account>{}, caller_limits{});
 }
 
+/// One request in five; see `make_table`.
+bool is_urgent(flow_id it)
+{
+    return it.value() % 5 == 0;
+}
+
 core::instance_id instance_id(int n)
 {
     return core::instance_id{"i" + std::to_string(n)};
@@ -61,6 +67,15 @@
 
 } // namespace
 
+std::uint64_t statement_outcome::arrivals_after(int endpoint, milliseconds from) const
+{
+    const auto found = arrival_times.find(endpoint);
+    if (found == arrival_times.end())
+        return 0;
+    return static_cast<std::uint64_t>(
+        std::count_if(found->second.begin(), found->second.end(), [from](auto it) { return it >= from; }));
+}
+
 statement_fleet::statement_fleet(const statement_case& of) : case_{of}, random_{of.seed}
 {
     instances_.resize(static_cast<std::size_t>(of.instances));
@@ -79,10 +94,15 @@
     it.forwarder->apply(make_table());
     it.forwarder->proven_current(now_);
     for (int other = 0; other < case_.instances; ++other)
-        it.forwarder->warm_up().instances().put(instance_id(other));
-    it.forwarder->warm_up().settle();
+        it.forwarder->put_instance(now_, instance_id(other),
+                                   core::failure_domain_id{std::to_string(other % 3)});
+    it.forwarder->settle_instances(now_);
     for (int e = 0; e < case_.endpoints; ++e)
         it.forwarder->on_endpoint(now_, entry(e));
+    if (it.life == 1)
+        return;
+    const auto seed = (n + 1) % case_.instances;
+    it.forwarder->on_limits_told(now_, {instance_id(seed), at(seed).forwarder->named_limits().all(now_)});
 }
 
 void statement_fleet::restart(int n)
@@ -113,15 +133,28 @@
             found.mapped()->is_over = true;
     };
     to.ask = [](const endpoint_entry&) {};
-    to.forward_answer = [this](flow_id, core::attempt_id) { ++outcome_.answered; };
+    to.forward_answer = [this](flow_id it, core::attempt_id)
+    {
+        ++outcome_.answered;
+        outcome_.urgent_answered += is_urgent(it) ? 1 : 0;
+    };
     to.forward_head = [](flow_id, core::attempt_id) {};
     to.forward_bytes = [](flow_id, std::string_view) {};
     to.forward_end = [](flow_id) {};
     to.break_off = [](flow_id) {};
-    to.refuse = [this](flow_id, const refusal&) { ++outcome_.refused; };
+    to.refuse = [this](flow_id it, const refusal& why)
+    {
+        ++outcome_.refused;
+        outcome_.urgent_refused += is_urgent(it) ? 1 : 0;
+        outcome_.refused_after.push_back(now_ - came_at_.at(it));
+        if (why.why.retry_after)
+            outcome_.put_off.push_back(*why.why.retry_after);
+    };
     to.session_ran = [](const session_run&) {};
     to.prompt_went = [](const prompt_sent&) {};
     to.prompt_came = [](const prompt_answered&) {};
+    to.tell_limits = [this, n](const std::vector<core::instance_id>& ids,
+                               const std::vector<places::limit_report>& it) { tell(n, ids, it); };
     to.log = [](const decision&) {};
     to.ended = [](const decision&, core::duration) {};
     return to;
@@ -200,9 +233,10 @@
         inbound_request it;
         it.id = core::request_id{std::to_string(id.value())};
         it.host = "h";
-        it.path = id.value() % 2 == 0 ? "/look/x" : "/pay/x";
+        it.path = is_urgent(id) ? "/pay/x" : "/look/x";
         it.time_left = milliseconds{2000};
         it.content = crashes::content_hash{id.value()};
+        came_at_[id] = now_;
         at(n).forwarder->on_request(now_, id, it);
     }
 }
@@ -221,6 +255,11 @@
     if (it->is_over)
         return;
     auto& by = at(n);
+    if (!by.forwarder->may_write(now_, it->order.id))
+    {
+        by.attempts.erase(it->order.id);
+        return by.forwarder->on_lost(now_, it->order.id, attempt_loss::withheld);
+    }
     it->is_written = true;
     it->sent_at = now_;
     by.forwarder->on_sent(now_, it->order.id);
@@ -229,6 +268,7 @@
     arrivals_[it->endpoint].push_back(
         {now_, n, limit, told != by.told.end() && now_ - told->second >= told_slack});
     ++outcome_.arrivals[it->endpoint];
+    outcome_.arrival_times[it->endpoint].push_back(std::chrono::floor<milliseconds>(now_ - began_));
     later(n, milliseconds{1} + up_to(case_.answer_time), [this, n, it] { answer(n, it); });
 }
 
@@ -245,12 +285,36 @@
         named_at_.emplace(it->endpoint, now_);
         by.told.emplace(it->endpoint, now_);
     }
+    else
+    {
+        // Nobody can know of another limit before an answer names it.
+        named_at_.erase(it->endpoint);
+        for (auto& other : instances_)
+            other.told.erase(it->endpoint);
+    }
     by.attempts.erase(it->order.id);
     const bool fails =
         case_.repeats_one_in > 0 && random_() % static_cast<unsigned>(case_.repeats_one_in) == 0;
     by.forwarder->on_answer(now_, it->order.id, {fails ? 500 : 200, false, !fails, false, {}});
 }
 
+void statement_fleet::tell(int from, const std::vector<core::instance_id>& to,
+                           const std::vector<places::limit_report>& what)
+{
+    for (int n = 0; n < case_.instances; ++n)
+    {
+        const bool is_addressed = to.empty() || std::find(to.begin(), to.end(), instance_id(n)) != to.end();
+        if (n == from || !is_addressed || happens(case_.datagrams_lost))
+            continue;
+        later(n, case_.datagram_delay,
+              [this, n, message = places::limit_reports{instance_id(from), what}]
+              {
+                  if (!at(n).paused_since)
+                      at(n).forwarder->on_limits_told(now_, message);
+              });
+    }
+}
+
 // Checks
 
 void statement_fleet::check_limits()
--- a/tests/support/statement_fleet.hpp
+++ b/tests/support/statement_fleet.hpp
@@ -54,6 +54,13 @@
     /// three seconds after the first one.
     std::vector<std::string> limits_broken;
     std::uint64_t limited = 0; ///< sends that this was checked of
+    std::uint64_t urgent_answered = 0;
+    std::uint64_t urgent_refused = 0;
+    std::vector<core::duration> refused_after; ///< since the request came
+    std::vector<milliseconds> put_off;         ///< callers that were refused
+    /// Arrivals at an endpoint later than so long after the start of the run.
+    std::uint64_t arrivals_after(int endpoint, milliseconds from) const;
+    std::map<int, std::vector<milliseconds>> arrival_times;
 };
 
 class statement_fleet
@@ -89,7 +96,7 @@
         std::map<core::attempt_id, attempt_ptr> attempts;
         std::uint64_t life = 0;
         std::optional<time_point> paused_since;
-        std::map<int, time_point> told; ///< callers of limits, by endpoint, for the first time
+        std::map<int, time_point> told; ///< callers of limits, by endpoint, since one named none
     };
     struct arrival
     {
@@ -108,6 +115,8 @@
     void on_start(int n, const routing::attempt_order& order);
     void write(int n, const attempt_ptr& it);
     void answer(int n, const attempt_ptr& it);
+    void tell(int from, const std::vector<core::instance_id>& to,
+              const std::vector<places::limit_report>& what);
     void check_limits();
     milliseconds up_to(milliseconds most);
     bool happens(double part) { return std::uniform_real_distribution<>{0, 1}(random_) < part; }
@@ -121,6 +130,8 @@
     std::map<int, endpoint_words> words_;
     std::map<int, std::vector<arrival>> arrivals_;
     std::map<int, time_point> named_at_; ///< for the first time
+    std::map<routing::flow_id, time_point> came_at_;
+    time_point began_ = now_;
     std::uint64_t next_flow_ = 1;
     statement_outcome outcome_;
 };
