--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -96,6 +96,10 @@
 {
     auto it = std::make_unique<proxied_endpoint>("e" + std::to_string(next_endpoint_++), service, version);
     it->server.on_run = [this](const auto& by, const auto& run) { checker_.ran(now(), by, run); };
+    it->server.on_arrived = [this](const auto& by, const auto& request)
+    { checker_.arrived(now(), by.id(), request); };
+    it->server.on_answered = [this](const auto& by, const auto& request)
+    { checker_.answered(now(), by.id(), request); };
     store_.put(standins::endpoint_key(it->server.id()), it->server.entry(it->proxy.port(), false));
     it->proxy.on_reset = [this, e = it.get()] { checker_.endpoint_broken(now(), e->server.id()); };
     it->server.on_ended = [this, e = it.get()](const auto& run)
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -86,6 +86,8 @@
     cli.add_option("--suspend", deployment.shim,
                    "Suspend instances too, with this library in them that holds their steady clock")
         ->check(CLI::ExistingFile);
+    cli.add_flag("--statements", options.has_statements,
+                 "Endpoints that say in their answers what they bear");
     cli.add_flag("--keep-logs", keep_logs, "Keep the instances' logs also when all is well");
     CLI11_PARSE(cli, argc, argv);
     const QCoreApplication application{argc, argv};
--- a/soak/promise_checker.cpp
+++ b/soak/promise_checker.cpp
@@ -107,6 +107,23 @@
         check_exposure(now, by.version(), it.instance);
 }
 
+void promise_checker::arrived(time_point now, const std::string& endpoint, const std::string& request)
+{
+    const auto found = requests_.find(request);
+    if (found == requests_.end())
+        return;
+    const int instance = found->second.instance;
+    statements_.arrived(now, endpoint, instance, is_calm(now, instance));
+    for (const auto& it : statements_.take_faults())
+        fail(it);
+}
+
+void promise_checker::answered(time_point now, const std::string& endpoint, const std::string& request)
+{
+    if (const auto found = requests_.find(request); found != requests_.end())
+        statements_.answered(now, endpoint, found->second.instance);
+}
+
 void promise_checker::ended(const std::string& id, const caller_outcome& it)
 {
     auto& of = requests_.at(id);
@@ -221,6 +238,8 @@
 {
     if (cuts_.is_watching())
         check_cut_rates(now);
+    if (statements_.looked_at() > 0)
+        look("sends to endpoints that named a limit", statements_.looked_at());
     if (harmful_late_ > bounds_.most_harmful_sends)
         fail("harmful: a request that had ended three endpoints was sent " + std::to_string(harmful_late_) +
              " times more; " + std::to_string(ends_.size()) + " ended in all");
--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -31,6 +31,8 @@
 {
     if (options_.pauses)
         keys_ = std::make_unique<key_rotation>(fleet_, checker_);
+    if (options_.has_statements)
+        statements_ = std::make_unique<statement_series>(fleet_, checker_, options.seed);
 }
 
 void scenario::note(const std::string& what)
@@ -81,6 +83,8 @@
         begin_trial();
     if (options_.pauses)
         keys_->begin([this](const std::string& key) { note("key of the series removed: " + key); });
+    if (statements_)
+        statements_->begin([this](const std::string& what) { note(what); });
     const auto end = now() + options_.length;
     while (now() < end)
     {
--- a/soak/scenario.hpp
+++ b/soak/scenario.hpp
@@ -13,6 +13,7 @@
 #include "soak/fleet.hpp"
 #include "soak/key_rotation.hpp"
 #include "soak/rollout_trial.hpp"
+#include "soak/statement_series.hpp"
 
 namespace runlink::soak
 {
@@ -35,6 +36,8 @@
     bool is_quiet = false;
     /// Callers that send a request which ends each endpoint that runs it, again and again at any instance.
     int harmful_callers = 0;
+    /// Endpoints say in their answers what they bear.
+    bool has_statements = false;
     /// Instances are suspended: their steady clock stands still meanwhile.
     bool suspends = false;
 };
@@ -114,6 +117,7 @@
     bool rollout_began_ = false;
     std::unique_ptr<rollout_trial> trial_;
     std::unique_ptr<key_rotation> keys_;
+    std::unique_ptr<statement_series> statements_;
     bool is_loading_ = false;
 };
 
--- a/standins/served_endpoint.cpp
+++ b/standins/served_endpoint.cpp
@@ -85,6 +85,9 @@
     net::http_fields out;
     out.add("X-Runlink-Attempt-Id", request);
     out.add("X-Runlink-Server-Seal", id_);
+    if (says.requests_per_s)
+        out.add("Server-Limit", std::to_string(*says.requests_per_s));
+    on_answered(*this, request);
     return out;
 }
 
@@ -95,6 +98,8 @@
     if (request == nullptr)
         return from->reset();
     const bool is_other = expected != nullptr && *expected != id_;
+    if (!is_other)
+        on_arrived(*this, *request);
     const auto how = choose_mode ? choose_mode() : answers;
     if (is_other || how == mode::refuse)
     {
--- a/standins/served_endpoint.hpp
+++ b/standins/served_endpoint.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <QObject>
@@ -68,6 +69,19 @@
     /// it without one.
     static core::milliseconds pause_after(const std::string& request, std::uint64_t n);
 
+    /// What it says of itself in all its answers.
+    struct words
+    {
+        std::optional<double> requests_per_s; ///< from all instances together
+    };
+    words says;
+    /// A request for this endpoint has come.
+    std::function<void(const served_endpoint&, const std::string& request)> on_arrived = [](const auto&,
+                                                                                            const auto&) {};
+    /// The head of an answer has been written.
+    std::function<void(const served_endpoint&, const std::string& request)> on_answered = [](const auto&,
+                                                                                             const auto&) {};
+
     mode answers = mode::normal;
     /// What it does with one request, where that differs from `answers`.
     std::function<mode()> choose_mode;
@@ -91,6 +105,7 @@
     void serve(const connection_ptr& to, const net::http_request_head& head, const run_ptr& it, mode how);
     void begin_stream(const connection_ptr& to, const run_ptr& it);
     void step(const connection_ptr& to, const run_ptr& it, std::uint64_t n);
+    /// The fields of an answer, which is written now.
     net::http_fields fields_for(const std::string& request) const;
 
     std::string id_;
