Log what endpoints say of leaving and rest in their answers

The same reader takes both fields: leaving from whatever answer, rest from a 503 whether or not it says that the request did not run. Nothing acts on them yet.

--- a/include/runlink/gateway/header_names.hpp
+++ b/include/runlink/gateway/header_names.hpp
@@ -28,7 +28,9 @@
     std::string not_run = "Runlink-Not-Run";
     std::string digest = "Runlink-Digest";
     std::string confidence = "Runlink-Confidence";
-    std::string limit = "Runlink-Limit"; ///< requests a second from all instances together
+    std::string limit = "Runlink-Limit";     ///< requests a second from all instances together
+    std::string leaving = "Runlink-Leaving"; ///< 1: the endpoint leaves
+    std::string rest = "Retry-After";        ///< of a 503, in seconds
     /// Set by the system only: what callers send under these names is dropped, whatever the spelling.
     std::vector<std::string> reserved;
     /// A model name by which callers leave the choice to the router.
--- a/include/runlink/routing/messages.hpp
+++ b/include/runlink/routing/messages.hpp
@@ -82,6 +82,11 @@
     /// Requests a second that it takes from all instances together; nothing: it names no limit.
     std::optional<double> requests_per_s;
     bool is_limit_readable = true; ///< otherwise nothing is known of its limit
+    bool is_leaving = false;
+    bool is_leaving_readable = true;
+    /// It wants nothing from this instance for so long; it has refused the request.
+    std::optional<core::duration> rest;
+    bool is_rest_readable = true;
 };
 
 /// Why an attempt ended without a whole answer.
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -291,6 +291,7 @@
     static place_queue::entry place_of(const flow& it) { return {it.priority, it.arrived, it.id}; }
     /// Tells other instances what is due.
     void tell_limits(time_point now);
+    void log_statement(std::string_view event, const endpoint_id& id, std::string_view reason);
     void log_limit(const endpoint_id& id, places::limit_change what, std::string_view source,
                    milliseconds age);
     void readmit(time_point now, const failure_domain_id& domain);
--- a/src/runlink/gateway/gateway_test.cpp
+++ b/src/runlink/gateway/gateway_test.cpp
@@ -105,6 +105,33 @@
     CHECK_FALSE(read_statement(names, surplus, request));
 }
 
+TEST_CASE("leaving is read from whatever answer, rest from a 503")
+{
+    const header_names names;
+    const auto read = [&](int status, const std::string& name, const std::string& value)
+    {
+        net::http_response_head head;
+        head.status = status;
+        head.fields.add(names.request_id, "r1");
+        head.fields.add(name, value);
+        return *read_statement(names, head, core::request_id{"r1"});
+    };
+    for (const int status : {200, 429, 500, 503})
+        CHECK(read(status, names.leaving, "1").is_leaving);
+    CHECK_FALSE(read(200, names.leaving, "0").is_leaving);
+    CHECK(read(200, names.leaving, "0").is_leaving_readable);
+    CHECK_FALSE(read(200, names.leaving, "yes").is_leaving_readable);
+    CHECK_FALSE(read(200, names.leaving, "2").is_leaving_readable);
+    CHECK_FALSE(read(200, names.leaving, "2").is_leaving);
+    CHECK(read(503, "retry-after", "2.5").rest == core::milliseconds{2500});
+    CHECK(read(503, names.rest, "0").rest == core::duration{});
+    CHECK(read(503, names.rest, "1e300").rest == core::seconds{86'400});
+    CHECK_FALSE(read(500, names.rest, "3").rest);
+    CHECK_FALSE(read(200, names.rest, "3").rest);
+    CHECK_FALSE(read(503, names.rest, "Thu, 03 Dec 2026 10:00:00 GMT").is_rest_readable);
+    CHECK_FALSE(read(503, names.rest, "-1").rest);
+}
+
 TEST_CASE("what only the system may set never comes from a caller, however it is spelled")
 {
     header_names names;
--- a/src/runlink/gateway/statement_reader.cpp
+++ b/src/runlink/gateway/statement_reader.cpp
@@ -10,6 +10,9 @@
 {
 
 constexpr int status_misdirected = 421;
+constexpr int status_unavailable = 503;
+/// Longer rests count as this long; it is far above the life of most endpoints.
+constexpr double longest_rest_s = 86'400;
 
 /// A decimal number that is not negative.
 std::optional<double> read_decimal(std::string_view text)
@@ -20,22 +23,34 @@
     return is_whole && std::isfinite(out) && !std::signbit(out) ? std::optional{out} : std::nullopt;
 }
 
-/// A field that is there: one readable number, in however many copies.
-std::optional<double> read_number(const net::http_fields& fields, const std::string& name)
+/// What one field says.
+struct decimal_field
 {
-    std::optional<double> out;
+    std::optional<double> value;
+    bool is_readable = true; ///< it is not there, or one number, in however many copies
+};
+
+decimal_field read_field(const net::http_fields& fields, const std::string& name)
+{
+    decimal_field out;
     for (const auto& it : fields)
     {
         if (!net::same_name(it.name, name))
             continue;
         const auto n = read_decimal(it.value);
-        if (!n || (out && *out != *n))
-            return std::nullopt;
-        out = n;
+        if (!n || (out.value && *out.value != *n))
+            return {std::nullopt, false};
+        out.value = n;
     }
     return out;
 }
 
+core::duration to_duration(double seconds)
+{
+    constexpr double us_per_s = 1e6;
+    return core::duration{static_cast<core::duration::rep>(std::min(seconds, longest_rest_s) * us_per_s)};
+}
+
 } // namespace
 
 std::optional<routing::endpoint_statement> read_statement(const header_names& names,
@@ -46,8 +61,18 @@
     if (id == nullptr || *id != request.str() || head.status == status_misdirected)
         return std::nullopt;
     routing::endpoint_statement out;
-    out.requests_per_s = read_number(head.fields, names.limit);
-    out.is_limit_readable = out.requests_per_s || head.fields.find(names.limit) == nullptr;
+    const auto limit = read_field(head.fields, names.limit);
+    out.requests_per_s = limit.value;
+    out.is_limit_readable = limit.is_readable;
+    const auto leaving = read_field(head.fields, names.leaving);
+    out.is_leaving = leaving.value == 1;
+    out.is_leaving_readable = leaving.is_readable && leaving.value.value_or(0) <= 1;
+    if (head.status != status_unavailable)
+        return out;
+    const auto rest = read_field(head.fields, names.rest);
+    if (rest.value)
+        out.rest = to_duration(*rest.value);
+    out.is_rest_readable = rest.is_readable;
     return out;
 }
 
--- a/src/runlink/routing/request_forwarder_statements.cpp
+++ b/src/runlink/routing/request_forwarder_statements.cpp
@@ -28,10 +28,24 @@
                                      const endpoint_statement& it)
 {
     if (it.is_limit_readable)
-        return log_limit(id, named_limits_.answered(now, id, it.requests_per_s, asked_at), "answer", {});
+        log_limit(id, named_limits_.answered(now, id, it.requests_per_s, asked_at), "answer", {});
+    else
+        log_statement("endpoint_limit", id, "unreadable");
+    if (!it.is_leaving_readable)
+        log_statement("endpoint_leaving", id, "unreadable");
+    if (it.is_leaving)
+        log_statement("endpoint_leaving", id, "");
+    if (!it.is_rest_readable)
+        log_statement("endpoint_rest", id, "unreadable");
+    if (it.rest)
+        log_statement("endpoint_rest", id, "");
+}
+
+void request_forwarder::log_statement(std::string_view event, const endpoint_id& id, std::string_view reason)
+{
     decision line;
-    line.event = "endpoint_limit";
-    line.reason = "unreadable";
+    line.event = event;
+    line.reason = reason;
     line.source = "answer";
     line.endpoint = id.str();
     hooks_.log(line);
