Failing tests: endpoints that leave, or want rest, by their own word

Callers see requests broken off when the endpoint ends, and walks through endpoints that all refuse.

--- a/tests/support/statement_fleet.cpp
+++ b/tests/support/statement_fleet.cpp
@@ -18,6 +18,8 @@
 constexpr milliseconds contact{3000}; ///< for which a new limit binds nobody
 constexpr double overage = 1.5;
 constexpr double slack = 5;
+constexpr milliseconds drain{2000};
+constexpr milliseconds rest_slack{500};
 constexpr milliseconds house_interval{1000};
 
 routing_table_ptr make_table()
@@ -89,6 +91,7 @@
     ++it.life;
     it.attempts.clear();
     it.told.clear();
+    it.told_leaving.clear();
     it.forwarder = std::make_unique<request_forwarder>(
         forwarder_options{}, core::failure_domain_id{std::to_string(n % 3)}, instance_id(n), hooks(n));
     it.forwarder->apply(make_table());
@@ -263,11 +266,16 @@
     it->is_written = true;
     it->sent_at = now_;
     by.forwarder->on_sent(now_, it->order.id);
-    const auto& limit = words_[it->endpoint].requests_per_s;
+    check_leaving(n, *it);
+    check_rests(n, *it);
+    const auto& words = words_[it->endpoint];
+    const auto& limit = words.requests_per_s;
     const auto told = by.told.find(it->endpoint);
     arrivals_[it->endpoint].push_back(
         {now_, n, limit, told != by.told.end() && now_ - told->second >= told_slack});
     ++outcome_.arrivals[it->endpoint];
+    if (happens(words.refused))
+        return later(n, milliseconds{1}, [this, n, it] { refuse(n, it); });
     outcome_.arrival_times[it->endpoint].push_back(std::chrono::floor<milliseconds>(now_ - began_));
     later(n, milliseconds{1} + up_to(case_.answer_time), [this, n, it] { answer(n, it); });
 }
@@ -277,6 +285,7 @@
     auto& by = at(n);
     endpoint_statement says;
     says.requests_per_s = words_[it->endpoint].requests_per_s;
+    says.is_leaving = words_[it->endpoint].is_leaving;
     by.forwarder->on_statement(now_, it->order.endpoint.id, it->sent_at, says);
     if (it->is_over)
         return;
@@ -292,12 +301,41 @@
         for (auto& other : instances_)
             other.told.erase(it->endpoint);
     }
+    if (says.is_leaving)
+        outcome_.leaving_told += by.told_leaving.emplace(it->endpoint, now_).second ? 1 : 0;
     by.attempts.erase(it->order.id);
     const bool fails =
         case_.repeats_one_in > 0 && random_() % static_cast<unsigned>(case_.repeats_one_in) == 0;
     by.forwarder->on_answer(now_, it->order.id, {fails ? 500 : 200, false, !fails, false, {}});
 }
 
+void statement_fleet::refuse(int n, const attempt_ptr& it)
+{
+    auto& by = at(n);
+    endpoint_statement says;
+    says.rest = words_[it->endpoint].rest;
+    by.forwarder->on_statement(now_, it->order.endpoint.id, it->sent_at, says);
+    if (says.rest)
+    {
+        ++outcome_.rests;
+        rests_[{n, it->endpoint}].push_back({now_ + rest_slack, now_ + *says.rest});
+    }
+    if (it->is_over)
+        return;
+    by.attempts.erase(it->order.id);
+    by.forwarder->on_answer(now_, it->order.id, {503, true, false, false, {}});
+}
+
+void statement_fleet::tell_store_leaving(int endpoint)
+{
+    for (auto& it : instances_)
+    {
+        auto e = entry(endpoint);
+        e.leaving = true;
+        it.forwarder->on_endpoint(now_, e);
+    }
+}
+
 void statement_fleet::tell(int from, const std::vector<core::instance_id>& to,
                            const std::vector<places::limit_report>& what)
 {
@@ -317,6 +355,30 @@
 
 // Checks
 
+void statement_fleet::check_leaving(int n, const attempt& it)
+{
+    const auto told = at(n).told_leaving.find(it.endpoint);
+    if (told == at(n).told_leaving.end())
+        return;
+    const auto late = came_at_.at(it.order.flow) - told->second;
+    if (late > drain)
+        outcome_.leaving_broken.push_back("e" + std::to_string(it.endpoint) + " " +
+                                          std::to_string(std::chrono::floor<milliseconds>(late).count()) +
+                                          " ms after it had told i" + std::to_string(n));
+}
+
+void statement_fleet::check_rests(int n, const attempt& it)
+{
+    const auto found = rests_.find({n, it.endpoint});
+    if (found == rests_.end())
+        return;
+    std::erase_if(found->second, [this](const rest& e) { return now_ >= e.until; });
+    for (auto& e : found->second)
+        if (now_ > e.from && ++e.arrivals == 3)
+            outcome_.rests_broken.push_back("e" + std::to_string(it.endpoint) + " from i" +
+                                            std::to_string(n));
+}
+
 void statement_fleet::check_limits()
 {
     for (const auto& [endpoint, all] : arrivals_)
--- a/tests/support/statement_fleet.hpp
+++ b/tests/support/statement_fleet.hpp
@@ -40,6 +40,10 @@
 struct endpoint_words
 {
     std::optional<double> requests_per_s;
+    bool is_leaving = false;
+    /// It refuses this part of the requests, and asks for rest with each refusal if there is one.
+    double refused = 0;
+    std::optional<milliseconds> rest;
 };
 
 /// What callers and endpoints saw.
@@ -54,6 +58,14 @@
     /// three seconds after the first one.
     std::vector<std::string> limits_broken;
     std::uint64_t limited = 0; ///< sends that this was checked of
+    /// Requests that came later than two seconds after their instance had told a caller that the endpoint
+    /// leaves, and reached it.
+    std::vector<std::string> leaving_broken;
+    std::uint64_t leaving_told = 0; ///< instances and endpoints that this was checked of
+    /// More than two requests of an instance at an endpoint between half a second after it asked for rest and
+    /// the end of that.
+    std::vector<std::string> rests_broken;
+    std::uint64_t rests = 0; ///< that were asked for
     std::uint64_t urgent_answered = 0;
     std::uint64_t urgent_refused = 0;
     std::vector<core::duration> refused_after; ///< since the request came
@@ -78,6 +90,8 @@
     /// The instance stands still for so long.
     void pause(int instance, milliseconds time);
     void set_load(double requests_per_s) { case_.requests_per_s = requests_per_s; }
+    /// The store says that the endpoint leaves, or has no entry of it.
+    void tell_store_leaving(int endpoint);
     statement_outcome run();
 
 private:
@@ -96,7 +110,14 @@
         std::map<core::attempt_id, attempt_ptr> attempts;
         std::uint64_t life = 0;
         std::optional<time_point> paused_since;
-        std::map<int, time_point> told; ///< callers of limits, by endpoint, since one named none
+        std::map<int, time_point> told_leaving; ///< callers, by endpoint, for the first time
+        std::map<int, time_point> told;         ///< callers of limits, by endpoint, since one named none
+    };
+    struct rest
+    {
+        time_point from{};
+        time_point until{};
+        std::uint64_t arrivals = 0;
     };
     struct arrival
     {
@@ -118,6 +139,9 @@
     void tell(int from, const std::vector<core::instance_id>& to,
               const std::vector<places::limit_report>& what);
     void check_limits();
+    void check_leaving(int n, const attempt& it);
+    void check_rests(int n, const attempt& it);
+    void refuse(int n, const attempt_ptr& it);
     milliseconds up_to(milliseconds most);
     bool happens(double part) { return std::uniform_real_distribution<>{0, 1}(random_) < part; }
     instance& at(int n) { return instances_[static_cast<std::size_t>(n)]; }
@@ -129,7 +153,8 @@
     std::vector<instance> instances_;
     std::map<int, endpoint_words> words_;
     std::map<int, std::vector<arrival>> arrivals_;
-    std::map<int, time_point> named_at_; ///< for the first time
+    std::map<std::pair<int, int>, std::vector<rest>> rests_; ///< by instance and endpoint
+    std::map<int, time_point> named_at_;                     ///< for the first time
     std::map<routing::flow_id, time_point> came_at_;
     time_point began_ = now_;
     std::uint64_t next_flow_ = 1;
