An endpoint that says in an answer that it leaves gets nothing that comes later

Cause: leaving was learned from the store only, which was away; the same word in the answer that was handed on was dropped. Why it holds: the mark is set by life in the step in which the answer is read, beside the directory's entries, so that no entry, list or outage takes it back; all instances are told, repeatedly and when they start; a send that is connecting is looked at again. leaving_test failed before (71 requests); it also fails where those that start are not told.

--- a/include/runlink/gateway/gateway.hpp
+++ b/include/runlink/gateway/gateway.hpp
@@ -63,6 +63,7 @@
     /// What other instances are to know of limits that endpoints name; see `forwarder_hooks`.
     std::function<void(const std::vector<core::instance_id>&, const std::vector<places::limit_report>&)>
         on_limits_told = [](const auto&, const auto&) {};
+    std::function<void(const routing::leaving_notices&)> on_leaving_told = [](const auto&) {};
     /// A request is harmful, which is to outlast this process.
     std::function<void(crashes::request_fingerprint)> on_found_harmful = [](auto) {};
 
--- a/include/runlink/gateway/gateway_daemon.hpp
+++ b/include/runlink/gateway/gateway_daemon.hpp
@@ -78,6 +78,8 @@
     /// Sends a question with the own entry, so that the answer finds the way.
     void ask(const core::instance_id& to, control::sync_request it);
     void on_sync_request(core::time_point now, const control::sync_request& it);
+    /// What endpoints have said of themselves: an instance that starts has had no answer yet.
+    void tell_statements(core::time_point now, const core::instance_id& to);
     void take_peer(core::time_point now, const control::peer_entry& it);
     void drop_peer(const core::instance_id& id);
     /// Drops instances that a list of the store does not have.
--- a/include/runlink/gateway/gateway_settings.hpp
+++ b/include/runlink/gateway/gateway_settings.hpp
@@ -55,6 +55,7 @@
     /// away. Otherwise the last known ones hold until the store is heard again.
     bool keys_expire = true;
     core::milliseconds configuration_apply{2000}; ///< a change is in force everywhere after this
+    core::milliseconds drain{2000}; ///< for which endpoints serve on after they said that they leave
     core::milliseconds session_ttl{5000};
     core::milliseconds retry_window{10000};
     double retry_ratio = 0.9;     ///< repeats for each request, of all instances
--- a/include/runlink/gateway/gossip_link.hpp
+++ b/include/runlink/gateway/gossip_link.hpp
@@ -53,6 +53,8 @@
     void tell(const routing::prompt_answered& it);
     /// At once: each copy that another instance sends meanwhile may cost an endpoint.
     void tell(const crashes::crash_news& it) { send_to_all(it, false); }
+    /// At once: what an endpoint that leaves is sent may be cut.
+    void tell(const routing::leaving_notices& it) { send_to_all(it, false); }
     /// At once: the others put off their own sends.
     void tell(const places::limit_reports& it) { send_to_all(it, false); }
     void tell_near(const proto::datagram& it) { send_to_all(it, true); }
--- a/include/runlink/routing/forwarder_hooks.hpp
+++ b/include/runlink/routing/forwarder_hooks.hpp
@@ -85,6 +85,8 @@
     /// What other instances are to know of limits that endpoints name; `to` empty: all instances.
     std::function<void(const std::vector<core::instance_id>& to, const std::vector<places::limit_report>&)>
         tell_limits = [](const auto&, const auto&) {};
+    /// Endpoints said that they leave: all other instances are to know.
+    std::function<void(const leaving_notices&)> tell_leaving = [](const auto&) {};
     /// This instance has found out that endpoints end under a request; the finding is to outlast it.
     std::function<void(crashes::request_fingerprint)> found_harmful = [](auto) {};
     std::function<void(const decision&)> log;
--- a/include/runlink/routing/gossip_messages.hpp
+++ b/include/runlink/routing/gossip_messages.hpp
@@ -59,6 +59,19 @@
     std::vector<endpoint_hash> sound;  ///< some of which an answer had none
 };
 
+/// An endpoint said in an answer that it leaves.
+struct leaving_notice
+{
+    core::endpoint_id endpoint; ///< one life
+    core::milliseconds age{};   ///< since it said so
+};
+
+/// One datagram.
+struct leaving_notices
+{
+    std::vector<leaving_notice> notices;
+};
+
 /// One datagram.
 struct gossip_message
 {
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -23,6 +23,7 @@
 #include "runlink/routing/liveness.hpp"
 #include "runlink/routing/messages.hpp"
 #include "runlink/routing/place_queue.hpp"
+#include "runlink/routing/repeated_news.hpp"
 #include "runlink/routing/retry_allowance.hpp"
 #include "runlink/routing/rollout_control.hpp"
 #include "runlink/routing/routing_table.hpp"
@@ -63,6 +64,7 @@
     retry_options retries;
     rollout_options rollouts;
     liveness_options liveness;
+    directory_options directory;
     chooser_options chooser;
     cascade_options cascade;
     places::warm_up_options warm_up;
@@ -151,6 +153,10 @@
     /// nobody waits for that answer any more.
     void on_statement(time_point now, const endpoint_id& id, time_point asked_at,
                       const endpoint_statement& it);
+    /// Another instance heard endpoints say that they leave.
+    void on_leaving_told(time_point now, const leaving_notices& it);
+    /// All endpoints that are known to leave by their own word, for an instance that starts.
+    leaving_notices leaving_endpoints(time_point now) const;
     /// Another instance's news of endpoints that name limits.
     void on_limits_told(time_point now, const places::limit_reports& it);
     void on_asked(time_point now, const endpoint_id& id, core::contact what);
@@ -291,6 +297,9 @@
     static place_queue::entry place_of(const flow& it) { return {it.priority, it.arrived, it.id}; }
     /// Tells other instances what is due.
     void tell_limits(time_point now);
+    void mark_leaving(time_point now, const endpoint_id& id, milliseconds age, std::string_view source);
+    leaving_notice notice_of(time_point now, const endpoint_id& id) const;
+    void tell_leaving(time_point now);
     void log_statement(std::string_view event, const endpoint_id& id, std::string_view reason);
     void log_limit(const endpoint_id& id, places::limit_change what, std::string_view source,
                    milliseconds age);
@@ -322,6 +331,10 @@
                          std::string_view reason);
 
     // Attempts
+    /// Whether it leaves by its own word, and is not even used where nothing else fits any more.
+    bool has_left(time_point now, const endpoint_id& id) const;
+    /// Whether an attempt whose connection has come up still has its place at an endpoint that names a limit.
+    bool keep_place(time_point now, const attempt& it);
     /// Whether the request's client account has its key there.
     static bool has_key(const routing_table& table, const flow& it);
     key_standing key_of(time_point now, const flow& it) const;
@@ -403,6 +416,7 @@
     places::warm_up warm_up_;
     places::named_limits named_limits_;
     place_queue place_queue_;
+    repeated_news<endpoint_id> leaving_news_;
     places::evacuations evacuations_;
     crashes::crash_attribution attribution_;
     std::vector<crashes::request_fingerprint> suspected_; ///< their copies are to be withdrawn
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -68,6 +68,7 @@
     out.crash_seen = [this](const crashes::crash_news& it) { on_crash_seen(it); };
     out.tell_limits = [this](const std::vector<core::instance_id>& to,
                              const std::vector<places::limit_report>& it) { on_limits_told(to, it); };
+    out.tell_leaving = [this](const routing::leaving_notices& it) { on_leaving_told(it); };
     out.found_harmful = [this](crashes::request_fingerprint it) { on_found_harmful(it); };
     out.log = [this](const routing::decision& it) { log(it); };
     out.ended = [this](const routing::decision& it, core::duration after) { on_ended(it, after); };
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -21,6 +21,8 @@
 /// A proof is trusted for this much less than keys may be: for delay on the way and timers that fire late.
 constexpr core::milliseconds key_margin{400};
 constexpr core::milliseconds denial_margin{100};
+/// An endpoint that leaves gets nothing for this much before it may end: connections take a while to come up.
+constexpr core::milliseconds drain_margin{600};
 /// Part of the deployment's retry ratio that is used: what calls in flight add comes on top.
 constexpr double retry_part = 0.88;
 /// Part of the accepted exposure that is the first share of a roll-out. What it leaves is the time for which
@@ -73,6 +75,7 @@
         else
             gossip_.send_to(to, message);
     };
+    edge_.on_leaving_told = [this](const routing::leaving_notices& it) { gossip_.tell(it); };
     edge_.on_found_harmful = [this](crashes::request_fingerprint it)
     {
         if (!findings_.found(clock_(), it))
@@ -117,6 +120,7 @@
     out.chooser.placement.least_told = tuning.least_told;
     out.chooser.placement.kept.kept_for = tuning.prompts_kept_for;
     out.warm_up.senders = tuning.cold_senders;
+    out.directory.last_resort = std::max(settings_.drain - drain_margin, core::milliseconds{0});
     out.regions = settings_.regions;
     out.hedge_after = tuning.hedge_after;
     out.move_after = tuning.move_after;
--- a/src/runlink/gateway/gateway_daemon_peers.cpp
+++ b/src/runlink/gateway/gateway_daemon_peers.cpp
@@ -71,10 +71,16 @@
     if (relay_.is_direct())
         registry_.announce(now, it.sender);
     relay_.on_request(now, it);
-    // One that starts has had no answer yet that names a limit.
-    const auto limits = forwarder_.named_limits().all(now);
-    if (it.is_joining && !limits.empty())
-        gossip_.send_to({it.sender.id}, places::limit_reports{settings_.id, limits});
+    if (it.is_joining)
+        tell_statements(now, it.sender.id);
+}
+
+void gateway_daemon::tell_statements(core::time_point now, const core::instance_id& to)
+{
+    if (const auto limits = forwarder_.named_limits().all(now); !limits.empty())
+        gossip_.send_to({to}, places::limit_reports{settings_.id, limits});
+    if (const auto leaving = forwarder_.leaving_endpoints(now); !leaving.notices.empty())
+        gossip_.send_to({to}, leaving);
 }
 
 void gateway_daemon::take_peer(core::time_point now, const control::peer_entry& it)
@@ -147,6 +153,8 @@
         on_load_digest(now, *load);
     else if (const auto* crashes = std::get_if<crashes::crash_news>(&it))
         forwarder_.on_crash_news(now, *crashes);
+    else if (const auto* leaving = std::get_if<routing::leaving_notices>(&it))
+        forwarder_.on_leaving_told(now, *leaving);
     else if (const auto* limits = std::get_if<places::limit_reports>(&it))
         forwarder_.on_limits_told(now, *limits);
     else if (const auto* reply = std::get_if<control::sync_reply>(&it))
--- a/src/runlink/gateway/gateway_settings.cpp
+++ b/src/runlink/gateway/gateway_settings.cpp
@@ -89,6 +89,7 @@
     out.key_revocation = read_ms(in, "key_revocation_ms", out.key_revocation);
     out.keys_expire = in.optional_bool("keys_expire", out.keys_expire);
     out.configuration_apply = read_ms(in, "configuration_apply_ms", out.configuration_apply);
+    out.drain = read_ms(in, "drain_ms", out.drain);
     out.session_ttl = read_s(in, "session_ttl_s", out.session_ttl);
     out.retry_window = read_s(in, "retry_window_s", out.retry_window);
     out.retry_ratio = in.optional_number("retry_ratio", out.retry_ratio, 0, 10);
--- a/src/runlink/gateway/gateway_test.cpp
+++ b/src/runlink/gateway/gateway_test.cpp
@@ -31,7 +31,7 @@
   "listen": {"callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "peers": "127.0.0.1:0"},
   "store": "127.0.0.1:9",
   "seeds": ["10.0.0.9:8605", "10.0.0.8:8605"],
-  "bounds": {"key_revocation_ms": 4000, "keys_expire": false, "stop_grace_s": 7.5}
+  "bounds": {"key_revocation_ms": 4000, "keys_expire": false, "stop_grace_s": 7.5, "drain_ms": 3000}
 })";
 
 } // namespace
@@ -279,6 +279,11 @@
     CHECK(told.domain == load.domain);
     CHECK(told.loads.at(0).endpoint.value() == 7);
     CHECK(told.loads.at(0).left == core::milliseconds{90});
+    const auto leaving = std::get<routing::leaving_notices>(proto::decode_datagram(
+        proto::encode(routing::leaving_notices{{{core::endpoint_id{"e1@5"}, core::milliseconds{70}}}})));
+    REQUIRE(leaving.notices.size() == 1);
+    CHECK(leaving.notices[0].endpoint == core::endpoint_id{"e1@5"});
+    CHECK(leaving.notices[0].age == core::milliseconds{70});
     const places::limit_reports limits{
         core::instance_id{"a"},
         {{core::endpoint_id{"e1"}, 2.5, core::milliseconds{40}, 7},
--- a/src/runlink/proto/gossip_codec.cpp
+++ b/src/runlink/proto/gossip_codec.cpp
@@ -151,6 +151,25 @@
     }
 }
 
+void write(const routing::leaving_notices& it, wire::Datagram& to)
+{
+    auto& out = *to.mutable_leaving();
+    for (const auto& e : it.notices)
+    {
+        auto* notice = out.add_notices();
+        notice->set_endpoint(e.endpoint.str());
+        notice->set_age_ms(static_cast<std::uint32_t>(e.age.count()));
+    }
+}
+
+datagram read(const wire::LeavingNotices& in)
+{
+    routing::leaving_notices out;
+    for (const auto& e : in.notices())
+        out.notices.push_back({core::endpoint_id{e.endpoint()}, core::milliseconds{e.age_ms()}});
+    return out;
+}
+
 /// A limit that is no number is dropped.
 datagram read(const wire::LimitReports& in)
 {
@@ -297,6 +316,7 @@
     case wire::Datagram::kLoad: return read(in.load());
     case wire::Datagram::kCrashes: return read(in.crashes());
     case wire::Datagram::kLimits: return read(in.limits());
+    case wire::Datagram::kLeaving: return read(in.leaving());
     case wire::Datagram::MESSAGE_NOT_SET: break;
     }
     return {};
--- a/src/runlink/routing/endpoint_chooser.cpp
+++ b/src/runlink/routing/endpoint_chooser.cpp
@@ -82,13 +82,18 @@
 endpoint_chooser::candidates endpoint_chooser::fitting(time_point now, const endpoint_directory& from,
                                                        const endpoint_need& need) const
 {
+    const auto is_out = [&](const auto* it)
+    {
+        return (need.versions.excluded && it->version == *need.versions.excluded) ||
+               (need.tried != nullptr && need.tried->contains(it->id)) || !need.may_use(*it);
+    };
     auto all = from.usable(now, need.service);
-    std::erase_if(all,
-                  [&](const auto* it)
-                  {
-                      return (need.versions.excluded && it->version == *need.versions.excluded) ||
-                             (need.tried != nullptr && need.tried->contains(it->id)) || !need.may_use(*it);
-                  });
+    std::erase_if(all, is_out);
+    if (all.empty())
+    {
+        all = from.last_resorts(now, need.service);
+        std::erase_if(all, is_out);
+    }
     const auto& [only, excluded, avoided, is_strict] = need.versions;
     if (!only && !avoided)
         return all;
--- a/src/runlink/routing/endpoint_directory.cpp
+++ b/src/runlink/routing/endpoint_directory.cpp
@@ -34,18 +34,22 @@
     if (found == records_.end())
     {
         const bool had_other_life = drop(it.name) == change::removed;
-        records_.emplace(it.id, record{it});
+        auto& added = records_.emplace(it.id, record{it}).first->second;
+        added.is_listed_as_leaving = it.leaving;
+        added.entry.leaving = it.leaving || marks_.contains(it.id);
         lives_[it.name] = it.id;
-        if (it.leaving)
+        if (added.entry.leaving)
             return change::leaving;
         return had_other_life ? change::restarted : change::added;
     }
     auto& old = found->second;
     const bool was_leaving = old.entry.leaving;
     const bool returned = old.usable_until != time_point::max();
-    const bool same = old.entry == it;
-    old.entry = it;
-    old.entry.leaving = it.leaving || was_leaving;
+    auto entry = it;
+    entry.leaving = it.leaving || was_leaving;
+    const bool same = old.entry == entry;
+    old.entry = std::move(entry);
+    old.is_listed_as_leaving = old.is_listed_as_leaving || it.leaving;
     old.usable_until = time_point::max();
     if (old.entry.leaving && !was_leaving)
         return change::leaving;
@@ -92,6 +96,52 @@
         remove(now, name);
 }
 
+bool endpoint_directory::mark_leaving(time_point since, const endpoint_id& id)
+{
+    if (!marks_.try_emplace(id, since).second)
+        return false;
+    if (const auto found = records_.find(id); found != records_.end())
+        found->second.entry.leaving = true;
+    return true;
+}
+
+bool endpoint_directory::is_leaving(const endpoint_id& id) const
+{
+    const auto* it = find(id);
+    return marks_.contains(id) || (it != nullptr && it->leaving);
+}
+
+bool endpoint_directory::is_last_resort(time_point now, const record& it) const
+{
+    const auto mark = marks_.find(it.entry.id);
+    return mark != marks_.end() && !it.is_listed_as_leaving && now < it.usable_until &&
+           now < mark->second + options_.last_resort;
+}
+
+bool endpoint_directory::is_last_resort(time_point now, const endpoint_id& id) const
+{
+    const auto found = records_.find(id);
+    return found != records_.end() && is_last_resort(now, found->second);
+}
+
+std::vector<const endpoint_entry*> endpoint_directory::last_resorts(time_point now,
+                                                                    const service_id& service) const
+{
+    std::vector<const endpoint_entry*> out;
+    if (marks_.empty())
+        return out;
+    for (const auto& [id, it] : records_)
+        if (it.entry.service == service && is_last_resort(now, it))
+            out.push_back(&it.entry);
+    return out;
+}
+
+void endpoint_directory::forget_old_marks(time_point now)
+{
+    std::erase_if(marks_, [&](const auto& it)
+                  { return !records_.contains(it.first) && now - it.second >= options_.marks_kept; });
+}
+
 void endpoint_directory::forget_vanished(time_point now)
 {
     std::vector<endpoint_name> over;
@@ -101,6 +151,7 @@
     for (const auto& name : over)
         drop(name);
     forget_old_incarnations();
+    forget_old_marks(now);
 }
 
 void endpoint_directory::forget_old_incarnations()
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -11,8 +11,8 @@
 
 request_forwarder::request_forwarder(forwarder_options options, const failure_domain_id& own_domain,
                                      const core::instance_id& self, forwarder_hooks hooks)
-    : options_{std::move(options)}, hooks_{std::move(hooks)}, chooser_{options_.chooser, own_domain},
-      liveness_{options_.liveness}, warm_up_{options_.warm_up, self},
+    : options_{std::move(options)}, hooks_{std::move(hooks)}, endpoints_{options_.directory},
+      chooser_{options_.chooser, own_domain}, liveness_{options_.liveness}, warm_up_{options_.warm_up, self},
       named_limits_{options_.named_limits, self, warm_up_.instances(),
                     [this](const endpoint_id& it) { return domain_of(it); }},
       attribution_{options_.crashes, core::stable_hash(self.str()), attribution_hooks()},
@@ -204,14 +204,24 @@
     if (found == attempts_.end())
         return false;
     const auto& it = found->second;
+    const bool may = !has_left(now, it.endpoint) && keep_place(now, it);
+    if (!may)
+        ++counters_.withheld;
+    return may;
+}
+
+bool request_forwarder::has_left(time_point now, const endpoint_id& id) const
+{
+    return endpoints_.leaving_marks().contains(id) && !endpoints_.is_last_resort(now, id);
+}
+
+bool request_forwarder::keep_place(time_point now, const attempt& it)
+{
+    // The endpoint may have named a limit since the attempt was ordered.
     if (named_limits_.is_counted(it.endpoint, it.started))
         return true;
-    // The endpoint has named a limit since the attempt was ordered.
     if (!named_limits_.may_send(now, it.endpoint))
-    {
-        ++counters_.withheld;
         return false;
-    }
     named_limits_.sent(now, it.endpoint);
     return true;
 }
--- a/src/runlink/routing/request_forwarder_crashes.cpp
+++ b/src/runlink/routing/request_forwarder_crashes.cpp
@@ -43,7 +43,7 @@
 {
     const auto* endpoint = endpoints_.find(from.endpoint);
     // An endpoint that leaves may end as planned.
-    if (!from.may_have_run || (endpoint != nullptr && endpoint->leaving))
+    if (!from.may_have_run || endpoints_.is_leaving(from.endpoint))
         return;
     const bool is_first =
         attribution_.on_broken(now, it.fingerprint, crashes::life_hash(from.endpoint), from.started);
--- a/src/runlink/routing/request_forwarder_statements.cpp
+++ b/src/runlink/routing/request_forwarder_statements.cpp
@@ -34,7 +34,7 @@
     if (!it.is_leaving_readable)
         log_statement("endpoint_leaving", id, "unreadable");
     if (it.is_leaving)
-        log_statement("endpoint_leaving", id, "");
+        mark_leaving(now, id, {}, "answer");
     if (!it.is_rest_readable)
         log_statement("endpoint_rest", id, "unreadable");
     if (it.rest)
@@ -51,6 +51,55 @@
     hooks_.log(line);
 }
 
+// Leaving
+
+void request_forwarder::mark_leaving(time_point now, const endpoint_id& id, milliseconds age,
+                                     std::string_view source)
+{
+    if (!endpoints_.mark_leaving(now - age, id))
+        return;
+    // An instance that is told by another does not tell on: all were told.
+    if (source == "answer")
+        leaving_news_.add(now, id);
+    decision line;
+    line.event = "endpoint_leaving";
+    line.source = source;
+    line.endpoint = id.str();
+    line.statement_age_ms = age.count();
+    hooks_.log(line);
+}
+
+void request_forwarder::on_leaving_told(time_point now, const leaving_notices& it)
+{
+    for (const auto& e : it.notices)
+        mark_leaving(now, e.endpoint, e.age, "peer");
+}
+
+leaving_notice request_forwarder::notice_of(time_point now, const endpoint_id& id) const
+{
+    return {id, std::chrono::ceil<milliseconds>(now - endpoints_.leaving_marks().at(id))};
+}
+
+leaving_notices request_forwarder::leaving_endpoints(time_point now) const
+{
+    leaving_notices out;
+    for (const auto& [id, since] : endpoints_.leaving_marks())
+        out.notices.push_back(notice_of(now, id));
+    return out;
+}
+
+void request_forwarder::tell_leaving(time_point now)
+{
+    leaving_notices out;
+    for (const auto& id : leaving_news_.take_due(now))
+        if (endpoints_.leaving_marks().contains(id))
+            out.notices.push_back(notice_of(now, id));
+    if (!out.notices.empty())
+        hooks_.tell_leaving(out);
+}
+
+// Limits
+
 void request_forwarder::on_limits_told(time_point now, const places::limit_reports& it)
 {
     for (const auto& e : it.reports)
--- a/src/runlink/routing/routing_test.cpp
+++ b/src/runlink/routing/routing_test.cpp
@@ -68,6 +68,65 @@
     CHECK_FALSE(it.may_get_work(start, entry.id));
 }
 
+TEST_CASE("an endpoint's own word that it leaves outlasts its entry, lists and outages, not its life")
+{
+    endpoint_directory it;
+    const service_id pool{"pool"};
+    const time_point start{core::seconds{100}};
+    endpoint_entry entry;
+    entry.name = core::endpoint_name{"e1"};
+    entry.incarnation = core::endpoint_incarnation{1};
+    entry.id = life_of(entry.name, entry.incarnation);
+    entry.service = pool;
+    it.put(entry);
+    CHECK(it.mark_leaving(start, entry.id));
+    CHECK_FALSE(it.mark_leaving(start, entry.id));
+    CHECK(it.usable(start, pool).empty());
+    CHECK(it.put(entry) == endpoint_directory::change::none); // it still says ready
+    it.replace(start, {entry});
+    CHECK(it.usable(start, pool).empty());
+    it.remove(start, entry.name);
+    it.forget_vanished(start);
+    CHECK(it.is_leaving(entry.id));
+    it.store_returned(start);
+    CHECK(it.put(entry) == endpoint_directory::change::leaving);
+    CHECK(it.usable(start, pool).empty());
+    // Before the store lists it.
+    CHECK(it.mark_leaving(start, core::endpoint_id{"e2"}));
+    auto later_life = entry;
+    later_life.incarnation = core::endpoint_incarnation{2};
+    later_life.id = life_of(entry.name, later_life.incarnation);
+    CHECK(it.put(later_life) == endpoint_directory::change::restarted);
+    CHECK(it.usable(start, pool).size() == 1);
+    CHECK(it.put(entry) == endpoint_directory::change::outdated);
+    CHECK(it.usable(start, pool).size() == 1);
+    it.forget_vanished(start + core::seconds{599});
+    CHECK(it.leaving_marks().size() == 2);
+    it.forget_vanished(start + core::seconds{600});
+    CHECK(it.leaving_marks().empty());
+}
+
+TEST_CASE("an endpoint that leaves by its own word is a last resort for a while, by its entry it is none")
+{
+    directory_options options;
+    options.last_resort = milliseconds{1000};
+    endpoint_directory it{options};
+    const service_id pool{"pool"};
+    const time_point start{core::seconds{100}};
+    endpoint_entry entry;
+    entry.name = core::endpoint_name{"e1"};
+    entry.id = life_of(entry.name, {});
+    entry.service = pool;
+    it.put(entry);
+    CHECK(it.last_resorts(start, pool).empty());
+    it.mark_leaving(start, entry.id);
+    CHECK(it.last_resorts(start + milliseconds{999}, pool).size() == 1);
+    CHECK(it.last_resorts(start + milliseconds{1000}, pool).empty());
+    entry.leaving = true;
+    it.put(entry);
+    CHECK(it.last_resorts(start, pool).empty());
+}
+
 TEST_CASE("a whole list removes what it lacks")
 {
     endpoint_directory it;
--- a/tests/leaving_test.cpp
+++ b/tests/leaving_test.cpp
@@ -12,14 +12,79 @@
 
 const std::vector<std::string> none;
 
+/// All endpoints but those that come 1.2 s later leave.
+statement_outcome replace_all(milliseconds last_resort)
+{
+    statement_case of;
+    of.endpoints = 4;
+    of.last_resort = last_resort;
+    statement_fleet it{of};
+    it.at(milliseconds{3000},
+          [&it]
+          {
+              for (int e = 0; e < 4; ++e)
+                  it.says(e).is_leaving = true;
+          });
+    it.at(milliseconds{4200}, [&it] { it.add_endpoint(); });
+    return it.run();
+}
+
 } // namespace
 
 TEST_CASE("an endpoint that says in an answer that it leaves gets nothing more, whatever its entry says")
 {
-    statement_fleet it{{}};
+    statement_case of;
+    of.requests_per_s = 300;
+    statement_fleet it{of};
     it.at(milliseconds{3000}, [&] { it.says(1).is_leaving = true; });
     const auto out = it.run();
-    CHECK(out.leaving_broken.size() == 0);
+    CHECK(out.leaving_broken == none);
     CHECK(out.leaving_told > 0);
     CHECK(out.refused == 0);
+    // The other instances are told.
+    CHECK(out.arrivals_after(1, milliseconds{3300}) == 0);
+}
+
+TEST_CASE("a mark holds for sends that are connecting, and where datagrams are lost")
+{
+    statement_case of;
+    of.requests_per_s = 300;
+    of.connect_time = milliseconds{250};
+    of.datagrams_lost = 0.3;
+    of.repeats_one_in = 5;
+    statement_fleet it{of};
+    it.at(milliseconds{3000}, [&] { it.says(1).is_leaving = true; });
+    it.at(milliseconds{5000}, [&] { it.says(2).is_leaving = true; });
+    // It says so in one answer only.
+    it.at(milliseconds{6500}, [&] { it.says(1).is_leaving = false; });
+    const auto out = it.run();
+    CHECK(out.leaving_broken == none);
+    CHECK(out.arrivals_after(1, milliseconds{6000}) == 0);
+    CHECK(out.arrivals_after(2, milliseconds{8000}) == 0);
+}
+
+TEST_CASE("endpoints that leave serve what fits nowhere else, until shortly before they may end")
+{
+    const auto out = replace_all(runlink::routing::directory_options{}.last_resort);
+    CHECK(out.leaving_broken == none);
+    for (int e = 0; e < 4; ++e)
+        CHECK(out.arrivals_after(e, milliseconds{5000}) == 0);
+    // Without it all requests of the gap are refused.
+    const auto without = replace_all(milliseconds{0});
+    CHECK(without.leaving_broken == none);
+    CHECK(out.refused < without.refused / 4);
+}
+
+TEST_CASE("an instance that starts hears of endpoints that leave")
+{
+    statement_case of;
+    of.instances = 3;
+    of.endpoints = 3;
+    of.requests_per_s = 300;
+    statement_fleet it{of};
+    it.at(milliseconds{3000}, [&] { it.says(1).is_leaving = true; });
+    it.at(milliseconds{6000}, [&] { it.restart(0); });
+    const auto out = it.run();
+    CHECK(out.arrivals_after(1, milliseconds{2000}) > 0);
+    CHECK(out.arrivals_after(1, milliseconds{5000}) == 0);
 }
--- a/tests/support/forwarding_history.cpp
+++ b/tests/support/forwarding_history.cpp
@@ -90,7 +90,9 @@
 
 bool forwarding_history::has_untried(const std::set<core::endpoint_id>& tried) const
 {
-    const auto all = forwarder_.endpoints().usable(now_, declared_service());
+    auto all = forwarder_.endpoints().usable(now_, declared_service());
+    const auto more = forwarder_.endpoints().last_resorts(now_, declared_service());
+    all.insert(all.end(), more.begin(), more.end());
     return std::any_of(all.begin(), all.end(),
                        [&](const auto* it) {
                            return !tried.contains(it->id) &&
@@ -310,6 +312,9 @@
     endpoint_statement says;
     if (const auto found = limits_.find(from.endpoint); found != limits_.end())
         says.requests_per_s = found->second;
+    says.is_leaving = pick(60) == 0;
+    if (says.is_leaving)
+        seen_.on_leaving(from.endpoint);
     tell("statement", [&] { forwarder_.on_statement(now_, from.endpoint, from.sent_at, says); });
     if (says.requests_per_s || forwarder_.named_limits().limit_of(from.endpoint) == std::nullopt)
         seen_.on_limit(from.endpoint, says.requests_per_s);
--- a/tests/support/forwarding_witness.cpp
+++ b/tests/support/forwarding_witness.cpp
@@ -137,6 +137,12 @@
 
 void forwarding_witness::on_written(const core::endpoint_id& id)
 {
+    if (const auto left = leaving_.find(id); left != leaving_.end())
+    {
+        constexpr core::milliseconds drain{2000};
+        count("sent to an endpoint that leaves");
+        CHECK(now_ - left->second < drain);
+    }
     const auto found = limited_.find(id);
     if (found == limited_.end())
         return;
--- a/tests/support/statement_fleet.cpp
+++ b/tests/support/statement_fleet.cpp
@@ -92,8 +92,10 @@
     it.attempts.clear();
     it.told.clear();
     it.told_leaving.clear();
+    forwarder_options options;
+    options.directory.last_resort = case_.last_resort;
     it.forwarder = std::make_unique<request_forwarder>(
-        forwarder_options{}, core::failure_domain_id{std::to_string(n % 3)}, instance_id(n), hooks(n));
+        options, core::failure_domain_id{std::to_string(n % 3)}, instance_id(n), hooks(n));
     it.forwarder->apply(make_table());
     it.forwarder->proven_current(now_);
     for (int other = 0; other < case_.instances; ++other)
@@ -106,6 +108,7 @@
         return;
     const auto seed = (n + 1) % case_.instances;
     it.forwarder->on_limits_told(now_, {instance_id(seed), at(seed).forwarder->named_limits().all(now_)});
+    it.forwarder->on_leaving_told(now_, at(seed).forwarder->leaving_endpoints(now_));
 }
 
 void statement_fleet::restart(int n)
@@ -158,6 +161,12 @@
     to.prompt_came = [](const prompt_answered&) {};
     to.tell_limits = [this, n](const std::vector<core::instance_id>& ids,
                                const std::vector<places::limit_report>& it) { tell(n, ids, it); };
+    to.tell_leaving = [this, n](const leaving_notices& it)
+    {
+        send_datagram(
+            n, [](int) { return true; },
+            [this, it](request_forwarder& other) { other.on_leaving_told(now_, it); });
+    };
     to.log = [](const decision&) {};
     to.ended = [](const decision&, core::duration) {};
     return to;
@@ -326,6 +335,13 @@
     by.forwarder->on_answer(now_, it->order.id, {503, true, false, false, {}});
 }
 
+void statement_fleet::add_endpoint()
+{
+    const auto e = entry(case_.endpoints++);
+    for (auto& it : instances_)
+        it.forwarder->on_endpoint(now_, e);
+}
+
 void statement_fleet::tell_store_leaving(int endpoint)
 {
     for (auto& it : instances_)
@@ -338,17 +354,26 @@
 
 void statement_fleet::tell(int from, const std::vector<core::instance_id>& to,
                            const std::vector<places::limit_report>& what)
+{
+    send_datagram(
+        from,
+        [&to](int n) { return to.empty() || std::find(to.begin(), to.end(), instance_id(n)) != to.end(); },
+        [this, message = places::limit_reports{instance_id(from), what}](request_forwarder& other)
+        { other.on_limits_told(now_, message); });
+}
+
+void statement_fleet::send_datagram(int from, const std::function<bool(int)>& is_addressed,
+                                    const std::function<void(request_forwarder&)>& to)
 {
     for (int n = 0; n < case_.instances; ++n)
     {
-        const bool is_addressed = to.empty() || std::find(to.begin(), to.end(), instance_id(n)) != to.end();
-        if (n == from || !is_addressed || happens(case_.datagrams_lost))
+        if (n == from || !is_addressed(n) || happens(case_.datagrams_lost))
             continue;
         later(n, case_.datagram_delay,
-              [this, n, message = places::limit_reports{instance_id(from), what}]
+              [this, n, to]
               {
                   if (!at(n).paused_since)
-                      at(n).forwarder->on_limits_told(now_, message);
+                      to(*at(n).forwarder);
               });
     }
 }
--- a/tests/support/statement_fleet.hpp
+++ b/tests/support/statement_fleet.hpp
@@ -33,6 +33,7 @@
     milliseconds connect_time{0}; ///< at most, before a request is written
     milliseconds datagram_delay{5};
     double datagrams_lost = 0;
+    milliseconds last_resort = routing::directory_options{}.last_resort;
     int repeats_one_in = 0; ///< answers that are failures, which are asked again elsewhere
 };
 
@@ -92,6 +93,8 @@
     void set_load(double requests_per_s) { case_.requests_per_s = requests_per_s; }
     /// The store says that the endpoint leaves, or has no entry of it.
     void tell_store_leaving(int endpoint);
+    /// The store lists another endpoint.
+    void add_endpoint();
     statement_outcome run();
 
 private:
@@ -138,6 +141,9 @@
     void answer(int n, const attempt_ptr& it);
     void tell(int from, const std::vector<core::instance_id>& to,
               const std::vector<places::limit_report>& what);
+    /// One datagram to each other instance, as far as it arrives.
+    void send_datagram(int from, const std::function<bool(int)>& is_addressed,
+                       const std::function<void(routing::request_forwarder&)>& to);
     void check_limits();
     void check_leaving(int n, const attempt& it);
     void check_rests(int n, const attempt& it);
