An endpoint that asks an instance for rest gets nothing from it in that time

Callers saw walks through endpoints that all refused within milliseconds, a 502 at the end of one, and were told to come back after 0.3 s to be refused again. Cause: Retry-After of an endpoint's refusal was read nowhere; a constant pause of 150 ms took its place, and where all were set aside they were all used again.

--- a/include/runlink/routing/forwarder_hooks.hpp
+++ b/include/runlink/routing/forwarder_hooks.hpp
@@ -52,8 +52,10 @@
     std::int64_t key_gone_ms = -1;       ///< since a key that is gone was last known to hold
     std::int64_t allowance_left = -1;    ///< repeats that the service may still send
     std::int64_t endpoints_fitting = -1; ///< that another attempt might have gone to
-    std::int64_t endpoints_limited = -1; ///< that would fit, had they not named a limit
+    std::int64_t endpoints_limited = -1; ///< that would fit, had they not named a limit or asked for rest
     std::int64_t place_ms = -1;          ///< until one of these may be sent to
+    std::int64_t endpoints_resting = -1; ///< of these, at their own request
+    std::int64_t rest_ms = -1;           ///< that an endpoint asked for
     std::int64_t statement_age_ms = -1;  ///< since the endpoint said so
     std::optional<bool> is_sender;       ///< whether this instance sends to that cold endpoint
 };
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "runlink/crashes/crash_attribution.hpp"
+#include "runlink/places/endpoint_rests.hpp"
 #include "runlink/places/evacuations.hpp"
 #include "runlink/places/named_limits.hpp"
 #include "runlink/places/region_map.hpp"
@@ -69,6 +70,7 @@
     cascade_options cascade;
     places::warm_up_options warm_up;
     places::named_limit_options named_limits;
+    places::endpoint_rest_options rests;
     crashes::attribution_options crashes;
     /// A suspected request waits this long for its turn.
     milliseconds most_hold{2000};
@@ -123,6 +125,7 @@
     /// What cold endpoints get, and which instances send it.
     const places::warm_up& warm_up() const { return warm_up_; }
     const places::named_limits& named_limits() const { return named_limits_; }
+    const places::endpoint_rests& rests() const { return rests_; }
     const places::evacuations& evacuated() const { return evacuations_; }
     endpoint_directory& endpoints() { return endpoints_; }
     const endpoint_directory& endpoints() const { return endpoints_; }
@@ -282,11 +285,17 @@
     bool may_use(time_point now, const flow& it, const endpoint_entry& to) const;
     /// Whether the declarations allow it, and no order forbids it.
     bool is_allowed(const flow& it, const endpoint_entry& to) const;
-    /// Until an endpoint may be used that is only too cold now, or names a limit.
+    /// Whether the endpoint may be sent to now by what it bears: its warm-up, its limit, its rest.
+    bool bears_more(time_point now, const endpoint_id& id) const;
+    /// When it may be sent to next.
+    time_point next_send(time_point now, const endpoint_id& id) const;
+    /// Whether it has said itself that it bears little.
+    bool is_sparing(const endpoint_id& id) const;
+    /// Until an endpoint may be used that bears nothing more now.
     duration time_to_place(time_point now, const flow& it) const;
     /// Whether a more urgent request, or an older one, waits for a place there.
     bool is_outranked(const flow& it, const endpoint_entry& at) const;
-    /// Endpoints that would fit had they not named a limit.
+    /// Endpoints that would fit had they not said that they bear little.
     std::vector<opening> openings(time_point now, const flow& it) const;
     /// Whether the request has a place before its answer would be late.
     bool may_wait(time_point now, const flow& it) const;
@@ -301,6 +310,7 @@
     leaving_notice notice_of(time_point now, const endpoint_id& id) const;
     void tell_leaving(time_point now);
     void log_statement(std::string_view event, const endpoint_id& id, std::string_view reason);
+    void log_rest(const endpoint_id& id, duration rest);
     void log_limit(const endpoint_id& id, places::limit_change what, std::string_view source,
                    milliseconds age);
     void readmit(time_point now, const failure_domain_id& domain);
@@ -415,6 +425,7 @@
     liveness liveness_;
     places::warm_up warm_up_;
     places::named_limits named_limits_;
+    places::endpoint_rests rests_;
     place_queue place_queue_;
     repeated_news<endpoint_id> leaving_news_;
     places::evacuations evacuations_;
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -346,6 +346,8 @@
     number("endpoints_fitting", it.endpoints_fitting);
     number("endpoints_limited", it.endpoints_limited);
     number("place_ms", it.place_ms);
+    number("endpoints_resting", it.endpoints_resting);
+    number("rest_ms", it.rest_ms);
     number("statement_age_ms", it.statement_age_ms);
     if (it.is_sender)
         number("sends", *it.is_sender ? 1 : 0);
--- a/src/runlink/gateway/gateway_daemon_metrics.cpp
+++ b/src/runlink/gateway/gateway_daemon_metrics.cpp
@@ -67,6 +67,8 @@
                 n.waited),
         gauge("runlink_endpoints_limited", "Endpoints that name a limit, or did a moment ago",
               static_cast<double>(forwarder_.named_limits().size())),
+        gauge("runlink_endpoints_resting", "Endpoints that asked this instance for rest",
+              static_cast<double>(forwarder_.rests().count_resting(clock_()))),
         gauge("runlink_crash_records", "Requests that were at endpoints that ended",
               static_cast<double>(forwarder_.attribution().size())),
         gauge("runlink_endpoints_cold", "Endpoints that count as cold",
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -15,7 +15,8 @@
       chooser_{options_.chooser, own_domain}, liveness_{options_.liveness}, warm_up_{options_.warm_up, self},
       named_limits_{options_.named_limits, self, warm_up_.instances(),
                     [this](const endpoint_id& it) { return domain_of(it); }},
-      attribution_{options_.crashes, core::stable_hash(self.str()), attribution_hooks()},
+      rests_{options_.rests, self}, attribution_{options_.crashes, core::stable_hash(self.str()),
+                                                 attribution_hooks()},
       rollouts_{options_.rollouts, core::stable_hash(self.str())}, pins_{options_.session_ttl},
       cascade_{options_.cascade}, admission_{options_.admission}, start_queue_{options_.start}
 {
@@ -87,6 +88,7 @@
     chooser_.placement().expire(now);
     liveness_.keep_only(endpoints_);
     warm_up_.expire(now);
+    rests_.expire(now);
     named_limits_.forget_if(now, [this](const endpoint_id& id) { return endpoints_.find(id) == nullptr; });
     attribution_.watch(now, endpoints_.size());
     attribution_.expire(now);
@@ -168,6 +170,7 @@
     if (named_limits_.limit_of(endpoint.id))
         ++counters_.limited_sends;
     named_limits_.sent(now, endpoint.id);
+    rests_.sent(now, endpoint.id);
     if (to.is_trial)
     {
         ++counters_.trials;
@@ -204,7 +207,8 @@
     if (found == attempts_.end())
         return false;
     const auto& it = found->second;
-    const bool may = !has_left(now, it.endpoint) && keep_place(now, it);
+    const bool may =
+        !has_left(now, it.endpoint) && !rests_.is_resting(now, it.endpoint) && keep_place(now, it);
     if (!may)
         ++counters_.withheld;
     return may;
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -65,6 +65,7 @@
         chooser_.refused(now, from->endpoint);
         return again_or_end(now, *it, core::errc::endpoint_refused, true);
     }
+    rests_.took(from->endpoint, from->started);
     sample_end(now, *it, *from, is_bad);
     if (!is_bad)
         chooser_.answered(from->endpoint);
@@ -96,6 +97,7 @@
     auto& from = attempts_.at(id);
     from.has_ended = false;
     liveness_.heard(now, from.endpoint);
+    rests_.took(from.endpoint, from.started);
     it->ask_at = now + liveness_.options().ask_after;
     if (!head.is_sealed)
     {
@@ -266,7 +268,7 @@
     refusal out;
     out.not_run = it.runs == 0;
     out.why = {why, it.service.str(),
-               why == core::errc::no_endpoint ? put_off(now, it) : retry_after(now, it)};
+               it.denied == succession_denial::no_endpoint ? put_off(now, it) : retry_after(now, it)};
     if (out.not_run)
         ++counters_.refused;
     else
--- a/src/runlink/routing/request_forwarder_endpoints.cpp
+++ b/src/runlink/routing/request_forwarder_endpoints.cpp
@@ -128,8 +128,23 @@
 
 bool request_forwarder::may_use(time_point now, const flow& it, const endpoint_entry& to) const
 {
-    return is_allowed(it, to) && warm_up_.may_send(now, to.id) && named_limits_.may_send(now, to.id) &&
-           !is_outranked(it, to);
+    return is_allowed(it, to) && bears_more(now, to.id) && !is_outranked(it, to);
+}
+
+bool request_forwarder::bears_more(time_point now, const endpoint_id& id) const
+{
+    return warm_up_.may_send(now, id) && named_limits_.may_send(now, id) && rests_.may_send(now, id);
+}
+
+time_point request_forwarder::next_send(time_point now, const endpoint_id& id) const
+{
+    return std::max(
+        {warm_up_.next_send(now, id), named_limits_.next_send(now, id), rests_.next_send(now, id)});
+}
+
+bool request_forwarder::is_sparing(const endpoint_id& id) const
+{
+    return named_limits_.limit_of(id) || rests_.is_careful(id);
 }
 
 duration request_forwarder::time_to_place(time_point now, const flow& it) const
@@ -137,8 +152,7 @@
     auto first = time_point::max();
     for (const auto* e : endpoints_.usable(now, it.service))
         if (is_allowed(it, *e))
-            first = std::min(first,
-                             std::max(warm_up_.next_send(now, e->id), named_limits_.next_send(now, e->id)));
+            first = std::min(first, next_send(now, e->id));
     return first == time_point::max() ? duration{} : first - now;
 }
 
--- a/src/runlink/routing/request_forwarder_statements.cpp
+++ b/src/runlink/routing/request_forwarder_statements.cpp
@@ -37,8 +37,18 @@
         mark_leaving(now, id, {}, "answer");
     if (!it.is_rest_readable)
         log_statement("endpoint_rest", id, "unreadable");
-    if (it.rest)
-        log_statement("endpoint_rest", id, "");
+    if (it.rest && rests_.asked(now, id, *it.rest))
+        log_rest(id, *it.rest);
+}
+
+void request_forwarder::log_rest(const endpoint_id& id, duration rest)
+{
+    decision line;
+    line.event = "endpoint_rest";
+    line.source = "answer";
+    line.endpoint = id.str();
+    line.rest_ms = std::chrono::floor<milliseconds>(rest).count();
+    hooks_.log(line);
 }
 
 void request_forwarder::log_statement(std::string_view event, const endpoint_id& id, std::string_view reason)
@@ -166,7 +176,7 @@
 
 bool request_forwarder::is_outranked(const flow& it, const endpoint_entry& at) const
 {
-    if (!named_limits_.limit_of(at.id))
+    if (!is_sparing(at.id))
         return false;
     for (const auto id : place_queue_.before(it.service, place_of(it)))
     {
@@ -180,12 +190,13 @@
 std::vector<opening> request_forwarder::openings(time_point now, const flow& it) const
 {
     auto need = need_of(now, it);
-    need.may_use = [this, &it](const endpoint_entry& e)
-    { return is_allowed(it, e) && named_limits_.limit_of(e.id).has_value(); };
+    need.may_use = [this, &it](const endpoint_entry& e) { return is_allowed(it, e) && is_sparing(e.id); };
     std::vector<opening> out;
     for (const auto* e : chooser_.fitting(now, endpoints_, need))
-        out.push_back({std::max(warm_up_.next_send(now, e->id), named_limits_.next_send(now, e->id)),
-                       named_limits_.interval(now, e->id)});
+    {
+        const auto careful = rests_.is_careful(e->id) ? rests_.interval() : duration{};
+        out.push_back({next_send(now, e->id), std::max(named_limits_.interval(now, e->id), careful)});
+    }
     return out;
 }
 
--- a/tests/forwarding_property_test.cpp
+++ b/tests/forwarding_property_test.cpp
@@ -52,6 +52,7 @@
     "tried alone",
     "sent to an endpoint that names a limit",
     "withheld",
+    "rest asked for",
     "sent to an endpoint that leaves",
     "waited for a place",
     "found harmful",
--- a/tests/limit_test.cpp
+++ b/tests/limit_test.cpp
@@ -4,7 +4,6 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <cstdlib>
 
 #include "support/statement_fleet.hpp"
 
@@ -15,12 +14,6 @@
 
 const std::vector<std::string> none;
 
-int number_from(const char* variable, int otherwise)
-{
-    const char* text = std::getenv(variable);
-    return text == nullptr ? otherwise : std::atoi(text);
-}
-
 } // namespace
 
 TEST_CASE("an endpoint that names a limit in its answers gets no more requests than it bears")
--- a/tests/support/forwarding_history.cpp
+++ b/tests/support/forwarding_history.cpp
@@ -320,6 +320,18 @@
         seen_.on_limit(from.endpoint, says.requests_per_s);
 }
 
+void forwarding_history::ask_for_rest(const seen_attempt& from)
+{
+    if (pick(4) != 0)
+        return;
+    endpoint_statement says;
+    says.rest = pick_time(50, 1500);
+    if (const auto found = limits_.find(from.endpoint); found != limits_.end())
+        says.requests_per_s = found->second;
+    tell("rest", [&] { forwarder_.on_statement(now_, from.endpoint, from.sent_at, says); });
+    seen_.on_rest(from.endpoint, now_ + *says.rest);
+}
+
 // Other instances
 
 void forwarding_history::tell_news()
@@ -424,6 +436,7 @@
     if (fate == 1 && !it.has_head)
     {
         --of.runs;
+        ask_for_rest(it);
         return answer(id, {503, true, false, false, {}});
     }
     const bool is_flawed = it.version == flawed_version && pick(2) == 0;
--- a/tests/support/forwarding_history.hpp
+++ b/tests/support/forwarding_history.hpp
@@ -68,6 +68,8 @@
     void end_endpoint();
     /// An endpoint begins to name a limit, names another one, or none.
     void change_limit();
+    /// It refuses a request, and wants rest at times.
+    void ask_for_rest(const seen_attempt& from);
     /// What the endpoint says of itself in an answer.
     void state(const seen_attempt& from);
 
--- a/tests/support/forwarding_script.cpp
+++ b/tests/support/forwarding_script.cpp
@@ -247,6 +247,20 @@
         return out;
     }
 
+    /// `says ENDPOINT [limit=N] [leaving] [rest=MS] [asked=MS]`: in an answer to a request that was sent so
+    /// long ago.
+    void state(const words& all)
+    {
+        endpoint_statement it;
+        if (const auto n = option(all, "limit"); !n.empty())
+            it.requests_per_s = std::stod(n);
+        it.is_leaving = has(all, "leaving");
+        if (const auto n = option(all, "rest"); !n.empty())
+            it.rest = milliseconds{std::stol(n)};
+        const auto asked_at = now_ - milliseconds{std::stol(option(all, "asked", "0"))};
+        forwarder_.on_statement(now_, core::endpoint_id{all.at(1)}, asked_at, it);
+    }
+
     void answer(const words& all)
     {
         auto head = head_of(all);
@@ -355,6 +369,7 @@
         {"request", [this](const words& all) { request(all); }},
         {"leave", [this](const words& all) { forwarder_.on_caller_left(now_, flows_.at(all.at(1))); }},
         {"sent", [this](const words& all) { forwarder_.on_sent(now_, attempt(all)); }},
+        {"says", [this](const words& all) { state(all); }},
         {"answer", [this](const words& all) { answer(all); }},
         {"head", [this](const words& all) { forwarder_.on_stream_head(now_, attempt(all), head_of(all)); }},
         {"event", [this](const words& all) { event(all); }},
--- a/tests/support/forwarding_witness.cpp
+++ b/tests/support/forwarding_witness.cpp
@@ -135,8 +135,17 @@
     it.requests_per_s = *requests_per_s;
 }
 
+void forwarding_witness::on_rest(const core::endpoint_id& id, core::time_point until)
+{
+    auto& it = resting_until_[id];
+    it = std::max(it, until);
+    count("rest asked for");
+}
+
 void forwarding_witness::on_written(const core::endpoint_id& id)
 {
+    if (const auto rest = resting_until_.find(id); rest != resting_until_.end())
+        CHECK(now_ >= rest->second);
     if (const auto left = leaving_.find(id); left != leaving_.end())
     {
         constexpr core::milliseconds drain{2000};
--- a/tests/support/forwarding_witness.hpp
+++ b/tests/support/forwarding_witness.hpp
@@ -89,6 +89,8 @@
     void on_limit(const core::endpoint_id& id, std::optional<double> requests_per_s);
     /// An answer of the endpoint says that it leaves.
     void on_leaving(const core::endpoint_id& id) { leaving_.emplace(id, now_); }
+    /// The endpoint asks for rest.
+    void on_rest(const core::endpoint_id& id, core::time_point until);
     /// Bytes of a request reach the endpoint.
     void on_written(const core::endpoint_id& id);
     /// One event is told to the forwarder.
@@ -138,6 +140,7 @@
         std::vector<core::time_point> written;
     };
     std::map<core::endpoint_id, limited_endpoint> limited_;
+    std::map<core::endpoint_id, core::time_point> resting_until_;
     std::map<core::endpoint_id, core::time_point> leaving_; ///< by their own word
 
     // The step under way
--- a/tests/support/statement_fleet.cpp
+++ b/tests/support/statement_fleet.cpp
@@ -1,6 +1,7 @@
 #include "support/statement_fleet.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace runlink::tests
@@ -69,6 +70,12 @@
 
 } // namespace
 
+int number_from(const char* variable, int otherwise)
+{
+    const char* text = std::getenv(variable);
+    return text == nullptr ? otherwise : std::atoi(text);
+}
+
 std::uint64_t statement_outcome::arrivals_after(int endpoint, milliseconds from) const
 {
     const auto found = arrival_times.find(endpoint);
@@ -92,6 +99,7 @@
     it.attempts.clear();
     it.told.clear();
     it.told_leaving.clear();
+    std::erase_if(rests_, [n](const auto& e) { return e.first.first == n; });
     forwarder_options options;
     options.directory.last_resort = case_.last_resort;
     it.forwarder = std::make_unique<request_forwarder>(
@@ -153,8 +161,10 @@
         ++outcome_.refused;
         outcome_.urgent_refused += is_urgent(it) ? 1 : 0;
         outcome_.refused_after.push_back(now_ - came_at_.at(it));
-        if (why.why.retry_after)
-            outcome_.put_off.push_back(*why.why.retry_after);
+        if (!why.why.retry_after)
+            return;
+        outcome_.put_off.push_back(*why.why.retry_after);
+        outcome_.back_at.push_back(std::chrono::floor<milliseconds>(now_ - began_) + *why.why.retry_after);
     };
     to.session_ran = [](const session_run&) {};
     to.prompt_went = [](const prompt_sent&) {};
@@ -292,9 +302,8 @@
 void statement_fleet::answer(int n, const attempt_ptr& it)
 {
     auto& by = at(n);
-    endpoint_statement says;
-    says.requests_per_s = words_[it->endpoint].requests_per_s;
-    says.is_leaving = words_[it->endpoint].is_leaving;
+    const auto& words = words_[it->endpoint];
+    const endpoint_statement says{words.requests_per_s, true, words.is_leaving, true, std::nullopt, true};
     by.forwarder->on_statement(now_, it->order.endpoint.id, it->sent_at, says);
     if (it->is_over)
         return;
@@ -321,8 +330,8 @@
 void statement_fleet::refuse(int n, const attempt_ptr& it)
 {
     auto& by = at(n);
-    endpoint_statement says;
-    says.rest = words_[it->endpoint].rest;
+    const auto& words = words_[it->endpoint];
+    const endpoint_statement says{words.requests_per_s, true, words.is_leaving, true, words.rest, true};
     by.forwarder->on_statement(now_, it->order.endpoint.id, it->sent_at, says);
     if (says.rest)
     {
--- a/tests/support/statement_fleet.hpp
+++ b/tests/support/statement_fleet.hpp
@@ -20,6 +20,9 @@
 using core::milliseconds;
 using core::time_point;
 
+/// The value of a variable of the environment.
+int number_from(const char* variable, int otherwise);
+
 /// The load, and what surrounds it.
 struct statement_case
 {
@@ -71,6 +74,7 @@
     std::uint64_t urgent_refused = 0;
     std::vector<core::duration> refused_after; ///< since the request came
     std::vector<milliseconds> put_off;         ///< callers that were refused
+    std::vector<milliseconds> back_at;         ///< when they are to come back, since the start of the run
     /// Arrivals at an endpoint later than so long after the start of the run.
     std::uint64_t arrivals_after(int endpoint, milliseconds from) const;
     std::map<int, std::vector<milliseconds>> arrival_times;
