--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -98,8 +98,11 @@
     it->server.on_run = [this](const auto& by, const auto& run) { checker_.ran(now(), by, run); };
     it->server.on_arrived = [this](const auto& by, const auto& request)
     { checker_.arrived(now(), by.id(), request); };
-    it->server.on_answered = [this](const auto& by, const auto& request)
-    { checker_.answered(now(), by.id(), request); };
+    it->server.on_answered = [this](const auto& by, const auto& request, bool is_refusal)
+    {
+        checker_.answered(now(), by.id(), request,
+                          {by.says.is_leaving, is_refusal ? by.says.rest : std::nullopt});
+    };
     store_.put(standins::endpoint_key(it->server.id()), it->server.entry(it->proxy.port(), false));
     it->proxy.on_reset = [this, e = it.get()] { checker_.endpoint_broken(now(), e->server.id()); };
     it->server.on_ended = [this, e = it.get()](const auto& run)
@@ -159,6 +162,7 @@
     it.process = std::make_unique<QProcess>();
     it.is_paused = false;
     it.is_expected_to_end = false;
+    checker_.statements().forget(n);
     it.process->setStandardOutputFile(QString::fromStdString(base + ".log"), QIODevice::Append);
     it.process->setStandardErrorFile(QString::fromStdString(base + ".err"), QIODevice::Append);
     QObject::connect(it.process.get(), &QProcess::finished, it.process.get(),
--- a/soak/promise_checker.cpp
+++ b/soak/promise_checker.cpp
@@ -113,15 +113,16 @@
     if (found == requests_.end())
         return;
     const int instance = found->second.instance;
-    statements_.arrived(now, endpoint, instance, is_calm(now, instance));
+    statements_.arrived(now, endpoint, instance, found->second.sent, is_calm(now, instance));
     for (const auto& it : statements_.take_faults())
         fail(it);
 }
 
-void promise_checker::answered(time_point now, const std::string& endpoint, const std::string& request)
+void promise_checker::answered(time_point now, const std::string& endpoint, const std::string& request,
+                               const said_words& what)
 {
     if (const auto found = requests_.find(request); found != requests_.end())
-        statements_.answered(now, endpoint, found->second.instance);
+        statements_.answered(now, endpoint, found->second.instance, what);
 }
 
 void promise_checker::ended(const std::string& id, const caller_outcome& it)
@@ -240,6 +241,10 @@
         check_cut_rates(now);
     if (statements_.looked_at() > 0)
         look("sends to endpoints that named a limit", statements_.looked_at());
+    if (statements_.rests() > 0)
+        look("rests asked for", statements_.rests());
+    if (statements_.leaving() > 0)
+        look("leaving told in answers", statements_.leaving());
     if (harmful_late_ > bounds_.most_harmful_sends)
         fail("harmful: a request that had ended three endpoints was sent " + std::to_string(harmful_late_) +
              " times more; " + std::to_string(ends_.size()) + " ended in all");
--- a/soak/promise_checker.hpp
+++ b/soak/promise_checker.hpp
@@ -80,7 +80,8 @@
     /// A request has reached an endpoint, which may refuse it.
     void arrived(time_point now, const std::string& endpoint, const std::string& request);
     /// An endpoint has answered a request, whatever it said.
-    void answered(time_point now, const std::string& endpoint, const std::string& request);
+    void answered(time_point now, const std::string& endpoint, const std::string& request,
+                  const said_words& what);
 
     /// A fault that concerns an instance, or all of them, lasts until then.
     void disturbed(time_point until, std::optional<int> instance);
--- a/soak/statement_record.cpp
+++ b/soak/statement_record.cpp
@@ -12,8 +12,16 @@
         limited_[endpoint].requests_per_s = *requests_per_s;
 }
 
-void statement_record::answered(time_point now, const std::string& endpoint, int instance)
+void statement_record::answered(time_point now, const std::string& endpoint, int instance,
+                                const said_words& what)
 {
+    if (what.is_leaving)
+        told_leaving_.emplace(pair{instance, endpoint}, now);
+    if (what.rest)
+    {
+        ++rest_count_;
+        rests_[{instance, endpoint}].push_back({now + bounds_.told, now + *what.rest});
+    }
     const auto found = limited_.find(endpoint);
     if (found == limited_.end())
         return;
@@ -22,14 +30,47 @@
     it.told.emplace(instance, now);
 }
 
-void statement_record::arrived(time_point now, const std::string& endpoint, int instance, bool is_calm)
+void statement_record::forget(int instance)
+{
+    std::erase_if(told_leaving_, [instance](const auto& it) { return it.first.first == instance; });
+    std::erase_if(rests_, [instance](const auto& it) { return it.first.first == instance; });
+    for (auto& [endpoint, it] : limited_)
+        it.told.erase(instance);
+}
+
+void statement_record::arrived(time_point now, const std::string& endpoint, int instance, time_point sent,
+                               bool is_calm)
+{
+    if (!is_calm)
+        return;
+    const auto told = told_leaving_.find({instance, endpoint});
+    if (told != told_leaving_.end() && sent - told->second > bounds_.drain)
+        faults_.push_back("drain: " + endpoint + " got a request of i" + std::to_string(instance) +
+                          " that was sent long after it had told that it leaves");
+    check_rests(now, {instance, endpoint});
+    check_limit(now, endpoint, instance);
+}
+
+void statement_record::check_rests(time_point now, const pair& of)
+{
+    const auto found = rests_.find(of);
+    if (found == rests_.end())
+        return;
+    std::erase_if(found->second, [now](const rest& it) { return now >= it.until; });
+    for (auto& it : found->second)
+        if (now > it.from && ++it.arrivals == bounds_.most_in_rest + 1)
+            faults_.push_back("rest: " + of.second + " had asked i" + std::to_string(of.first) +
+                              " for rest and got more than two requests of it");
+}
+
+void statement_record::check_limit(time_point now, const std::string& endpoint, int instance)
 {
     const auto found = limited_.find(endpoint);
     if (found == limited_.end())
         return;
     auto& it = found->second;
     const auto told = it.told.find(instance);
-    if (!is_calm || told == it.told.end() || now - told->second < bounds_.told)
+    if (told == it.told.end() || now - told->second < bounds_.told)
         return;
     ++looked_at_;
     it.arrivals.push_back(now);
--- a/soak/statement_series.hpp
+++ b/soak/statement_series.hpp
@@ -28,6 +28,9 @@
 private:
     void say_next();
     void name_limit(proxied_endpoint& it);
+    /// It says so long before its entry does. Another one comes first.
+    void leave(proxied_endpoint& it);
+    void want_rest(proxied_endpoint& it);
     milliseconds pick_time(int least, int most);
 
     fleet& fleet_;
--- a/standins/served_endpoint.cpp
+++ b/standins/served_endpoint.cpp
@@ -80,14 +80,25 @@
     return times(stream_target_gap, static_cast<double>(percent) / whole_percent);
 }
 
-net::http_fields served_endpoint::fields_for(const std::string& request) const
+bool served_endpoint::wants_rest(const std::string& request) const
+{
+    constexpr std::uint64_t served_one_in = 8;
+    return says.rest && core::stable_hash(request, 3) % served_one_in != 0;
+}
+
+net::http_fields served_endpoint::fields_for(const std::string& request, bool is_refusal) const
 {
     net::http_fields out;
     out.add("X-Runlink-Attempt-Id", request);
     out.add("X-Runlink-Server-Seal", id_);
     if (says.requests_per_s)
         out.add("Server-Limit", std::to_string(*says.requests_per_s));
-    on_answered(*this, request);
+    if (says.is_leaving)
+        out.add("Server-Leaving", "1");
+    constexpr double ms_per_s = 1000;
+    if (is_refusal && says.rest)
+        out.add("Retry-After", std::to_string(static_cast<double>(says.rest->count()) / ms_per_s));
+    on_answered(*this, request, is_refusal);
     return out;
 }
 
@@ -101,9 +112,9 @@
     if (!is_other)
         on_arrived(*this, *request);
     const auto how = choose_mode ? choose_mode() : answers;
-    if (is_other || how == mode::refuse)
+    if (is_other || how == mode::refuse || wants_rest(*request))
     {
-        auto fields = fields_for(*request);
+        auto fields = fields_for(*request, !is_other);
         fields.add("X-Runlink-Not-Executed", "1");
         from->write(net::write_response(is_other ? status_misdirected : status_unavailable, fields, ""));
         return from->finish(false);
--- a/standins/served_endpoint.hpp
+++ b/standins/served_endpoint.hpp
@@ -73,14 +73,16 @@
     struct words
     {
         std::optional<double> requests_per_s; ///< from all instances together
+        bool is_leaving = false;
+        std::optional<core::milliseconds> rest; ///< it refuses most requests, and wants nothing for so long
     };
     words says;
     /// A request for this endpoint has come.
     std::function<void(const served_endpoint&, const std::string& request)> on_arrived = [](const auto&,
                                                                                             const auto&) {};
     /// The head of an answer has been written.
-    std::function<void(const served_endpoint&, const std::string& request)> on_answered = [](const auto&,
-                                                                                             const auto&) {};
+    std::function<void(const served_endpoint&, const std::string& request, bool is_refusal)> on_answered =
+        [](const auto&, const auto&, bool) {};
 
     mode answers = mode::normal;
     /// What it does with one request, where that differs from `answers`.
@@ -106,7 +108,9 @@
     void begin_stream(const connection_ptr& to, const run_ptr& it);
     void step(const connection_ptr& to, const run_ptr& it, std::uint64_t n);
     /// The fields of an answer, which is written now.
-    net::http_fields fields_for(const std::string& request) const;
+    net::http_fields fields_for(const std::string& request, bool is_refusal = false) const;
+    /// Whether it refuses this request for the rest that it wants.
+    bool wants_rest(const std::string& request) const;
 
     std::string id_;
     std::string service_;
