A stream at work is kept until the endpoint that it is moved to answers

Cause: a plan was certain to be sent, not to be taken. Two ways: a refusal that ran nothing takes nothing from the allowance, or the attempt is kept until its successor answers. The first would let arrivals through that endpoints count; the second is kept, for services that run models, whose runs begin with their answers. The check of a paused stream that asked for 'cancel a27' with the successor's start now asks for it with the successor's head, and not before.

--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -257,9 +257,10 @@
         bool has_head = false;
         std::optional<time_point> first_event;
         std::uint32_t events = 0;
-        answer_counts counted;  ///< of it, in the judgement of versions
-        bool is_trial = false;  ///< the request is suspected, and no other copy runs
-        bool has_ended = false; ///< its endpoint, as far as is known
+        answer_counts counted;   ///< of it, in the judgement of versions
+        bool is_trial = false;   ///< the request is suspected, and no other copy runs
+        bool has_ended = false;  ///< its endpoint, as far as is known
+        bool is_stalled = false; ///< a successor was looked for, since it made no progress
     };
 
     // Arrival
@@ -381,6 +382,8 @@
     void note_lost(time_point now, attempt_id id, attempt_loss loss);
     std::optional<attempt> take_attempt(time_point now, attempt_id id);
     void cancel_attempts(time_point now, flow& it);
+    /// Of a stream and its successor one goes on: the one that this attempt is.
+    void cancel_others(time_point now, flow& it, attempt_id but);
     /// Notes the version of a session's latest run.
     void pin(time_point now, const flow& it, const version_id& version);
     version_sample sample_of(const flow& it, const attempt& from) const;
@@ -403,7 +406,13 @@
     time_point next_check(const flow& it) const;
     void check(time_point now, flow& it);
     void hedge(time_point now, flow& it);
+    /// Sends a stream without progress to another endpoint.
     void move(time_point now, flow& it);
+    /// The same, with its last attempt as well.
+    void move_at_any_cost(time_point now, flow& it);
+    /// Whether a stream's attempt is kept until its successor answers: only where a run begins with its
+    /// answer, so that two runs do not work side by side.
+    bool keeps_until_answered(const flow& it) const;
     void ask_endpoints(time_point now, flow& it);
     void replace_silent_attempts(time_point now, const endpoint_id& id, bool has_ended);
     void replace_earlier_life(time_point now, const endpoint_entry& it);
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -284,6 +284,18 @@
     }
 }
 
+void request_forwarder::cancel_others(time_point now, flow& it, attempt_id but)
+{
+    const auto all = it.attempts;
+    for (const auto id : all)
+    {
+        if (id == but)
+            continue;
+        take_attempt(now, id);
+        hooks_.cancel(id);
+    }
+}
+
 version_sample request_forwarder::sample_of(const flow& it, const attempt& from) const
 {
     version_sample out;
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -74,7 +74,7 @@
         chooser_.broke(now, from->endpoint);
         return again_or_end(now, *it, core::errc::endpoint_answer_invalid, true);
     }
-    if (is_bad && !it->attempts.empty())
+    if (is_bad && !it->attempts.empty() && !it->head_forwarded)
         return; // another attempt is under way
     if (it->head_forwarded)
         return again_or_end(now, *it, core::errc::endpoint_answer_invalid, true);
@@ -111,7 +111,7 @@
     it->last_progress = now;
     sample_head(now, *it, from);
     if (it->head_forwarded)
-        return; // a resumed stream keeps the head of its first endpoint
+        return cancel_others(now, *it, id); // a resumed stream keeps the head of its first endpoint
     if (head.confidence && try_escalate(now, *it, id, *head.confidence))
         return;
     auto line = describe(now, *it, "stream_began");
@@ -181,9 +181,11 @@
         from.first_event = now;
     ++from.events;
     from.has_ended = false;
+    from.is_stalled = false;
     liveness_.heard(now, from.endpoint);
     it->last_progress = now;
     it->ask_at = now + liveness_.options().ask_after;
+    cancel_others(now, *it, id);
     if (event_id && it->last_event && *event_id <= *it->last_event)
         return; // the caller has it
     if (event_id)
@@ -203,6 +205,7 @@
     sample_end(now, *it, *from, false);
     pin(now, *it, from->version);
     chooser_.answered(from->endpoint);
+    cancel_attempts(now, *it);
     ++counters_.answered;
     hooks_.forward_end(it->id);
     finish(now, *it, "answered", first_success);
--- a/src/runlink/routing/request_forwarder_succession.cpp
+++ b/src/runlink/routing/request_forwarder_succession.cpp
@@ -122,7 +122,14 @@
 void request_forwarder::again_or_end(time_point now, flow& it, core::errc why, bool costs_allowance)
 {
     if (!it.attempts.empty())
+    {
+        // The successor of a stalled stream has failed: the next one, without another wait.
+        const bool are_stalled = std::all_of(it.attempts.begin(), it.attempts.end(),
+                                             [this](attempt_id id) { return attempts_.at(id).is_stalled; });
+        if (are_stalled)
+            move_at_any_cost(now, it);
         return;
+    }
     const auto next = plan(now, it, costs_allowance);
     if (next)
         return repeat(now, it, next.value(), costs_allowance);
--- a/src/runlink/routing/request_forwarder_timers.cpp
+++ b/src/runlink/routing/request_forwarder_timers.cpp
@@ -1,6 +1,7 @@
 // What happens when time passes: deadlines, second sends, moves, and questions to silent endpoints.
 
 #include <algorithm>
+#include <utility>
 
 #include "runlink/routing/request_forwarder.hpp"
 
@@ -120,10 +121,16 @@
         it.not_moved_at = now;
         return arm(it, next_check(it));
     }
+    move_at_any_cost(now, it);
+}
+
+void request_forwarder::move_at_any_cost(time_point now, flow& it)
+{
     // The pause may end the use of its version, so it counts before the next endpoint is looked for.
     if (plan(now, it, true))
         for (const auto id : it.attempts)
-            sample_given_up(now, it, attempts_.at(id), true);
+            if (!attempts_.at(id).is_stalled)
+                sample_given_up(now, it, attempts_.at(id), true);
     const auto next = plan(now, it, true);
     if (!next)
     {
@@ -135,11 +142,20 @@
     line.reason = "no_progress";
     hooks_.log(line);
     for (const auto id : it.attempts)
-        chooser_.broke(now, attempts_.at(id).endpoint);
-    cancel_attempts(now, it);
+        if (auto& from = attempts_.at(id); !std::exchange(from.is_stalled, true))
+            chooser_.broke(now, from.endpoint);
+    // The next endpoint may refuse it, and then nothing else may be left.
+    if (!keeps_until_answered(it))
+        cancel_attempts(now, it);
     repeat(now, it, next.value(), true);
 }
 
+bool request_forwarder::keeps_until_answered(const flow& it) const
+{
+    const auto* service = table_->find_service(it.service);
+    return it.head_forwarded && service != nullptr && service->runs_models;
+}
+
 void request_forwarder::tick(time_point now)
 {
     attribution_.tick(now);
--- a/tests/cut_stream_test.cpp
+++ b/tests/cut_stream_test.cpp
@@ -239,12 +239,14 @@
         script += "request r" + id + " /llm/x key=k1 session=s15 deadline=8000\nsent a" + id + "\nhead a" +
                   id + " confidence=90\nevent a" + id + " 1\n";
     }
-    const auto out = run_forwarding_script(script + "advance 480\n");
+    const auto out = run_forwarding_script(script + "advance 480\nsent a33\nhead a33\n");
     INFO(out);
     // The fifth of the pauses takes the version out.
     CHECK(has(out, "start a32 r26 -> n"));
-    CHECK(has(out, "cancel a27"));
     CHECK(has(out, "start a33 r27 -> o1"));
+    // It is given up when its successor answers, not before.
+    CHECK(has(out.substr(out.find("> head a33")), "cancel a27"));
+    CHECK_FALSE(has(out.substr(0, out.find("> head a33")), "cancel a27"));
 }
 
 TEST_CASE("a request is not sent again for the account that its key belongs to by now")
@@ -279,3 +281,35 @@
     CHECK_FALSE(has(out, "cancel a2"));
     CHECK(has(out, "end r1"));
 }
+
+TEST_CASE("a stream at work is not cut when the endpoint that it would be moved to refuses it")
+{
+    // Three requests allow 5.4 repeats, of which these take four and the move one.
+    const std::string spent = R"(endpoint e3 pool
+endpoint e4 pool
+endpoint e5 pool
+request s1 /llm/x key=k2 deadline=8000
+answer a2 503 not_run
+answer a3 503 not_run
+answer a4 503 not_run
+answer a5 503 not_run
+request s2 /llm/x key=k2 deadline=8000
+answer a6 503 not_run
+)";
+    const std::string refused = R"(advance 480
+answer a8 503 not_run
+event a1 2
+end a1
+)";
+    check_whole(run_forwarding_script(began + spent + refused));
+}
+
+TEST_CASE("a stream is not moved to endpoints that want rest")
+{
+    const std::string script = R"(says e2 rest=3000
+advance 480
+event a1 2
+end a1
+)";
+    check_whole(run_forwarding_script(began + script));
+}
--- a/tests/forwarding_property_test.cpp
+++ b/tests/forwarding_property_test.cpp
@@ -44,6 +44,7 @@
     "withdrawn",
     "ended by a verdict",
     "another copy answered",
+    "another copy of a stream goes on",
     "second copy sent",
     "stream resumed",
     "sent within the grace of a removed key",
--- a/tests/support/forwarding_witness.cpp
+++ b/tests/support/forwarding_witness.cpp
@@ -253,6 +253,11 @@
         return count("replaced: " + step_);
     if (answered_.contains(was.flow))
         return count("another copy answered");
+    // Of a stream and its successor one goes on: the one that gave a head or an event in this step.
+    const bool is_delivering = step_ == "head" || step_ == "event";
+    const auto goes_on = [&](const auto& e) { return e.second.flow == was.flow && e.second.has_head; };
+    if (is_delivering && std::any_of(attempts_.begin(), attempts_.end(), goes_on))
+        return count("another copy of a stream goes on");
     if (of.caller_left || now_ >= of.deadline)
         return;
     const auto content = to_hex(of.content);
