Review of what endpoints say: who tells on, how long a stream waits, names

Found by reading: an instance that was told of a limit by another told all on, which is the square of the instances in datagrams; a stream that had lost its endpoint waited for a place until its deadline, since each look moved its last progress; a limit far above what a number of senders holds. Each has a test. Names: a recovering endpoint, a restricted one, the time of return.

--- a/include/runlink/places/endpoint_rests.hpp
+++ b/include/runlink/places/endpoint_rests.hpp
@@ -21,9 +21,9 @@
 {
     /// Between two sends until the endpoint takes one, and at most before the first: what waited for the end
     /// of a rest does not go at the same moment, from this instance or from all.
-    milliseconds careful_interval{100};
+    milliseconds probe_interval{100};
     /// An endpoint that nothing was sent to for this long after its rest counts as rested.
-    milliseconds careful_time{5000};
+    milliseconds probe_time{5000};
 };
 
 /// Keeps what an endpoint asked of this instance when it refused a request: nothing until its rest is over,
@@ -44,10 +44,10 @@
 
     bool is_resting(time_point now, const endpoint_id& id) const;
     /// Whether it rests, or has not taken a request since.
-    bool is_careful(const endpoint_id& id) const { return records_.contains(id); }
+    bool is_recovering(const endpoint_id& id) const { return records_.contains(id); }
     bool may_send(time_point now, const endpoint_id& id) const { return next_send(now, id) <= now; }
     time_point next_send(time_point now, const endpoint_id& id) const;
-    duration interval() const { return options_.careful_interval; }
+    duration interval() const { return options_.probe_interval; }
     std::size_t count_resting(time_point now) const;
     /// Forgets endpoints that count as rested.
     void expire(time_point now);
--- a/include/runlink/routing/place_queue.hpp
+++ b/include/runlink/routing/place_queue.hpp
@@ -53,11 +53,11 @@
     std::size_t size() const;
     /// The time to which a caller is put off that cannot wait: `first`, or behind those that were put off
     /// before.
-    time_point put_off(time_point now, const service_id& service, time_point first, duration interval);
+    time_point assign_return(time_point now, const service_id& service, time_point first, duration interval);
 
 private:
     std::map<service_id, std::set<entry>> waiting_;
-    std::map<service_id, time_point> put_off_to_; ///< the next caller
+    std::map<service_id, time_point> next_return_; ///< the next caller
 };
 
 } // namespace runlink::routing
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -291,7 +291,7 @@
     /// When it may be sent to next.
     time_point next_send(time_point now, const endpoint_id& id) const;
     /// Whether it has said itself that it bears little.
-    bool is_sparing(const endpoint_id& id) const;
+    bool is_restricted(const endpoint_id& id) const;
     /// Until an endpoint may be used that bears nothing more now.
     duration time_to_place(time_point now, const flow& it) const;
     /// Whether a more urgent request, or an older one, waits for a place there.
@@ -302,7 +302,7 @@
     bool may_wait(time_point now, const flow& it) const;
     void wait_for_place(time_point now, flow& it);
     /// When the caller of a request without a place is to come back.
-    milliseconds put_off(time_point now, const flow& it);
+    milliseconds return_time(time_point now, const flow& it);
     void end_wait(flow& it);
     static place_queue::entry place_of(const flow& it) { return {it.priority, it.arrived, it.id}; }
     /// Tells other instances what is due.
@@ -409,7 +409,7 @@
     /// Sends a stream without progress to another endpoint.
     void move(time_point now, flow& it);
     /// The same, with its last attempt as well.
-    void move_at_any_cost(time_point now, flow& it);
+    void move_with_last_attempt(time_point now, flow& it);
     /// Whether a stream's attempt is kept until its successor answers: only where a run begins with its
     /// answer, so that two runs do not work side by side.
     bool keeps_until_answered(const flow& it) const;
--- a/src/runlink/places/endpoint_rests.cpp
+++ b/src/runlink/places/endpoint_rests.cpp
@@ -54,8 +54,7 @@
 
 void endpoint_rests::expire(time_point now)
 {
-    std::erase_if(records_,
-                  [&](const auto& it) { return now >= it.second.next_send + options_.careful_time; });
+    std::erase_if(records_, [&](const auto& it) { return now >= it.second.next_send + options_.probe_time; });
 }
 
 } // namespace runlink::places
--- a/src/runlink/places/endpoint_rests_test.cpp
+++ b/src/runlink/places/endpoint_rests_test.cpp
@@ -45,10 +45,10 @@
     CHECK_FALSE(it.may_send(after(1199), e1));
     CHECK(it.may_send(after(1200), e1));
     it.took(e1, after(900)); // under way when the rest began
-    CHECK(it.is_careful(e1));
+    CHECK(it.is_recovering(e1));
     it.took(e1, after(1100));
     CHECK(it.may_send(after(1101), e1));
-    CHECK_FALSE(it.is_careful(e1));
+    CHECK_FALSE(it.is_recovering(e1));
 }
 
 TEST_CASE("instances do not begin again at the same moment")
@@ -68,7 +68,7 @@
     endpoint_rests it{{}, self};
     it.asked(start, e1, milliseconds{1000});
     it.expire(after(5000));
-    CHECK(it.is_careful(e1));
+    CHECK(it.is_recovering(e1));
     it.expire(after(6200));
-    CHECK_FALSE(it.is_careful(e1));
+    CHECK_FALSE(it.is_recovering(e1));
 }
--- a/src/runlink/places/named_limits.cpp
+++ b/src/runlink/places/named_limits.cpp
@@ -67,7 +67,10 @@
     // An answer that was under way when the limit was named says nothing of its end.
     if (!is_lower && it.requests_per_s && asked_at < it.lowered_at)
         return limit_change::none;
-    return take(now, id, it, requests_per_s, now);
+    const auto out = take(now, id, it, requests_per_s, now);
+    // Only who has heard it in an answer tells all others.
+    it.has_news = it.has_news || out != limit_change::none;
+    return out;
 }
 
 limit_news named_limits::told(time_point now, const core::instance_id& by, const limit_report& it)
@@ -101,7 +104,6 @@
     to.said_at = said_at;
     if (before == requests_per_s)
         return limit_change::none;
-    to.has_news = true;
     to.report_at = now;
     if (!requests_per_s)
         return limit_change::ended;
@@ -134,9 +136,10 @@
 
 std::size_t named_limits::sender_count(const record& it) const
 {
-    const auto more = static_cast<std::size_t>(senders_per_rate * it.requests_per_s.value_or(0));
-    const auto n = std::min(options_.least_senders + more, options_.most_senders);
-    return std::min(n, instances_.size());
+    const auto most = static_cast<double>(options_.most_senders);
+    const auto more = std::min(senders_per_rate * it.requests_per_s.value_or(0), most);
+    const auto n = options_.least_senders + static_cast<std::size_t>(more);
+    return std::min({n, options_.most_senders, instances_.size()});
 }
 
 std::size_t named_limits::sender_count(const endpoint_id& id) const
--- a/src/runlink/places/named_limits_test.cpp
+++ b/src/runlink/places/named_limits_test.cpp
@@ -325,6 +325,18 @@
     CHECK(it.size() == 0);
 }
 
+TEST_CASE("only who has heard a limit in an answer tells all others")
+{
+    sender_set view{instance(0)};
+    view.put(instance(1), {});
+    named_limits it{{}, instance(0), view};
+    it.told(start, instance(1), {endpoint(), 2.0, milliseconds{0}, 0});
+    CHECK(it.take_due(start).to_all.empty());
+    it.answered(start + milliseconds{1}, endpoint(2), 1e300, start);
+    CHECK(it.take_due(start + milliseconds{1}).to_all == std::vector{endpoint(2)});
+    CHECK(it.sender_count(endpoint(2)) == 2);
+}
+
 TEST_CASE("a send that is not written yet loses its place to a lower limit")
 {
     sender_set view{instance(0)};
--- a/src/runlink/routing/place_queue.cpp
+++ b/src/runlink/routing/place_queue.cpp
@@ -9,7 +9,7 @@
 {
 
 /// Callers are put off to later times than others no further than this: the room may be found sooner.
-constexpr milliseconds longest_put_off{5000};
+constexpr milliseconds longest_return{5000};
 
 } // namespace
 
@@ -66,11 +66,11 @@
     return out;
 }
 
-time_point place_queue::put_off(time_point now, const service_id& service, time_point first,
-                                duration interval)
+time_point place_queue::assign_return(time_point now, const service_id& service, time_point first,
+                                      duration interval)
 {
-    auto& next = put_off_to_[service];
-    const auto out = std::min(std::max(first, next), std::max<time_point>(first, now + longest_put_off));
+    auto& next = next_return_[service];
+    const auto out = std::min(std::max(first, next), std::max<time_point>(first, now + longest_return));
     next = out + interval;
     return out;
 }
--- a/src/runlink/routing/place_queue_test.cpp
+++ b/src/runlink/routing/place_queue_test.cpp
@@ -51,9 +51,9 @@
     "callers without a place are put off to different times, none further than the room is likely to stay")
 {
     place_queue it;
-    CHECK(it.put_off(start, pool, after(400), milliseconds{500}) == after(400));
-    CHECK(it.put_off(start, pool, after(400), milliseconds{500}) == after(900));
+    CHECK(it.assign_return(start, pool, after(400), milliseconds{500}) == after(400));
+    CHECK(it.assign_return(start, pool, after(400), milliseconds{500}) == after(900));
     for (int n = 0; n < 20; ++n)
-        CHECK(it.put_off(start, pool, after(400), milliseconds{500}) <= after(5000));
-    CHECK(it.put_off(after(30000), pool, after(30100), milliseconds{500}) == after(30100));
+        CHECK(it.assign_return(start, pool, after(400), milliseconds{500}) <= after(5000));
+    CHECK(it.assign_return(after(30000), pool, after(30100), milliseconds{500}) == after(30100));
 }
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -271,7 +271,7 @@
     refusal out;
     out.not_run = it.runs == 0;
     out.why = {why, it.service.str(),
-               it.denied == succession_denial::no_endpoint ? put_off(now, it) : retry_after(now, it)};
+               it.denied == succession_denial::no_endpoint ? return_time(now, it) : retry_after(now, it)};
     if (out.not_run)
         ++counters_.refused;
     else
--- a/src/runlink/routing/request_forwarder_endpoints.cpp
+++ b/src/runlink/routing/request_forwarder_endpoints.cpp
@@ -142,9 +142,9 @@
         {warm_up_.next_send(now, id), named_limits_.next_send(now, id), rests_.next_send(now, id)});
 }
 
-bool request_forwarder::is_sparing(const endpoint_id& id) const
+bool request_forwarder::is_restricted(const endpoint_id& id) const
 {
-    return named_limits_.limit_of(id) || rests_.is_careful(id);
+    return named_limits_.limit_of(id) || rests_.is_recovering(id);
 }
 
 duration request_forwarder::time_to_place(time_point now, const flow& it) const
--- a/src/runlink/routing/request_forwarder_statements.cpp
+++ b/src/runlink/routing/request_forwarder_statements.cpp
@@ -176,7 +176,7 @@
 
 bool request_forwarder::is_outranked(const flow& it, const endpoint_entry& at) const
 {
-    if (!is_sparing(at.id))
+    if (!is_restricted(at.id))
         return false;
     for (const auto id : place_queue_.before(it.service, place_of(it)))
     {
@@ -190,12 +190,12 @@
 std::vector<opening> request_forwarder::openings(time_point now, const flow& it) const
 {
     auto need = need_of(now, it);
-    need.may_use = [this, &it](const endpoint_entry& e) { return is_allowed(it, e) && is_sparing(e.id); };
+    need.may_use = [this, &it](const endpoint_entry& e) { return is_allowed(it, e) && is_restricted(e.id); };
     std::vector<opening> out;
     for (const auto* e : chooser_.fitting(now, endpoints_, need))
     {
-        const auto careful = rests_.is_careful(e->id) ? rests_.interval() : duration{};
-        out.push_back({next_send(now, e->id), std::max(named_limits_.interval(now, e->id), careful)});
+        const auto recovery = rests_.is_recovering(e->id) ? rests_.interval() : duration{};
+        out.push_back({next_send(now, e->id), std::max(named_limits_.interval(now, e->id), recovery)});
     }
     return out;
 }
@@ -204,8 +204,8 @@
 {
     const auto open = openings(now, it);
     const auto at = place_behind(place_queue_.count_before(it.service, place_of(it)), open);
-    const auto late_at =
-        it.head_forwarded ? it.last_progress + it.via->target_gap : it.arrived + it.via->target_latency;
+    const auto late_at = it.head_forwarded ? it.held_since.value_or(it.last_progress) + it.via->target_gap
+                                           : it.arrived + it.via->target_latency;
     return at && *at < std::min<time_point>(late_at, it.deadline - options_.least_time);
 }
 
@@ -224,7 +224,7 @@
         place_queue_.remove(it.service, place_of(it));
 }
 
-milliseconds request_forwarder::put_off(time_point now, const flow& it)
+milliseconds request_forwarder::return_time(time_point now, const flow& it)
 {
     const auto open = openings(now, it);
     const auto at = place_behind(place_queue_.count_before(it.service, place_of(it)), open);
@@ -234,7 +234,7 @@
     for (const auto& e : open)
         per_us += 1.0 / static_cast<double>(std::max<duration::rep>(e.interval.count(), 1));
     const duration interval{static_cast<duration::rep>(1.0 / per_us)};
-    const auto to = place_queue_.put_off(now, it.service, *at, interval);
+    const auto to = place_queue_.assign_return(now, it.service, *at, interval);
     return admission_.retry_after(to - now, core::stable_hash(it.request.id.str()));
 }
 
--- a/src/runlink/routing/request_forwarder_succession.cpp
+++ b/src/runlink/routing/request_forwarder_succession.cpp
@@ -127,7 +127,7 @@
         const bool are_stalled = std::all_of(it.attempts.begin(), it.attempts.end(),
                                              [this](attempt_id id) { return attempts_.at(id).is_stalled; });
         if (are_stalled)
-            move_at_any_cost(now, it);
+            move_with_last_attempt(now, it);
         return;
     }
     const auto next = plan(now, it, costs_allowance);
--- a/src/runlink/routing/request_forwarder_timers.cpp
+++ b/src/runlink/routing/request_forwarder_timers.cpp
@@ -121,10 +121,10 @@
         it.not_moved_at = now;
         return arm(it, next_check(it));
     }
-    move_at_any_cost(now, it);
+    move_with_last_attempt(now, it);
 }
 
-void request_forwarder::move_at_any_cost(time_point now, flow& it)
+void request_forwarder::move_with_last_attempt(time_point now, flow& it)
 {
     // The pause may end the use of its version, so it counts before the next endpoint is looked for.
     if (plan(now, it, true))
--- a/tests/cut_stream_test.cpp
+++ b/tests/cut_stream_test.cpp
@@ -313,3 +313,19 @@
 )";
     check_whole(run_forwarding_script(began + script));
 }
+
+TEST_CASE("a stream that has lost its endpoint waits for the end of a rest no longer than its gap")
+{
+    const std::string script = R"(says e2 rest=400
+event a1 2
+lose a1 broken
+advance 510
+)";
+    CHECK(has(run_forwarding_script(began + script), "start a2 r1 -> e2"));
+    const std::string too_long = R"(says e2 rest=3000
+event a1 2
+lose a1 broken
+advance 510
+)";
+    CHECK(has(run_forwarding_script(began + too_long), "break off r1"));
+}
