Instances that all hear an endpoint leave do not all repeat it

Found by reading: where many instances hear it in answers of their own within a moment, each told all others four times. One that hears another tell it drops its own repeats.

--- a/include/runlink/routing/repeated_news.hpp
+++ b/include/runlink/routing/repeated_news.hpp
@@ -28,6 +28,8 @@
     explicit repeated_news(repeated_news_options options = {}) : options_{options} {}
 
     void add(core::time_point now, const Id& id) { pending_[id] = {now, options_.times}; }
+    /// Another instance tells it as well: its repeats are enough.
+    void drop(const Id& id) { pending_.erase(id); }
     /// What is to be told now.
     std::vector<Id> take_due(core::time_point now)
     {
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -286,6 +286,8 @@
 
 void request_forwarder::cancel_others(time_point now, flow& it, attempt_id but)
 {
+    if (it.attempts.size() < 2)
+        return;
     const auto all = it.attempts;
     for (const auto id : all)
     {
--- a/src/runlink/routing/request_forwarder_statements.cpp
+++ b/src/runlink/routing/request_forwarder_statements.cpp
@@ -82,7 +82,10 @@
 void request_forwarder::on_leaving_told(time_point now, const leaving_notices& it)
 {
     for (const auto& e : it.notices)
+    {
+        leaving_news_.drop(e.endpoint);
         mark_leaving(now, e.endpoint, e.age, "peer");
+    }
 }
 
 leaving_notice request_forwarder::notice_of(time_point now, const endpoint_id& id) const
--- a/src/runlink/routing/routing_test.cpp
+++ b/src/runlink/routing/routing_test.cpp
@@ -3,6 +3,7 @@
 
 #include "runlink/routing/cascade_policy.hpp"
 #include "runlink/routing/endpoint_chooser.hpp"
+#include "runlink/routing/repeated_news.hpp"
 #include "runlink/routing/retry_allowance.hpp"
 #include "runlink/routing/routing_table.hpp"
 #include "runlink/routing/session_pins.hpp"
@@ -106,6 +107,21 @@
     CHECK(it.leaving_marks().empty());
 }
 
+TEST_CASE("news are told at once and a few times more, unless another instance tells them")
+{
+    repeated_news<endpoint_id> it{{3, milliseconds{500}}};
+    const time_point start{core::seconds{100}};
+    it.add(start, endpoint_id{"e1"});
+    it.add(start, endpoint_id{"e2"});
+    CHECK(it.next_due() == start);
+    CHECK(it.take_due(start).size() == 2);
+    CHECK(it.take_due(start + milliseconds{499}).empty());
+    it.drop(endpoint_id{"e2"});
+    CHECK(it.take_due(start + milliseconds{500}) == std::vector{endpoint_id{"e1"}});
+    CHECK(it.take_due(start + milliseconds{1000}).size() == 1);
+    CHECK_FALSE(it.next_due());
+}
+
 TEST_CASE("an endpoint that leaves by its own word is a last resort for a while, by its entry it is none")
 {
     directory_options options;
