Callers without a place are told a time that is true

Found by asking whether the time of a refusal is true. A place is told however far it is; the spread stays bounded. A limit's place is that of any instance, since callers come back to any.

--- a/include/runlink/places/named_limits.hpp
+++ b/include/runlink/places/named_limits.hpp
@@ -124,6 +124,8 @@
     bool is_counted(const endpoint_id& id, time_point counted_at) const;
     /// When this instance may send to it next.
     time_point next_send(time_point now, const endpoint_id& id) const;
+    /// When some instance may send to it next, as far as this one knows.
+    time_point next_send_of_any(time_point now, const endpoint_id& id) const;
     /// Between two sends of this instance if it alone has requests.
     duration interval(time_point now, const endpoint_id& id) const;
     bool is_sender(const endpoint_id& id) const;
--- a/include/runlink/routing/admission.hpp
+++ b/include/runlink/routing/admission.hpp
@@ -35,6 +35,8 @@
     /// where it would be placed.
     std::optional<core::milliseconds> refuse_for(core::duration wait, core::milliseconds time_left,
                                                  std::uint64_t request_hash) const;
+    /// The time to come back to a place that there is after this time, and not before.
+    core::milliseconds return_after(core::duration wait, std::uint64_t request_hash) const;
     /// The time to come back to a queue that drains in this time.
     core::milliseconds retry_after(core::duration wait, std::uint64_t request_hash) const;
 
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -290,14 +290,22 @@
     bool bears_more(time_point now, const endpoint_id& id) const;
     /// When it may be sent to next.
     time_point next_send(time_point now, const endpoint_id& id) const;
+    /// When some instance may send to it next, as far as this one knows.
+    time_point next_send_of_any(time_point now, const endpoint_id& id) const;
     /// Whether it has said itself that it bears little.
     bool is_restricted(const endpoint_id& id) const;
     /// Until an endpoint may be used that bears nothing more now.
     duration time_to_place(time_point now, const flow& it) const;
     /// Whether a more urgent request, or an older one, waits for a place there.
     bool is_outranked(const flow& it, const endpoint_entry& at) const;
+    /// Whose next send to an endpoint is meant.
+    enum class sender
+    {
+        self,
+        any, ///< a caller that is refused comes back to whichever instance
+    };
     /// Endpoints that would fit had they not said that they bear little.
-    std::vector<opening> openings(time_point now, const flow& it) const;
+    std::vector<opening> openings(time_point now, const flow& it, sender whose) const;
     /// Whether the request has a place before its answer would be late.
     bool may_wait(time_point now, const flow& it) const;
     void wait_for_place(time_point now, flow& it);
--- a/src/runlink/places/named_limits.cpp
+++ b/src/runlink/places/named_limits.cpp
@@ -245,6 +245,14 @@
     return std::max(now, it->next_send + phase(id, it->sends, interval(now, id, *it) / part_for_phase));
 }
 
+time_point named_limits::next_send_of_any(time_point now, const endpoint_id& id) const
+{
+    const auto* it = bound(id);
+    if (it == nullptr || is_sender(id))
+        return next_send(now, id);
+    return now + duration{static_cast<duration::rep>(us_per_s / rate(*it))};
+}
+
 bool named_limits::may_send(time_point now, const endpoint_id& id) const
 {
     return next_send(now, id) <= now;
--- a/src/runlink/places/named_limits_test.cpp
+++ b/src/runlink/places/named_limits_test.cpp
@@ -346,6 +346,23 @@
     CHECK(it.sender_count(endpoint(2)) == 2);
 }
 
+TEST_CASE("a caller that is refused by an instance that is no sender comes back when another one may send")
+{
+    sender_set view{instance(0)};
+    for (int n = 1; n < 65; ++n)
+        view.put(instance(n), {});
+    named_limits it{{}, instance(0), view};
+    it.settle(start);
+    for (int n = 0; n < 65; ++n)
+    {
+        it.answered(start, endpoint(n), 2, start);
+        if (it.is_sender(endpoint(n)))
+            CHECK(it.next_send_of_any(start, endpoint(n)) == it.next_send(start, endpoint(n)));
+        else
+            CHECK(it.next_send_of_any(start, endpoint(n)) <= start + milliseconds{600});
+    }
+}
+
 TEST_CASE("a send that is not written yet loses its place to a lower limit")
 {
     sender_set view{instance(0)};
--- a/src/runlink/routing/request_forwarder_endpoints.cpp
+++ b/src/runlink/routing/request_forwarder_endpoints.cpp
@@ -142,6 +142,12 @@
         {warm_up_.next_send(now, id), named_limits_.next_send(now, id), rests_.next_send(now, id)});
 }
 
+time_point request_forwarder::next_send_of_any(time_point now, const endpoint_id& id) const
+{
+    return std::max(
+        {warm_up_.next_send(now, id), named_limits_.next_send_of_any(now, id), rests_.next_send(now, id)});
+}
+
 bool request_forwarder::is_restricted(const endpoint_id& id) const
 {
     return named_limits_.limit_of(id) || rests_.is_recovering(id);
--- a/src/runlink/routing/request_forwarder_statements.cpp
+++ b/src/runlink/routing/request_forwarder_statements.cpp
@@ -190,22 +190,23 @@
     return false;
 }
 
-std::vector<opening> request_forwarder::openings(time_point now, const flow& it) const
+std::vector<opening> request_forwarder::openings(time_point now, const flow& it, sender whose) const
 {
     auto need = need_of(now, it);
     need.may_use = [this, &it](const endpoint_entry& e) { return is_allowed(it, e) && is_restricted(e.id); };
     std::vector<opening> out;
     for (const auto* e : chooser_.fitting(now, endpoints_, need))
     {
+        const auto first = whose == sender::self ? next_send(now, e->id) : next_send_of_any(now, e->id);
         const auto recovery = rests_.is_recovering(e->id) ? rests_.interval() : duration{};
-        out.push_back({next_send(now, e->id), std::max(named_limits_.interval(now, e->id), recovery)});
+        out.push_back({first, std::max(named_limits_.interval(now, e->id), recovery)});
     }
     return out;
 }
 
 bool request_forwarder::may_wait(time_point now, const flow& it) const
 {
-    const auto open = openings(now, it);
+    const auto open = openings(now, it, sender::self);
     const auto at = place_behind(place_queue_.count_before(it.service, place_of(it)), open);
     const auto late_at = it.head_forwarded ? it.held_since.value_or(it.last_progress) + it.via->target_gap
                                            : it.arrived + it.via->target_latency;
@@ -229,7 +230,7 @@
 
 milliseconds request_forwarder::return_time(time_point now, const flow& it)
 {
-    const auto open = openings(now, it);
+    const auto open = openings(now, it, sender::any);
     const auto at = place_behind(place_queue_.count_before(it.service, place_of(it)), open);
     if (!at)
         return retry_after(now, it);
@@ -238,7 +239,7 @@
         per_us += 1.0 / static_cast<double>(std::max<duration::rep>(e.interval.count(), 1));
     const duration interval{static_cast<duration::rep>(1.0 / per_us)};
     const auto to = place_queue_.assign_return(now, it.service, *at, interval);
-    return admission_.retry_after(to - now, core::stable_hash(it.request.id.str()));
+    return admission_.return_after(to - now, core::stable_hash(it.request.id.str()));
 }
 
 } // namespace runlink::routing
--- a/src/runlink/routing/request_forwarder_succession.cpp
+++ b/src/runlink/routing/request_forwarder_succession.cpp
@@ -169,7 +169,7 @@
     to.allowance_left = static_cast<std::int64_t>(std::max(retries_.at(it.service).left(now), 0.0));
     to.endpoints_fitting =
         static_cast<std::int64_t>(chooser_.fitting(now, endpoints_, need_of(now, it)).size());
-    const auto limited = openings(now, it);
+    const auto limited = openings(now, it, sender::any);
     if (limited.empty())
         return;
     to.endpoints_limited = static_cast<std::int64_t>(limited.size());
