The daemon hears in the head of an answer that an endpoint leaves

The word of a stream came seconds late, that of an attempt that was given up never. The test waits for it while the stream goes on.

--- a/include/runlink/app/attempt_runner.hpp
+++ b/include/runlink/app/attempt_runner.hpp
@@ -49,11 +49,11 @@
 private:
     struct running;
 
-    void on_head(running& it, int status, const std::string& content_type);
+    void on_head(running& it, const net::http_answer_head& head);
     void on_bytes(running& it, const std::string& bytes);
     void on_event(running& it, std::string event);
     void on_done(core::attempt_id id, const net::http_result& result);
-    void tell_endpoint_state(const running& it, const net::http_result& result);
+    void tell_endpoint_state(const running& it, const net::http_answer_head& head);
 
     net::http_client& client_;
     attempt_hooks hooks_;
--- a/include/runlink/net/http_client.hpp
+++ b/include/runlink/net/http_client.hpp
@@ -30,23 +30,29 @@
     int idle_timeout_ms = 0; ///< without any byte; 0: none
 };
 
-/// How a call ended.
-struct http_result
+/// The head of an answer.
+struct http_answer_head
 {
-    bool complete = false; ///< the whole answer has arrived
-    bool body_sent = true; ///< false only where no byte of the request's body was handed out
-    int status = 0;        ///< 0 where no answer has begun
+    int status = 0; ///< 0 where no answer has begun
     std::string content_type;
-    std::string error; ///< the library's text, for logs
     header_list headers;
 
+    /// Empty where there is none.
     std::string header(const std::string& name) const;
 };
 
+/// How a call ended.
+struct http_result : http_answer_head
+{
+    bool complete = false; ///< the whole answer has arrived
+    bool body_sent = true; ///< false only where no byte of the request's body was handed out
+    std::string error;     ///< the library's text, for logs
+};
+
 /// What a call reports. Bytes come in order; `done` comes last and once.
 struct http_call_hooks
 {
-    std::function<void(int status, const std::string& content_type)> head;
+    std::function<void(const http_answer_head&)> head;
     std::function<void(std::string)> bytes;
     std::function<void(const http_result&)> done;
 };
--- a/src/runlink/app/app_test.cpp
+++ b/src/runlink/app/app_test.cpp
@@ -3,6 +3,10 @@
 #include <filesystem>
 #include <fstream>
 
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include "runlink/app/attempt_runner.hpp"
 #include "runlink/app/caller_request_reader.hpp"
 #include "runlink/app/error_answer.hpp"
 #include "runlink/app/operator_client.hpp"
@@ -10,6 +14,7 @@
 #include "runlink/app/sse_splitter.hpp"
 #include "runlink/app/tables.hpp"
 #include "runlink/observe/metrics.hpp"
+#include "support/wait_for.hpp"
 
 using namespace runlink;
 using namespace runlink::app;
@@ -203,3 +208,41 @@
     }
     CHECK(settings_files == 14);
 }
+
+TEST_CASE(
+    "an endpoint that says in the head of a stream that it leaves is known to leave before the stream ends")
+{
+    QTcpServer endpoint;
+    REQUIRE(endpoint.listen(QHostAddress::LocalHost, 0));
+    QObject::connect(
+        &endpoint, &QTcpServer::newConnection, &endpoint,
+        [&]
+        {
+            endpoint.nextPendingConnection()->write(
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Endpoint-Incarnation: 7\r\n"
+                "X-Endpoint-Leaving: true\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "9\r\ndata: x\n\n\r\n");
+        });
+    net::http_client client;
+    bool is_leaving = false;
+    bool is_over = false;
+    attempt_hooks hooks;
+    hooks.head = [](core::attempt_id, int, const std::string&) {};
+    hooks.bytes = [](core::attempt_id, const std::string&) {};
+    hooks.answered = [&](core::attempt_id, const core::endpoint_answer&) { is_over = true; };
+    hooks.refused = [&](core::attempt_id) { is_over = true; };
+    hooks.lost = [&](core::attempt_id, const core::attempt_loss&) { is_over = true; };
+    hooks.endpoint_state = [&](const core::endpoint_id&, core::endpoint_incarnation incarnation, bool leaving)
+    { is_leaving = leaving && incarnation == core::endpoint_incarnation{7}; };
+    attempt_runner runner{client, hooks};
+    core::attempt_start start;
+    start.attempt = core::attempt_id{1};
+    start.endpoint.id = core::endpoint_id{"e"};
+    start.endpoint.host = "127.0.0.1";
+    start.endpoint.port = endpoint.serverPort();
+    start.time_left = core::milliseconds{1000};
+    runner.start(start, {503}, {"/v1/x", "application/json", "{}", true});
+    CHECK(tests::wait_for([&] { return is_leaving; }));
+    CHECK_FALSE(is_over);
+    runner.cancel(start.attempt);
+}
--- a/src/runlink/app/attempt_runner.cpp
+++ b/src/runlink/app/attempt_runner.cpp
@@ -82,7 +82,7 @@
     call.body = std::move(body.body);
     call.idle_timeout_ms = endpoint_idle_timeout_ms;
     net::http_call_hooks hooks;
-    hooks.head = [this, run](int status, const std::string& type) { on_head(*run, status, type); };
+    hooks.head = [this, run](const net::http_answer_head& head) { on_head(*run, head); };
     hooks.bytes = [this, run](const std::string& bytes) { on_bytes(*run, bytes); };
     hooks.done = [this, id = it.attempt](const net::http_result& result) { on_done(id, result); };
     running_.emplace(it.attempt, run);
@@ -99,13 +99,15 @@
     client_.cancel(call);
 }
 
-void attempt_runner::on_head(running& it, int status, const std::string& content_type)
+void attempt_runner::on_head(running& it, const net::http_answer_head& head)
 {
-    it.status = status;
-    it.content_type = content_type;
+    // A stream ends seconds later, or is given up before.
+    tell_endpoint_state(it, head);
+    it.status = head.status;
+    it.content_type = head.content_type;
     const auto& refusals = it.not_started_statuses;
-    if (std::find(refusals.begin(), refusals.end(), status) == refusals.end())
-        hooks_.head(it.id, status, content_type);
+    if (std::find(refusals.begin(), refusals.end(), head.status) == refusals.end())
+        hooks_.head(it.id, head.status, head.content_type);
 }
 
 void attempt_runner::on_bytes(running& it, const std::string& bytes)
@@ -134,14 +136,14 @@
     hooks_.bytes(it.id, std::move(event));
 }
 
-void attempt_runner::tell_endpoint_state(const running& it, const net::http_result& result)
+void attempt_runner::tell_endpoint_state(const running& it, const net::http_answer_head& head)
 {
-    const auto text = result.header(incarnation_header);
+    const auto text = head.header(incarnation_header);
     std::uint64_t incarnation = 0;
     std::from_chars(text.data(), text.data() + text.size(), incarnation);
     if (incarnation != 0)
         hooks_.endpoint_state(it.endpoint, core::endpoint_incarnation{incarnation},
-                              result.header(leaving_header) == "true");
+                              head.header(leaving_header) == "true");
 }
 
 void attempt_runner::on_done(core::attempt_id id, const net::http_result& result)
@@ -151,7 +153,6 @@
         return;
     const auto it = found->second;
     running_.erase(found);
-    tell_endpoint_state(*it, result);
     const auto& refusals = it->not_started_statuses;
     if (result.complete && std::find(refusals.begin(), refusals.end(), result.status) != refusals.end())
         return hooks_.refused(id);
--- a/src/runlink/net/http_client.cpp
+++ b/src/runlink/net/http_client.cpp
@@ -68,6 +68,16 @@
     return out;
 }
 
+http_answer_head head_of(const QNetworkReply& it)
+{
+    http_answer_head out;
+    out.status = it.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+    out.content_type = it.header(QNetworkRequest::ContentTypeHeader).toString().toStdString();
+    for (const auto& [name, value] : it.rawHeaderPairs())
+        out.headers.emplace_back(name.toStdString(), value.toStdString());
+    return out;
+}
+
 } // namespace
 
 struct http_client::call
@@ -80,7 +90,7 @@
     bool head_told = false;
 };
 
-std::string http_result::header(const std::string& name) const
+std::string http_answer_head::header(const std::string& name) const
 {
     const auto same = [&](const auto& it)
     { return QByteArray::fromStdString(it.first).compare(name.c_str(), Qt::CaseInsensitive) == 0; };
@@ -139,9 +149,8 @@
     if (!it.head_told && status != 0)
     {
         it.head_told = true;
-        const auto type = it.reply->header(QNetworkRequest::ContentTypeHeader).toString().toStdString();
         if (it.hooks.head)
-            it.hooks.head(status, type);
+            it.hooks.head(head_of(*it.reply));
         if (!calls_.contains(id))
             return;
     }
@@ -158,15 +167,12 @@
     const auto it = std::move(found->second);
     calls_.erase(found);
     http_result out;
-    out.status = it->reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+    static_cast<http_answer_head&>(out) = head_of(*it->reply);
     const auto error = static_cast<int>(it->reply->error());
     const bool resend = it->reply->error() == QNetworkReply::ContentReSendError;
     out.complete = out.status != 0 && !resend && (error == 0 || error > last_network_error);
     out.body_sent = it->body == nullptr || it->body->touched();
-    out.content_type = it->reply->header(QNetworkRequest::ContentTypeHeader).toString().toStdString();
     out.error = it->reply->errorString().toStdString();
-    for (const auto& [name, value] : it->reply->rawHeaderPairs())
-        out.headers.emplace_back(name.toStdString(), value.toStdString());
     release(*it);
     it->hooks.done(out);
 }
