One question and one count for all that endpoints bear

Coldness, limits and rests each had its own call before a send and after it, in five places of the forwarder; the next reason would have been forgotten in one of them. endpoint_bounds asks and counts for all. The forwarder's options and its waiting requests have files of their own. No change of behaviour.

--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -11,75 +11,19 @@
 #include <string_view>
 #include <vector>
 
-#include "runlink/crashes/crash_attribution.hpp"
-#include "runlink/places/endpoint_rests.hpp"
 #include "runlink/places/evacuations.hpp"
-#include "runlink/places/named_limits.hpp"
-#include "runlink/places/region_map.hpp"
-#include "runlink/places/warm_up.hpp"
-#include "runlink/routing/admission.hpp"
-#include "runlink/routing/cascade_policy.hpp"
-#include "runlink/routing/endpoint_chooser.hpp"
 #include "runlink/routing/forwarder_hooks.hpp"
-#include "runlink/routing/liveness.hpp"
+#include "runlink/routing/forwarder_options.hpp"
 #include "runlink/routing/messages.hpp"
 #include "runlink/routing/place_queue.hpp"
 #include "runlink/routing/repeated_news.hpp"
-#include "runlink/routing/retry_allowance.hpp"
-#include "runlink/routing/rollout_control.hpp"
 #include "runlink/routing/routing_table.hpp"
 #include "runlink/routing/session_pins.hpp"
-#include "runlink/routing/start_queue.hpp"
 #include "runlink/routing/succession.hpp"
 
 namespace runlink::routing
 {
 
-/// Parameters of the forwarder.
-struct forwarder_options
-{
-    /// Oldest proof of the configuration with which a request with a key is dispatched. Without it the last
-    /// known configuration holds however old it is: an outage of the store does not become one of the
-    /// service, and a key that is taken away meanwhile admits until the store is heard again.
-    std::optional<milliseconds> max_key_age = milliseconds{4500};
-    /// A request under way whose key is taken away may be sent again for this long after the key was last
-    /// known to hold: the time within which a removed key must admit nothing, less a margin.
-    milliseconds key_grace{4500};
-    /// Oldest proof with which an unknown route or key is refused for good.
-    milliseconds max_denial_age{1900};
-    milliseconds session_ttl{5000};
-    /// Sends of one request, those that endpoints refused included.
-    std::uint32_t max_sends = 4;
-    /// Connections of one request that did not come up.
-    std::uint32_t max_unsent = 6;
-    /// Time left below which nothing is sent again.
-    milliseconds least_time{20};
-    /// Part of the target latency after which a safe request is sent to a second endpoint as well.
-    double hedge_after = 0.5;
-    /// Part of the target latency that a stream may take to its first event before it is moved.
-    double move_after = 2.0;
-    /// Part of the target gap without an event after which a stream is resumed elsewhere.
-    double stall_after = 0.9;
-    start_queue_options start;
-    admission_options admission;
-    retry_options retries;
-    rollout_options rollouts;
-    liveness_options liveness;
-    directory_options directory;
-    chooser_options chooser;
-    cascade_options cascade;
-    places::warm_up_options warm_up;
-    places::named_limit_options named_limits;
-    places::endpoint_rest_options rests;
-    crashes::attribution_options crashes;
-    /// A suspected request waits this long for its turn.
-    milliseconds most_hold{2000};
-    milliseconds hold_interval{20}; ///< between two looks whether a request that waits may go
-    /// Between two looks whether a request may leave an endpoint that has ended.
-    milliseconds leave_interval{100};
-    places::region_map regions;
-};
-
 /// Takes requests and what becomes of their attempts, and decides.
 ///
 /// A refusal says `not_run` only while no attempt may have run. A request that is not idempotent has one
@@ -117,15 +61,9 @@
     void on_readmitted(time_point now, const failure_domain_id& domain);
     /// All orders that stand.
     void on_evacuations(time_point now, const std::set<failure_domain_id>& all);
-    /// Another instance is there, or is gone.
-    void put_instance(time_point now, const core::instance_id& id, const failure_domain_id& domain);
-    void remove_instance(time_point now, const core::instance_id& id);
-    /// All instances are known.
-    void settle_instances(time_point now);
-    /// What cold endpoints get, and which instances send it.
-    const places::warm_up& warm_up() const { return warm_up_; }
-    const places::named_limits& named_limits() const { return named_limits_; }
-    const places::endpoint_rests& rests() const { return rests_; }
+    /// What endpoints bear, and which instances send to those that bear little.
+    places::endpoint_bounds& bounds() { return bounds_; }
+    const places::endpoint_bounds& bounds() const { return bounds_; }
     const places::evacuations& evacuated() const { return evacuations_; }
     endpoint_directory& endpoints() { return endpoints_; }
     const endpoint_directory& endpoints() const { return endpoints_; }
@@ -286,14 +224,6 @@
     bool may_use(time_point now, const flow& it, const endpoint_entry& to) const;
     /// Whether the declarations allow it, and no order forbids it.
     bool is_allowed(const flow& it, const endpoint_entry& to) const;
-    /// Whether the endpoint may be sent to now by what it bears: its warm-up, its limit, its rest.
-    bool bears_more(time_point now, const endpoint_id& id) const;
-    /// When it may be sent to next.
-    time_point next_send(time_point now, const endpoint_id& id) const;
-    /// When some instance may send to it next, as far as this one knows.
-    time_point next_send_of_any(time_point now, const endpoint_id& id) const;
-    /// Whether it has said itself that it bears little.
-    bool is_restricted(const endpoint_id& id) const;
     /// Until an endpoint may be used that bears nothing more now.
     duration time_to_place(time_point now, const flow& it) const;
     /// Whether a more urgent request, or an older one, waits for a place there.
@@ -352,8 +282,6 @@
     // Attempts
     /// Whether it leaves by its own word, and is not even used where nothing else fits any more.
     bool has_left(time_point now, const endpoint_id& id) const;
-    /// Whether an attempt whose connection has come up still has its place at an endpoint that names a limit.
-    bool keep_place(time_point now, const attempt& it);
     /// Whether the request's client account has its key there.
     static bool has_key(const routing_table& table, const flow& it);
     key_standing key_of(time_point now, const flow& it) const;
@@ -440,9 +368,7 @@
     endpoint_directory endpoints_;
     endpoint_chooser chooser_;
     liveness liveness_;
-    places::warm_up warm_up_;
-    places::named_limits named_limits_;
-    places::endpoint_rests rests_;
+    places::endpoint_bounds bounds_;
     place_queue place_queue_;
     repeated_news<endpoint_id> leaving_news_;
     places::evacuations evacuations_;
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -119,7 +119,7 @@
     out.chooser.placement.late_weight = tuning.late_weight;
     out.chooser.placement.least_told = tuning.least_told;
     out.chooser.placement.kept.kept_for = tuning.prompts_kept_for;
-    out.warm_up.senders = tuning.cold_senders;
+    out.bounds.warm_up.senders = tuning.cold_senders;
     out.directory.last_resort = std::max(settings_.drain - drain_margin, core::milliseconds{0});
     out.regions = settings_.regions;
     out.hedge_after = tuning.hedge_after;
--- a/src/runlink/gateway/gateway_daemon_peers.cpp
+++ b/src/runlink/gateway/gateway_daemon_peers.cpp
@@ -60,7 +60,7 @@
     {
         log_state("settled", std::to_string(gossip_.peer_count()) + " other instances");
         relay_.start(now);
-        forwarder_.settle_instances(now);
+        forwarder_.bounds().settle(now);
     };
     return out;
 }
@@ -77,7 +77,7 @@
 
 void gateway_daemon::tell_statements(core::time_point now, const core::instance_id& to)
 {
-    if (const auto limits = forwarder_.named_limits().all(now); !limits.empty())
+    if (const auto limits = forwarder_.bounds().limits().all(now); !limits.empty())
         gossip_.send_to({to}, places::limit_reports{settings_.id, limits});
     if (const auto leaving = forwarder_.leaving_endpoints(now); !leaving.notices.empty())
         gossip_.send_to({to}, leaving);
@@ -93,7 +93,7 @@
         return;
     }
     gossip_.put_peer(it);
-    forwarder_.put_instance(now, it.id, it.failure_domain);
+    forwarder_.bounds().put_instance(now, it.id, it.failure_domain);
     relay_.put_peer(it.id, it.failure_domain, it.link_mbps);
 }
 
@@ -101,7 +101,7 @@
 {
     registry_.unlisted(id);
     gossip_.remove_peer(id);
-    forwarder_.remove_instance(clock_(), id);
+    forwarder_.bounds().remove_instance(clock_(), id);
     relay_.remove_peer(id);
 }
 
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -11,16 +11,13 @@
 
 request_forwarder::request_forwarder(forwarder_options options, const failure_domain_id& own_domain,
                                      const core::instance_id& self, forwarder_hooks hooks)
-    : options_{std::move(options)}, hooks_{std::move(hooks)}, endpoints_{options_.directory},
-      chooser_{options_.chooser, own_domain}, liveness_{options_.liveness}, warm_up_{options_.warm_up, self},
-      named_limits_{options_.named_limits, self, warm_up_.instances(),
-                    [this](const endpoint_id& it) { return domain_of(it); }},
-      rests_{options_.rests, self}, attribution_{options_.crashes, core::stable_hash(self.str()),
-                                                 attribution_hooks()},
+    : options_{std::move(options)}, hooks_{std::move(hooks)},
+      endpoints_{options_.directory}, chooser_{options_.chooser, own_domain}, liveness_{options_.liveness},
+      bounds_{options_.bounds, self, own_domain, [this](const endpoint_id& it) { return domain_of(it); }},
+      attribution_{options_.crashes, core::stable_hash(self.str()), attribution_hooks()},
       rollouts_{options_.rollouts, core::stable_hash(self.str())}, pins_{options_.session_ttl},
       cascade_{options_.cascade}, admission_{options_.admission}, start_queue_{options_.start}
 {
-    warm_up_.instances().put(self, own_domain);
 }
 
 void request_forwarder::apply(routing_table_ptr table)
@@ -31,7 +28,7 @@
         else if (!it.account.empty() && !it.key_held_at)
             it.key_held_at = proven_at_;
     for (const auto& it : table->services())
-        warm_up_.set_limit(it.id, it.cold);
+        bounds_.warm_up().set_limit(it.id, it.cold);
     table_ = std::move(table);
     may_release_ = true;
 }
@@ -87,9 +84,7 @@
     chooser_.keep_only(endpoints_);
     chooser_.placement().expire(now);
     liveness_.keep_only(endpoints_);
-    warm_up_.expire(now);
-    rests_.expire(now);
-    named_limits_.forget_if(now, [this](const endpoint_id& id) { return endpoints_.find(id) == nullptr; });
+    bounds_.expire(now, [this](const endpoint_id& id) { return endpoints_.find(id) == nullptr; });
     attribution_.watch(now, endpoints_.size());
     attribution_.expire(now);
 }
@@ -164,13 +159,11 @@
         record.expected = record.prompt->wait + record.prompt->work;
     chooser_.started(endpoint.id);
     chooser_.pass_turn();
-    if (warm_up_.is_cold(now, endpoint.id))
+    if (bounds_.warm_up().is_cold(now, endpoint.id))
         ++counters_.cold_sends;
-    warm_up_.sent(now, endpoint.id);
-    if (named_limits_.limit_of(endpoint.id))
+    if (bounds_.limits().limit_of(endpoint.id))
         ++counters_.limited_sends;
-    named_limits_.sent(now, endpoint.id);
-    rests_.sent(now, endpoint.id);
+    bounds_.sent(now, endpoint.id);
     if (to.is_trial)
     {
         ++counters_.trials;
@@ -207,8 +200,7 @@
     if (found == attempts_.end())
         return false;
     const auto& it = found->second;
-    const bool may =
-        !has_left(now, it.endpoint) && !rests_.is_resting(now, it.endpoint) && keep_place(now, it);
+    const bool may = !has_left(now, it.endpoint) && bounds_.try_keep(now, it.endpoint, it.started);
     if (!may)
         ++counters_.withheld;
     return may;
@@ -219,17 +211,6 @@
     return endpoints_.leaving_marks().contains(id) && !endpoints_.is_last_resort(now, id);
 }
 
-bool request_forwarder::keep_place(time_point now, const attempt& it)
-{
-    // The endpoint may have named a limit since the attempt was ordered.
-    if (named_limits_.is_counted(it.endpoint, it.started))
-        return true;
-    if (!named_limits_.may_send(now, it.endpoint))
-        return false;
-    named_limits_.sent(now, it.endpoint);
-    return true;
-}
-
 void request_forwarder::on_sent(time_point now, attempt_id id)
 {
     const auto found = attempts_.find(id);
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -65,7 +65,7 @@
         chooser_.refused(now, from->endpoint);
         return again_or_end(now, *it, core::errc::endpoint_refused, true);
     }
-    rests_.took(from->endpoint, from->started);
+    bounds_.rests().took(from->endpoint, from->started);
     sample_end(now, *it, *from, is_bad);
     if (!is_bad)
         chooser_.answered(from->endpoint);
@@ -97,7 +97,7 @@
     auto& from = attempts_.at(id);
     from.has_ended = false;
     liveness_.heard(now, from.endpoint);
-    rests_.took(from.endpoint, from.started);
+    bounds_.rests().took(from.endpoint, from.started);
     it->ask_at = now + liveness_.options().ask_after;
     if (!head.is_sealed)
     {
--- a/src/runlink/routing/request_forwarder_arrival.cpp
+++ b/src/runlink/routing/request_forwarder_arrival.cpp
@@ -30,7 +30,7 @@
 void request_forwarder::on_wake(time_point now, time_point since)
 {
     paused_since_ = since;
-    named_limits_.restart_pace(now);
+    bounds_.on_wake(now);
     start_queue_.open(now); // keys may need a new proof, which is a moment away
 }
 
--- a/src/runlink/routing/request_forwarder_endpoints.cpp
+++ b/src/runlink/routing/request_forwarder_endpoints.cpp
@@ -13,7 +13,7 @@
     const auto change = endpoints_.put(it);
     if (change == endpoint_directory::change::outdated)
         return change;
-    if (warm_up_.told(now, it.id, it.service, it.cold_for))
+    if (bounds_.warm_up().told(now, it.id, it.service, it.cold_for))
         log_cold(now, it, places::cold_reason::told);
     if (change == endpoint_directory::change::restarted)
         replace_earlier_life(now, it);
@@ -91,7 +91,7 @@
 
 void request_forwarder::suspect(time_point now, const endpoint_entry& it, places::cold_reason why)
 {
-    if (warm_up_.suspect(now, it.id, it.service, why))
+    if (bounds_.warm_up().suspect(now, it.id, it.service, why))
         log_cold(now, it, why);
 }
 
@@ -108,8 +108,8 @@
     line.reason = to_string(why);
     line.endpoint = it.id.str();
     line.failure_domain = it.failure_domain.str();
-    line.cold_ms = std::chrono::ceil<milliseconds>(warm_up_.cold_until(it.id) - now).count();
-    line.is_sender = warm_up_.is_sender(it.id);
+    line.cold_ms = std::chrono::ceil<milliseconds>(bounds_.warm_up().cold_until(it.id) - now).count();
+    line.is_sender = bounds_.warm_up().is_sender(it.id);
     hooks_.log(line);
 }
 
@@ -128,29 +128,7 @@
 
 bool request_forwarder::may_use(time_point now, const flow& it, const endpoint_entry& to) const
 {
-    return is_allowed(it, to) && bears_more(now, to.id) && !is_outranked(it, to);
-}
-
-bool request_forwarder::bears_more(time_point now, const endpoint_id& id) const
-{
-    return warm_up_.may_send(now, id) && named_limits_.may_send(now, id) && rests_.may_send(now, id);
-}
-
-time_point request_forwarder::next_send(time_point now, const endpoint_id& id) const
-{
-    return std::max(
-        {warm_up_.next_send(now, id), named_limits_.next_send(now, id), rests_.next_send(now, id)});
-}
-
-time_point request_forwarder::next_send_of_any(time_point now, const endpoint_id& id) const
-{
-    return std::max(
-        {warm_up_.next_send(now, id), named_limits_.next_send_of_any(now, id), rests_.next_send(now, id)});
-}
-
-bool request_forwarder::is_restricted(const endpoint_id& id) const
-{
-    return named_limits_.limit_of(id) || rests_.is_recovering(id);
+    return is_allowed(it, to) && bounds_.may_send(now, to.id) && !is_outranked(it, to);
 }
 
 duration request_forwarder::time_to_place(time_point now, const flow& it) const
@@ -158,7 +136,7 @@
     auto first = time_point::max();
     for (const auto* e : endpoints_.usable(now, it.service))
         if (is_allowed(it, *e))
-            first = std::min(first, next_send(now, e->id));
+            first = std::min(first, bounds_.next_send(now, e->id));
     return first == time_point::max() ? duration{} : first - now;
 }
 
--- /dev/null
+++ b/src/runlink/routing/request_forwarder_places.cpp
@@ -0,0 +1,78 @@
+// Requests that no endpoint may be sent now: which wait for a place, and when the others come back.
+
+#include <algorithm>
+#include <utility>
+
+#include "runlink/core/hash.hpp"
+#include "runlink/routing/request_forwarder.hpp"
+
+namespace runlink::routing
+{
+
+bool request_forwarder::is_outranked(const flow& it, const endpoint_entry& at) const
+{
+    if (!bounds_.is_restricted(at.id))
+        return false;
+    for (const auto id : place_queue_.before(it.service, place_of(it)))
+    {
+        const auto& other = flows_.at(id);
+        if (!other.tried.contains(at.id) && is_allowed(other, at))
+            return true;
+    }
+    return false;
+}
+
+std::vector<opening> request_forwarder::openings(time_point now, const flow& it, sender whose) const
+{
+    auto need = need_of(now, it);
+    need.may_use = [this, &it](const endpoint_entry& e)
+    { return is_allowed(it, e) && bounds_.is_restricted(e.id); };
+    std::vector<opening> out;
+    for (const auto* e : chooser_.fitting(now, endpoints_, need))
+    {
+        const auto first =
+            whose == sender::self ? bounds_.next_send(now, e->id) : bounds_.next_send_of_any(now, e->id);
+        out.push_back({first, bounds_.interval(now, e->id)});
+    }
+    return out;
+}
+
+bool request_forwarder::may_wait(time_point now, const flow& it) const
+{
+    const auto open = openings(now, it, sender::self);
+    const auto at = place_behind(place_queue_.count_before(it.service, place_of(it)), open);
+    const auto late_at = it.head_forwarded ? it.held_since.value_or(it.last_progress) + it.via->target_gap
+                                           : it.arrived + it.via->target_latency;
+    return at && *at < std::min<time_point>(late_at, it.deadline - options_.least_time);
+}
+
+void request_forwarder::wait_for_place(time_point now, flow& it)
+{
+    hold(now, it);
+    if (std::exchange(it.waits_for_place, true))
+        return;
+    ++counters_.waited;
+    place_queue_.add(it.service, place_of(it));
+}
+
+void request_forwarder::end_wait(flow& it)
+{
+    if (std::exchange(it.waits_for_place, false))
+        place_queue_.remove(it.service, place_of(it));
+}
+
+milliseconds request_forwarder::return_time(time_point now, const flow& it)
+{
+    const auto open = openings(now, it, sender::any);
+    const auto at = place_behind(place_queue_.count_before(it.service, place_of(it)), open);
+    if (!at)
+        return retry_after(now, it);
+    double per_us = 0;
+    for (const auto& e : open)
+        per_us += 1.0 / static_cast<double>(std::max<duration::rep>(e.interval.count(), 1));
+    const duration interval{static_cast<duration::rep>(1.0 / per_us)};
+    const auto to = place_queue_.assign_return(now, it.service, *at, interval);
+    return admission_.return_after(to - now, core::stable_hash(it.request.id.str()));
+}
+
+} // namespace runlink::routing
--- a/src/runlink/routing/request_forwarder_succession.cpp
+++ b/src/runlink/routing/request_forwarder_succession.cpp
@@ -173,7 +173,7 @@
     if (limited.empty())
         return;
     to.endpoints_limited = static_cast<std::int64_t>(limited.size());
-    to.endpoints_resting = static_cast<std::int64_t>(rests_.count_resting(now));
+    to.endpoints_resting = static_cast<std::int64_t>(bounds_.rests().count_resting(now));
     if (const auto at = place_behind(place_queue_.count_before(it.service, place_of(it)), limited))
         to.place_ms = std::chrono::ceil<milliseconds>(*at - now).count();
 }
--- a/src/runlink/routing/request_forwarder_timers.cpp
+++ b/src/runlink/routing/request_forwarder_timers.cpp
@@ -180,7 +180,7 @@
         return time_point{};
     auto held =
         may_release_ && start_queue_.size() > 0 ? std::optional{time_point{}} : start_queue_.next_due();
-    for (const auto& at : {attribution_.next_due(), named_limits_.next_due(), leaving_news_.next_due()})
+    for (const auto& at : {attribution_.next_due(), bounds_.limits().next_due(), leaving_news_.next_due()})
         if (at)
             held = std::min(held.value_or(*at), *at);
     if (timers_.empty() || !held)
--- a/tests/support/forwarding_declarations.cpp
+++ b/tests/support/forwarding_declarations.cpp
@@ -98,7 +98,7 @@
         out.retries = {core::seconds{1}, 0.2, 1};
     out.chooser.first_ejection = milliseconds{100};
     out.chooser.longest_ejection = milliseconds{400};
-    out.warm_up.news_delay = milliseconds{100};
+    out.bounds.warm_up.news_delay = milliseconds{100};
     out.crashes.turn_spread = milliseconds{60};
     out.crashes.trial_interval = milliseconds{100};
     out.crashes.trial_silence = milliseconds{320};
--- a/tests/support/forwarding_history.cpp
+++ b/tests/support/forwarding_history.cpp
@@ -39,8 +39,8 @@
         keys_.insert(key_name(n));
     apply_table();
     prove();
-    forwarder_.put_instance(now_, core::instance_id{"other"}, {});
-    forwarder_.settle_instances(now_);
+    forwarder_.bounds().put_instance(now_, core::instance_id{"other"}, {});
+    forwarder_.bounds().settle(now_);
     for (int n = 0; n < endpoint_count; ++n)
     {
         entries_[n].name = core::endpoint_name{"e" + std::to_string(n)};
@@ -316,7 +316,7 @@
     if (says.is_leaving)
         seen_.on_leaving(from.endpoint);
     tell("statement", [&] { forwarder_.on_statement(now_, from.endpoint, from.sent_at, says); });
-    if (says.requests_per_s || forwarder_.named_limits().limit_of(from.endpoint) == std::nullopt)
+    if (says.requests_per_s || forwarder_.bounds().limits().limit_of(from.endpoint) == std::nullopt)
         seen_.on_limit(from.endpoint, says.requests_per_s);
 }
 
--- a/tests/support/forwarding_script.cpp
+++ b/tests/support/forwarding_script.cpp
@@ -362,9 +362,9 @@
          [this](const words& all) { forwarder_.on_evacuated(core::failure_domain_id{all.at(1)}); }},
         {"readmit",
          [this](const words& all) { forwarder_.on_readmitted(now_, core::failure_domain_id{all.at(1)}); }},
-        {"instance",
-         [this](const words& all) { forwarder_.put_instance(now_, core::instance_id{all.at(1)}, {}); }},
-        {"settled", [this](const words&) { forwarder_.settle_instances(now_); }},
+        {"instance", [this](const words& all)
+         { forwarder_.bounds().put_instance(now_, core::instance_id{all.at(1)}, {}); }},
+        {"settled", [this](const words&) { forwarder_.bounds().settle(now_); }},
         {"store_returned", [this](const words&) { forwarder_.endpoints().store_returned(now_); }},
         {"request", [this](const words& all) { request(all); }},
         {"leave", [this](const words& all) { forwarder_.on_caller_left(now_, flows_.at(all.at(1))); }},
--- a/tests/support/statement_fleet.cpp
+++ b/tests/support/statement_fleet.cpp
@@ -107,15 +107,15 @@
     it.forwarder->apply(make_table());
     it.forwarder->proven_current(now_);
     for (int other = 0; other < case_.instances; ++other)
-        it.forwarder->put_instance(now_, instance_id(other),
-                                   core::failure_domain_id{std::to_string(other % 3)});
-    it.forwarder->settle_instances(now_);
+        it.forwarder->bounds().put_instance(now_, instance_id(other),
+                                            core::failure_domain_id{std::to_string(other % 3)});
+    it.forwarder->bounds().settle(now_);
     for (int e = 0; e < case_.endpoints; ++e)
         it.forwarder->on_endpoint(now_, entry(e));
     if (it.life == 1)
         return;
     const auto seed = (n + 1) % case_.instances;
-    it.forwarder->on_limits_told(now_, {instance_id(seed), at(seed).forwarder->named_limits().all(now_)});
+    it.forwarder->on_limits_told(now_, {instance_id(seed), at(seed).forwarder->bounds().limits().all(now_)});
     it.forwarder->on_leaving_told(now_, at(seed).forwarder->leaving_endpoints(now_));
 }
 
