One record of what endpoints said, for the soak and the fleet on a paused clock

The three checks stood twice, with other answers to limits that change. One of them, strict where the other was: a rest and a leaving are the instance's, a limit counts from the first answer since one without it. A soak whose endpoints said nothing fails for want of cases.

--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -97,11 +97,12 @@
     auto it = std::make_unique<proxied_endpoint>("e" + std::to_string(next_endpoint_++), service, version);
     it->server.on_run = [this](const auto& by, const auto& run) { checker_.ran(now(), by, run); };
     it->server.on_arrived = [this](const auto& by, const auto& request)
-    { checker_.arrived(now(), by.id(), request); };
+    { checker_.arrived(now(), by.id(), request, by.says.requests_per_s); };
     it->server.on_answered = [this](const auto& by, const auto& request, bool is_refusal)
     {
+        const auto& says = by.says;
         checker_.answered(now(), by.id(), request,
-                          {by.says.is_leaving, is_refusal ? by.says.rest : std::nullopt});
+                          {says.requests_per_s, says.is_leaving, is_refusal ? says.rest : std::nullopt});
     };
     store_.put(standins::endpoint_key(it->server.id()), it->server.entry(it->proxy.port(), false));
     it->proxy.on_reset = [this, e = it.get()] { checker_.endpoint_broken(now(), e->server.id()); };
--- a/soak/promise_checker.cpp
+++ b/soak/promise_checker.cpp
@@ -107,19 +107,19 @@
         check_exposure(now, by.version(), it.instance);
 }
 
-void promise_checker::arrived(time_point now, const std::string& endpoint, const std::string& request)
+void promise_checker::arrived(time_point now, const std::string& endpoint, const std::string& request,
+                              std::optional<double> limit)
 {
     const auto found = requests_.find(request);
-    if (found == requests_.end())
+    if (found == requests_.end() || !is_calm(now, found->second.instance))
         return;
-    const int instance = found->second.instance;
-    statements_.arrived(now, endpoint, instance, found->second.sent, is_calm(now, instance));
+    statements_.arrived(now, endpoint, found->second.instance, found->second.sent, limit);
     for (const auto& it : statements_.take_faults())
-        fail(it);
+        fail("statement: " + it.what);
 }
 
 void promise_checker::answered(time_point now, const std::string& endpoint, const std::string& request,
-                               const said_words& what)
+                               const tests::said_words& what)
 {
     if (const auto found = requests_.find(request); found != requests_.end())
         statements_.answered(now, endpoint, found->second.instance, what);
@@ -239,12 +239,9 @@
 {
     if (cuts_.is_watching())
         check_cut_rates(now);
-    if (statements_.looked_at() > 0)
-        look("sends to endpoints that named a limit", statements_.looked_at());
-    if (statements_.rests() > 0)
-        look("rests asked for", statements_.rests());
-    if (statements_.leaving() > 0)
-        look("leaving told in answers", statements_.leaving());
+    look("sends to endpoints that named a limit", statements_.limited());
+    look("rests asked for", statements_.rests());
+    look("leaving told in answers", statements_.leaving());
     if (harmful_late_ > bounds_.most_harmful_sends)
         fail("harmful: a request that had ended three endpoints was sent " + std::to_string(harmful_late_) +
              " times more; " + std::to_string(ends_.size()) + " ended in all");
--- a/soak/promise_checker.hpp
+++ b/soak/promise_checker.hpp
@@ -12,7 +12,7 @@
 #include "runlink/core/units.hpp"
 #include "served_endpoint.hpp"
 #include "soak/cut_record.hpp"
-#include "soak/statement_record.hpp"
+#include "support/statement_record.hpp"
 
 namespace runlink::soak
 {
@@ -76,12 +76,13 @@
     /// Connections to the endpoint were broken.
     void endpoint_broken(time_point now, const std::string& id) { broken_[id] = now; }
     cut_record& cuts() { return cuts_; }
-    statement_record& statements() { return statements_; }
-    /// A request has reached an endpoint, which may refuse it.
-    void arrived(time_point now, const std::string& endpoint, const std::string& request);
+    tests::statement_record& statements() { return statements_; }
+    /// A request has reached an endpoint, which may refuse it, and names that limit now.
+    void arrived(time_point now, const std::string& endpoint, const std::string& request,
+                 std::optional<double> limit);
     /// An endpoint has answered a request, whatever it said.
     void answered(time_point now, const std::string& endpoint, const std::string& request,
-                  const said_words& what);
+                  const tests::said_words& what);
 
     /// A fault that concerns an instance, or all of them, lasts until then.
     void disturbed(time_point until, std::optional<int> instance);
@@ -140,7 +141,7 @@
     std::map<std::string, time_point> leaving_;
     std::map<std::string, time_point> broken_; ///< connections of endpoints, the last time
     cut_record cuts_;
-    statement_record statements_;
+    tests::statement_record statements_;
     std::map<int, time_point> disturbed_until_;
     time_point all_disturbed_until_{};
     struct roll_out
--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -32,7 +32,7 @@
     if (options_.pauses)
         keys_ = std::make_unique<key_rotation>(fleet_, checker_);
     if (options_.has_statements)
-        statements_ = std::make_unique<statement_series>(fleet_, checker_, options.seed);
+        statements_ = std::make_unique<statement_series>(fleet_, options.seed);
 }
 
 void scenario::note(const std::string& what)
@@ -104,6 +104,9 @@
         checker_.fail("recovery: nothing is served after the last fault");
     is_loading_ = false;
     checker_.finish(now());
+    const auto& said = checker_.statements();
+    if (statements_ && said.limited() + said.rests() + said.leaving() == 0)
+        checker_.fail("statements: nothing to look at");
     if (trial_)
         trial_->finish();
 }
--- a/soak/statement_series.cpp
+++ b/soak/statement_series.cpp
@@ -21,8 +21,7 @@
 
 } // namespace
 
-statement_series::statement_series(fleet& on, promise_checker& checker, std::uint64_t seed)
-    : fleet_{on}, checker_{checker}, random_{seed}
+statement_series::statement_series(fleet& on, std::uint64_t seed) : fleet_{on}, random_{seed}
 {
     timer_.setSingleShot(true);
     QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] { say_next(); });
@@ -58,13 +57,11 @@
 {
     const auto limit = static_cast<double>(random_() % limit_steps) * step;
     it.server.says.requests_per_s = limit;
-    checker_.statements().names(now(), it.server.id(), limit);
     on_said_(it.server.id() + " names a limit of " + std::to_string(limit));
     QTimer::singleShot(pick_time(least_limit_ms, most_limit_ms), &context_,
                        [this, &it]
                        {
                            it.server.says.requests_per_s.reset();
-                           checker_.statements().names(now(), it.server.id(), std::nullopt);
                            on_said_(it.server.id() + " names no limit");
                        });
 }
--- a/soak/statement_series.hpp
+++ b/soak/statement_series.hpp
@@ -19,7 +19,7 @@
 class statement_series
 {
 public:
-    statement_series(fleet& on, promise_checker& checker, std::uint64_t seed);
+    statement_series(fleet& on, std::uint64_t seed);
     statement_series(const statement_series&) = delete;
     statement_series& operator=(const statement_series&) = delete;
 
@@ -34,7 +34,6 @@
     milliseconds pick_time(int least, int most);
 
     fleet& fleet_;
-    promise_checker& checker_;
     std::mt19937_64 random_;
     std::function<void(const std::string&)> on_said_;
     QObject context_; ///< what is still planned ends with the series
--- a/tests/support/statement_fleet.cpp
+++ b/tests/support/statement_fleet.cpp
@@ -13,14 +13,8 @@
 {
 
 const core::service_id app{"app"};
-constexpr milliseconds window{4000};
 constexpr milliseconds told_slack{
-    500};                             ///< an instance may act on what it has told its caller this much later
-constexpr milliseconds contact{3000}; ///< for which a new limit binds nobody
-constexpr double overage = 1.5;
-constexpr double slack = 5;
-constexpr milliseconds drain{2000};
-constexpr milliseconds rest_slack{500};
+    500}; ///< an instance may act on what it has told its caller this much later
 constexpr milliseconds house_interval{1000};
 
 routing_table_ptr make_table()
@@ -57,6 +51,12 @@
     return core::instance_id{"i" + std::to_string(n)};
 }
 
+said_words words_of(const endpoint_statement& it)
+{
+    const auto rest = it.rest ? std::optional{std::chrono::floor<milliseconds>(*it.rest)} : std::nullopt;
+    return {it.requests_per_s, it.is_leaving, rest};
+}
+
 endpoint_entry entry(int n)
 {
     endpoint_entry out;
@@ -97,9 +97,7 @@
     auto& it = at(n);
     ++it.life;
     it.attempts.clear();
-    it.told.clear();
-    it.told_leaving.clear();
-    std::erase_if(rests_, [n](const auto& e) { return e.first.first == n; });
+    record_.forget(n);
     forwarder_options options;
     options.directory.last_resort = case_.last_resort;
     it.forwarder = std::make_unique<request_forwarder>(
@@ -232,7 +230,7 @@
                 it.forwarder->keep_house(now_);
         }
     }
-    check_limits();
+    take_faults();
     return outcome_;
 }
 
@@ -285,13 +283,8 @@
     it->is_written = true;
     it->sent_at = now_;
     by.forwarder->on_sent(now_, it->order.id);
-    check_leaving(n, *it);
-    check_rests(n, *it);
     const auto& words = words_[it->endpoint];
-    const auto& limit = words.requests_per_s;
-    const auto told = by.told.find(it->endpoint);
-    arrivals_[it->endpoint].push_back(
-        {now_, n, limit, told != by.told.end() && now_ - told->second >= told_slack});
+    record_.arrived(now_, it->order.endpoint.id.str(), n, came_at_.at(it->order.flow), words.requests_per_s);
     ++outcome_.arrivals[it->endpoint];
     if (happens(words.refused))
         return later(n, milliseconds{1}, [this, n, it] { refuse(n, it); });
@@ -307,20 +300,7 @@
     by.forwarder->on_statement(now_, it->order.endpoint.id, it->sent_at, says);
     if (it->is_over)
         return;
-    if (says.requests_per_s)
-    {
-        named_at_.emplace(it->endpoint, now_);
-        by.told.emplace(it->endpoint, now_);
-    }
-    else
-    {
-        // Nobody can know of another limit before an answer names it.
-        named_at_.erase(it->endpoint);
-        for (auto& other : instances_)
-            other.told.erase(it->endpoint);
-    }
-    if (says.is_leaving)
-        outcome_.leaving_told += by.told_leaving.emplace(it->endpoint, now_).second ? 1 : 0;
+    record_.answered(now_, it->order.endpoint.id.str(), n, words_of(says));
     by.attempts.erase(it->order.id);
     const bool fails =
         case_.repeats_one_in > 0 && random_() % static_cast<unsigned>(case_.repeats_one_in) == 0;
@@ -333,11 +313,7 @@
     const auto& words = words_[it->endpoint];
     const endpoint_statement says{words.requests_per_s, true, words.is_leaving, true, words.rest, true};
     by.forwarder->on_statement(now_, it->order.endpoint.id, it->sent_at, says);
-    if (says.rest)
-    {
-        ++outcome_.rests;
-        rests_[{n, it->endpoint}].push_back({now_ + rest_slack, now_ + *says.rest});
-    }
+    record_.answered(now_, it->order.endpoint.id.str(), n, words_of(says));
     if (it->is_over)
         return;
     by.attempts.erase(it->order.id);
@@ -389,59 +365,17 @@
 
 // Checks
 
-void statement_fleet::check_leaving(int n, const attempt& it)
+void statement_fleet::take_faults()
 {
-    const auto told = at(n).told_leaving.find(it.endpoint);
-    if (told == at(n).told_leaving.end())
-        return;
-    const auto late = came_at_.at(it.order.flow) - told->second;
-    if (late > drain)
-        outcome_.leaving_broken.push_back("e" + std::to_string(it.endpoint) + " " +
-                                          std::to_string(std::chrono::floor<milliseconds>(late).count()) +
-                                          " ms after it had told i" + std::to_string(n));
-}
-
-void statement_fleet::check_rests(int n, const attempt& it)
-{
-    const auto found = rests_.find({n, it.endpoint});
-    if (found == rests_.end())
-        return;
-    std::erase_if(found->second, [this](const rest& e) { return now_ >= e.until; });
-    for (auto& e : found->second)
-        if (now_ > e.from && ++e.arrivals == 3)
-            outcome_.rests_broken.push_back("e" + std::to_string(it.endpoint) + " from i" +
-                                            std::to_string(n));
-}
-
-void statement_fleet::check_limits()
-{
-    for (const auto& [endpoint, all] : arrivals_)
-    {
-        const auto named = named_at_.find(endpoint);
-        if (named == named_at_.end())
-            continue;
-        std::vector<arrival> counted;
-        for (const auto& it : all)
-            if (it.is_counted && it.limit && it.at >= named->second + contact - window)
-                counted.push_back(it);
-        outcome_.limited += counted.size();
-        std::size_t first = 0;
-        for (std::size_t n = 0; n < counted.size(); ++n)
-        {
-            while (counted[first].at + window < counted[n].at)
-                ++first;
-            double most = 0;
-            for (std::size_t i = first; i <= n; ++i)
-                most = std::max(most, *counted[i].limit);
-            const auto allowed = overage * 4 * most + slack;
-            if (counted[n].at < named->second + contact || static_cast<double>(n - first + 1) <= allowed)
-                continue;
-            outcome_.limits_broken.push_back("e" + std::to_string(endpoint) + " got " +
-                                             std::to_string(n - first + 1) + " of " +
-                                             std::to_string(static_cast<int>(allowed)));
-            break;
-        }
-    }
+    using rule = statement_fault::rule;
+    for (auto& it : record_.take_faults())
+        (it.broken == rule::limit     ? outcome_.limits_broken
+         : it.broken == rule::leaving ? outcome_.leaving_broken
+                                      : outcome_.rests_broken)
+            .push_back(std::move(it.what));
+    outcome_.limited = record_.limited();
+    outcome_.leaving_told = record_.leaving();
+    outcome_.rests = record_.rests();
 }
 
 } // namespace runlink::tests
--- a/tests/support/statement_fleet.hpp
+++ b/tests/support/statement_fleet.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "runlink/routing/request_forwarder.hpp"
+#include "support/statement_record.hpp"
 
 namespace runlink::tests
 {
@@ -57,19 +58,13 @@
     std::uint64_t answered = 0;
     std::uint64_t refused = 0;
     std::map<int, std::uint64_t> arrivals; ///< by endpoint, of the whole run
-    /// Sends to an endpoint in some four seconds, beyond what its limit allows there: one and a half times as
-    /// many, and five. Counted are instances that had told a caller of the limit half a second before, from
-    /// three seconds after the first one.
+    /// What was broken, by rule, and how much was checked; see `statement_record`.
     std::vector<std::string> limits_broken;
-    std::uint64_t limited = 0; ///< sends that this was checked of
-    /// Requests that came later than two seconds after their instance had told a caller that the endpoint
-    /// leaves, and reached it.
     std::vector<std::string> leaving_broken;
-    std::uint64_t leaving_told = 0; ///< instances and endpoints that this was checked of
-    /// More than two requests of an instance at an endpoint between half a second after it asked for rest and
-    /// the end of that.
     std::vector<std::string> rests_broken;
-    std::uint64_t rests = 0; ///< that were asked for
+    std::uint64_t limited = 0;
+    std::uint64_t leaving_told = 0;
+    std::uint64_t rests = 0;
     std::uint64_t urgent_answered = 0;
     std::uint64_t urgent_refused = 0;
     std::vector<core::duration> refused_after; ///< since the request came
@@ -117,23 +112,7 @@
         std::map<core::attempt_id, attempt_ptr> attempts;
         std::uint64_t life = 0;
         std::optional<time_point> paused_since;
-        std::map<int, time_point> told_leaving; ///< callers, by endpoint, for the first time
-        std::map<int, time_point> told;         ///< callers of limits, by endpoint, since one named none
     };
-    struct rest
-    {
-        time_point from{};
-        time_point until{};
-        std::uint64_t arrivals = 0;
-    };
-    struct arrival
-    {
-        time_point at{};
-        int instance = 0;
-        std::optional<double> limit; ///< that the endpoint named then
-        bool is_counted = false;     ///< its instance had told of the limit
-    };
-
     void begin_life(int n);
     routing::forwarder_hooks hooks(int n);
     void later(milliseconds after, std::function<void()> what);
@@ -148,9 +127,7 @@
     /// One datagram to each other instance, as far as it arrives.
     void send_datagram(int from, const std::function<bool(int)>& is_addressed,
                        const std::function<void(routing::request_forwarder&)>& to);
-    void check_limits();
-    void check_leaving(int n, const attempt& it);
-    void check_rests(int n, const attempt& it);
+    void take_faults();
     void refuse(int n, const attempt_ptr& it);
     milliseconds up_to(milliseconds most);
     bool happens(double part) { return std::uniform_real_distribution<>{0, 1}(random_) < part; }
@@ -162,9 +139,7 @@
     std::multimap<time_point, std::function<void()>> events_;
     std::vector<instance> instances_;
     std::map<int, endpoint_words> words_;
-    std::map<int, std::vector<arrival>> arrivals_;
-    std::map<std::pair<int, int>, std::vector<rest>> rests_; ///< by instance and endpoint
-    std::map<int, time_point> named_at_;                     ///< for the first time
+    statement_record record_;
     std::map<routing::flow_id, time_point> came_at_;
     time_point began_ = now_;
     std::uint64_t next_flow_ = 1;
