Duties: lease, usage reports and orders for endpoints as units without I/O

Cause: two duties of the platform (usage of each window, endpoints ordered by failure domain) were done by no instance. Units: duty_lease (one holder, epoch from the store), usage_counter and usage_collector (running totals, merged by maximum), usage_reporter (a report is stored before it is sent), scale_planner and scale_orders (Little's law, preemptible endpoints first), wall_time_estimate, load_sum.

--- /dev/null
+++ b/src/runlink/duties/duty_lease_test.cpp
@@ -0,0 +1,162 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <vector>
+
+#include "runlink/duties/duty_lease.hpp"
+
+using namespace runlink;
+using namespace runlink::duties;
+
+namespace
+{
+
+const core::instance_id self{"a-1"};
+const core::instance_id other{"b-1"};
+const core::incarnation_id process{"a-1/1"};
+
+/// A lease whose writes are answered by the test.
+struct lease_under_test
+{
+    core::manual_clock clock;
+    std::vector<lease_record> written;
+    std::vector<std::uint64_t> expected;
+    std::function<void(write_result)> answer;
+    lease_options options;
+    duty_lease it;
+
+    lease_under_test()
+        : it{options,
+             self,
+             process,
+             {[this](const lease_record& e, std::uint64_t revision, std::function<void(write_result)> done)
+              {
+                  written.push_back(e);
+                  expected.push_back(revision);
+                  answer = std::move(done);
+              },
+              clock.source()}}
+    {
+        clock.advance(core::seconds{100});
+        it.set_candidate(true);
+    }
+
+    void advance(milliseconds step)
+    {
+        clock.advance(step);
+        it.tick(clock.now());
+    }
+    /// Advances until the next write.
+    bool advance_to_write()
+    {
+        const auto before = written.size();
+        for (int n = 0; n < 100 && written.size() == before; ++n)
+            advance(milliseconds{100});
+        return written.size() > before;
+    }
+    void commit(std::uint64_t revision) { answer({write_result::outcome::committed, revision}); }
+    lease_record foreign(std::uint64_t epoch, std::uint64_t revision) const
+    {
+        return {other, core::incarnation_id{"b-1/1"}, core::fencing_number{epoch}, revision};
+    }
+};
+
+} // namespace
+
+TEST_CASE("the first holder begins at once, renews, and stops before its lease may have ended")
+{
+    lease_under_test by;
+    by.it.on_absent(by.clock.now());
+    REQUIRE(by.advance_to_write());
+    CHECK(by.expected[0] == 0);
+    CHECK_FALSE(by.it.may_act(by.clock.now()));
+    by.commit(7);
+    CHECK(by.it.may_act(by.clock.now()));
+    CHECK(by.it.epoch() == core::fencing_number{1});
+    REQUIRE(by.advance_to_write());
+    CHECK(by.expected[1] == 7);
+    CHECK(by.written[1].epoch == core::fencing_number{1});
+    // The renewal is never answered.
+    by.answer = nullptr;
+    by.advance(by.options.lease - by.options.renew_every() - by.options.margin);
+    CHECK_FALSE(by.it.may_act(by.clock.now()));
+}
+
+TEST_CASE("a lease is taken over only after a whole lease without a renewal, with a higher epoch")
+{
+    lease_under_test by;
+    by.it.on_record(by.clock.now(), by.foreign(4, 10));
+    by.advance(by.options.lease - milliseconds{1});
+    by.it.on_record(by.clock.now(), by.foreign(4, 11));
+    by.advance(by.options.lease - milliseconds{1});
+    CHECK(by.written.empty());
+    REQUIRE(by.advance_to_write());
+    CHECK(by.expected[0] == 11);
+    CHECK(by.written[0].epoch == core::fencing_number{5});
+}
+
+TEST_CASE("an instance that is no candidate, or has resigned, does not take the lease")
+{
+    lease_under_test by;
+    by.it.set_candidate(false);
+    by.it.on_record(by.clock.now(), by.foreign(4, 10));
+    CHECK_FALSE(by.advance_to_write());
+    by.it.set_candidate(true);
+    by.it.resign();
+    CHECK_FALSE(by.advance_to_write());
+}
+
+TEST_CASE("a write without an answer counts from when it was sent, once the record is seen")
+{
+    lease_under_test by;
+    by.it.on_absent(by.clock.now());
+    REQUIRE(by.advance_to_write());
+    const auto sent_at = by.clock.now();
+    by.answer({write_result::outcome::unknown, 0});
+    CHECK_FALSE(by.it.may_act(by.clock.now()));
+    by.clock.advance(milliseconds{300});
+    by.it.on_record(by.clock.now(), {self, process, core::fencing_number{1}, 5});
+    CHECK(by.it.may_act(by.clock.now()));
+    CHECK_FALSE(by.it.may_act(sent_at + by.options.lease - by.options.margin));
+}
+
+TEST_CASE("a record of an earlier process of the same instance is a foreign one")
+{
+    lease_under_test by;
+    by.it.on_record(by.clock.now(), {self, core::incarnation_id{"a-1/0"}, core::fencing_number{3}, 9});
+    CHECK_FALSE(by.it.may_act(by.clock.now()));
+    by.advance(by.options.lease / 2);
+    CHECK(by.written.empty());
+    REQUIRE(by.advance_to_write());
+    CHECK(by.written[0].epoch == core::fencing_number{4});
+}
+
+TEST_CASE("after a suspension longer than the lease the holder acts only after a renewal")
+{
+    lease_under_test by;
+    by.it.on_absent(by.clock.now());
+    REQUIRE(by.advance_to_write());
+    by.commit(7);
+    REQUIRE(by.it.may_act(by.clock.now()));
+    by.clock.advance(by.options.lease * 3);
+    CHECK_FALSE(by.it.may_act(by.clock.now()));
+    by.it.tick(by.clock.now());
+    REQUIRE(by.written.size() == 2);
+    CHECK(by.expected[1] == 7);
+    SECTION("no other instance held the lease meanwhile")
+    {
+        by.commit(8);
+        CHECK(by.it.may_act(by.clock.now()));
+        CHECK(by.it.epoch() == core::fencing_number{1});
+    }
+    SECTION("another instance has taken it over")
+    {
+        by.answer({write_result::outcome::conflict, 0});
+        CHECK_FALSE(by.it.may_act(by.clock.now()));
+        by.it.on_record(by.clock.now(), by.foreign(2, 9));
+        by.advance(by.options.lease / 2);
+        CHECK(by.written.size() == 2);
+        CHECK_FALSE(by.it.may_act(by.clock.now()));
+    }
+}
