Duties: carried out by the daemon over the platform's calls

duty_runner connects the duties to store, messages and calls; http_caller is the part of kv_http_store that sends one call, now used by both. Documents and calls are translated in platform/. A daemon with stand-ins takes the lease and reports each request once (platform_test).

--- a/include/runlink/control/documents.hpp
+++ b/include/runlink/control/documents.hpp
@@ -4,12 +4,17 @@
 
 #include <functional>
 #include <string>
+#include <utility>
 #include <variant>
+#include <vector>
 
 #include "runlink/control/kv_store.hpp"
 #include "runlink/control/peer_entry.hpp"
 #include "runlink/core/failure.hpp"
 #include "runlink/crashes/request_fingerprint.hpp"
+#include "runlink/duties/duty_lease.hpp"
+#include "runlink/duties/scale_orders.hpp"
+#include "runlink/duties/usage_reporter.hpp"
 #include "runlink/places/evacuations.hpp"
 #include "runlink/routing/endpoint_directory.hpp"
 #include "runlink/routing/rollout_control.hpp"
@@ -27,7 +32,8 @@
 /// A decoded store item. Items that this process doesn't use are `std::monostate`.
 using document =
     std::variant<std::monostate, routing::routing_table_ptr, routing::endpoint_entry, routing::rollout_order,
-                 routing::rollout_record, peer_entry, places::evacuation, harmful_entry>;
+                 routing::rollout_record, peer_entry, places::evacuation, harmful_entry, duties::lease_record,
+                 duties::usage_record, duties::order_record>;
 
 /// Keys of the store, decoded. They identify the document of a deleted item.
 struct endpoint_key
@@ -66,14 +72,35 @@
     std::function<kv_item(const routing::rollout_record&)> write_record;
     std::function<kv_item(const peer_entry&)> write_peer;
     std::function<kv_item(const harmful_entry&)> write_harmful;
+    std::function<kv_item(const duties::lease_record&)> write_lease;
+    std::function<kv_item(const duties::usage_record&)> write_usage;
+    std::function<kv_item(const duties::order_record&)> write_orders;
 };
 
-/// One HTTP request to the store.
+/// One HTTP request to a service of the platform.
 struct http_call
 {
     std::string method;
     std::string target;
-    std::string body; ///< JSON, or empty
+    std::string body;                                             ///< JSON, or empty
+    std::vector<std::pair<std::string, std::string>> fields = {}; ///< additional header fields
+};
+
+/// Who makes a call: the holder of the duties and its fencing number.
+struct duty_caller
+{
+    core::instance_id holder;
+    core::fencing_number epoch;
+};
+
+/// HTTP requests and responses of the platform's duties.
+struct duty_wire
+{
+    std::function<http_call(const duty_caller&, const duties::window_counts&)> report_usage;
+    std::function<http_call(const duty_caller&, const duties::scale_call&)> scale;
+    /// `status` is 0 if there was no answer.
+    std::function<duties::call_outcome(int status)> read_usage_result;
+    std::function<duties::scale_result(const duties::scale_call&, int status)> read_scale_result;
 };
 
 /// HTTP requests and responses of a deployment's store.
--- a/include/runlink/gateway/gateway.hpp
+++ b/include/runlink/gateway/gateway.hpp
@@ -69,6 +69,8 @@
         on_limits_told = [](const auto&, const auto&) {};
     /// Called with endpoints that announced their shutdown, to be announced to other instances.
     std::function<void(const routing::leaving_notices&)> on_leaving_told = [](const auto&) {};
+    /// Called when a request of the account begins to run at an endpoint.
+    std::function<void(const core::account_id&)> on_run_began = [](const auto&) {};
     /// Called when a request is found to be harmful. The finding must be stored beyond this process's
     /// lifetime.
     std::function<void(crashes::request_fingerprint)> on_harmful_found = [](auto) {};
--- a/include/runlink/gateway/gateway_daemon.hpp
+++ b/include/runlink/gateway/gateway_daemon.hpp
@@ -17,6 +17,7 @@
 #include "runlink/control/member_registry.hpp"
 #include "runlink/control/relay.hpp"
 #include "runlink/control/store_follower.hpp"
+#include "runlink/gateway/duty_runner.hpp"
 #include "runlink/gateway/gateway.hpp"
 #include "runlink/gateway/gateway_settings.hpp"
 #include "runlink/gateway/gossip_link.hpp"
@@ -32,6 +33,7 @@
     header_names headers;
     control::document_codec documents;
     control::kv_wire store;
+    control::duty_wire duties = {};
 };
 
 /// Connects the components of an instance and runs them on the current thread's event loop.
@@ -87,6 +89,11 @@
     /// Removes instances that are missing from a listing of the store.
     void drop_unlisted_peers(const std::vector<control::kv_item>& items);
     void write_members(const control::registry_batch& it, control::member_registry::done_handler done);
+    duty_runner_hooks duty_hooks();
+    /// Services whose endpoints are ordered from the platform, and the endpoints that they have.
+    std::map<core::service_id, duties::service_state> scaled_services(core::time_point now) const;
+    void apply_duty_records(core::time_point now, const control::document& it);
+    static std::int64_t wall_ms();
     void write_findings(const control::finding_batch& it, control::finding_registry::done_handler done);
     void apply_harmful(core::time_point now, crashes::request_fingerprint it);
     void remove_harmful(core::time_point now, crashes::request_fingerprint it);
@@ -134,6 +141,7 @@
     control::member_registry registry_;
     control::finding_registry findings_;
     control::fleet_join join_;
+    duty_runner duties_;
     net::http_listener readiness_;
     net::http_listener metrics_listener_;
     QTimer timer_;
--- a/include/runlink/gateway/gateway_settings.hpp
+++ b/include/runlink/gateway/gateway_settings.hpp
@@ -36,6 +36,20 @@
     friend bool operator==(const forwarding_tuning&, const forwarding_tuning&) = default;
 };
 
+/// Duties that one instance at a time carries out for the deployment.
+struct duty_settings
+{
+    net::peer_address address; ///< of the platform's interface for duties; port 0: there are no duties
+    bool reports_usage = false;
+    bool orders_endpoints = false;
+    /// Time without a renewal after which another instance may take the duties over.
+    core::milliseconds lease{3000};
+    core::milliseconds report_window{5000};
+    core::milliseconds report_lateness{10'000}; ///< a report is due this long after its window
+
+    friend bool operator==(const duty_settings&, const duty_settings&) = default;
+};
+
 /// Contents of the settings file.
 struct gateway_settings
 {
@@ -62,6 +76,7 @@
     double retry_ratio = 0.9;     ///< retries per request, over all instances
     double exposure_share = 0.15; ///< largest share of requests that a bad version may receive
     places::region_map regions;   ///< region of each failure domain
+    duty_settings duties;
     std::uint32_t log_lines_per_second = 400;
     forwarding_tuning tuning;
 
--- a/include/runlink/gateway/kv_http_store.hpp
+++ b/include/runlink/gateway/kv_http_store.hpp
@@ -3,14 +3,11 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 
-#include <QTimer>
-
 #include "runlink/control/documents.hpp"
-#include "runlink/net/http_exchange.hpp"
+#include "runlink/gateway/http_caller.hpp"
 
 namespace runlink::gateway
 {
@@ -52,26 +49,14 @@
     const kv_call_counters& counters() const { return counters_; }
 
 private:
-    /// Receives the answer; `status` is 0 if there was none.
-    using answer_handler = std::function<void(int status, const std::string& body)>;
-    struct call
-    {
-        net::exchange exchange;
-        QTimer timer;
-        int status = 0;
-        std::string body;
-        answer_handler handler;
-    };
-    using call_ptr = std::shared_ptr<call>;
-
-    call_ptr send(const control::http_call& request, core::milliseconds timeout, answer_handler handler);
-    void finish(const call_ptr& it, int status);
+    /// Sends a call and counts its outcome.
+    http_caller::call_ptr send(const control::http_call& request, core::milliseconds timeout,
+                               http_caller::answer_handler handler);
 
     kv_http_options options_;
-    net::peer_address address_;
     control::kv_wire wire_;
-    net::connection_pool pool_;
-    std::weak_ptr<call> watch_;
+    http_caller caller_;
+    std::weak_ptr<http_caller::call> watch_;
     kv_call_counters counters_;
 };
 
--- a/include/runlink/proto/gossip_codec.hpp
+++ b/include/runlink/proto/gossip_codec.hpp
@@ -8,6 +8,7 @@
 
 #include "runlink/control/relay.hpp"
 #include "runlink/crashes/crash_messages.hpp"
+#include "runlink/duties/usage_messages.hpp"
 #include "runlink/places/advertised_limits.hpp"
 #include "runlink/routing/gossip_messages.hpp"
 #include "runlink/routing/load_digest.hpp"
@@ -18,7 +19,7 @@
 /// Message carried by one datagram; `std::monostate` if there is none.
 using datagram = std::variant<std::monostate, routing::gossip_message, control::sync_request,
                               control::sync_reply, routing::load_digest, crashes::crash_message,
-                              places::limit_reports, routing::leaving_notices>;
+                              places::limit_reports, routing::leaving_notices, duties::usage_report>;
 
 std::string encode(const datagram& it);
 /// Returns `std::monostate` if the bytes are not a valid datagram or carry no message.
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -70,6 +70,7 @@
     endpoint_directory& endpoints() { return endpoints_; }
     const endpoint_directory& endpoints() const { return endpoints_; }
     rollout_control& rollouts() { return rollouts_; }
+    const rollout_control& rollouts() const { return rollouts_; }
     /// An operator's order to roll out a version, written to the store at `written_at`.
     void on_order(time_point now, const rollout_order& order, time_point written_at);
 
@@ -147,6 +148,8 @@
     /// Number of active requests whose API key is not in the current table.
     std::size_t count_without_key() const;
     const forwarder_counters& counters() const { return counters_; }
+    /// Number of attempts under way at the endpoints of each service.
+    std::map<service_id, std::uint32_t> running() const;
 
 private:
     /// An active request.
@@ -178,6 +181,7 @@
         bool hedged = false;
         std::optional<time_point> held_since; ///< start of the wait for an isolated run or a send slot
         bool waits_for_slot = false;
+        bool run_counted = false; ///< `forwarder_hooks::run_began` was called
         /// Why no further attempt was allowed, since the latest one was sent.
         std::optional<succession_denial> denied;
         std::optional<std::uint64_t> last_event;
@@ -232,6 +236,9 @@
     /// Whether the current table is proven recently enough for its API keys to admit requests.
     bool are_keys_proven(time_point now) const;
 
+    /// Reports once that the request has begun to run.
+    void note_run(flow& it);
+
     // Endpoints
     /// Returns an empty ID for an endpoint that is not listed.
     failure_domain_id domain_of(const endpoint_id& id) const;
--- a/include/runlink/routing/rollout_control.hpp
+++ b/include/runlink/routing/rollout_control.hpp
@@ -161,6 +161,8 @@
     const rollout_record* find(const service_id& service) const;
     /// The state of the service's latest roll-out, if any.
     std::optional<rollout_status> status(const service_id& service) const;
+    /// Whether a roll-out of the service is under way.
+    bool is_running(const service_id& service) const;
     /// Called when this instance finds a version faulty.
     std::function<void(const service_id&, const version_fault&)> on_verdict = [](const auto&, const auto&) {};
 
--- a/include/runlink/routing/routing_table.hpp
+++ b/include/runlink/routing/routing_table.hpp
@@ -12,6 +12,7 @@
 
 #include "runlink/core/ids.hpp"
 #include "runlink/core/units.hpp"
+#include "runlink/duties/scale_planner.hpp"
 #include "runlink/places/region_map.hpp"
 #include "runlink/places/warm_up.hpp"
 
@@ -76,6 +77,8 @@
     bool runs_models = false;
     std::vector<model_price> models;
     places::cold_limit cold;
+    /// Set if the number of endpoints is ordered from the platform.
+    std::optional<duties::scaling_limits> scaling;
 };
 
 /// A client account and its keys.
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -34,14 +34,14 @@
 /// The process exits this long before it would be killed.
 constexpr core::milliseconds stop_reserve{300};
 
-std::int64_t wall_ms()
+} // namespace
+
+std::int64_t gateway_daemon::wall_ms()
 {
     const auto since = std::chrono::system_clock::now().time_since_epoch();
     return std::chrono::duration_cast<core::milliseconds>(since).count();
 }
 
-} // namespace
-
 gateway_daemon::gateway_daemon(gateway_settings settings, deployment_binding binding)
     : settings_{std::move(settings)}, binding_{std::move(binding)}, clock_{[this] { return begin_turn(); }},
       log_{STDOUT_FILENO, {settings_.log_lines_per_second}, settings_.id.str(), wall_ms},
@@ -55,7 +55,8 @@
              settings_.failure_domain, settings_.link_mbps, relay_hooks()},
       registry_{{}, [this](const auto& it, auto done) { write_members(it, std::move(done)); }},
       findings_{{}, [this](const auto& it, auto done) { write_findings(it, std::move(done)); }},
-      join_{{}, settings_.id, seeds(), join_hooks()},
+      join_{{}, settings_.id, seeds(), join_hooks()}, duties_{settings_.duties, settings_.id, binding_.duties,
+                                                              binding_.documents, duty_hooks()},
       readiness_{[this](const auto& from, const auto&, const std::string&) { on_readiness(from); },
                  [](const auto& from, net::codec_error) { from->reset(); }},
       metrics_listener_{[this](const auto& from, const auto&, const std::string&) { on_metrics(from); },
@@ -77,6 +78,7 @@
             gossip_.send_to(to, message);
     };
     gateway_.on_leaving_told = [this](const routing::leaving_notices& it) { gossip_.broadcast(it); };
+    gateway_.on_run_began = [this](const core::account_id& it) { duties_.on_run_began(it); };
     gateway_.on_harmful_found = [this](crashes::request_fingerprint it)
     {
         if (!findings_.found(clock_(), it))
@@ -196,7 +198,7 @@
         due = std::min(due, *stop_began_ + settings_.stop_grace - stop_reserve);
     for (const auto& it : {forwarder_.next_due(), follower_.next_due(), forwarder_.rollouts().next_due(),
                            forwarder_.rollouts().evidence_due(), relay_.next_due(), next_digest_,
-                           registry_.next_due(), findings_.next_due(), join_.next_due()})
+                           registry_.next_due(), findings_.next_due(), join_.next_due(), duties_.next_due()})
         if (it)
             due = std::min(due, *it);
     // A timer that fires too early is harmless, so it is restarted only for an earlier time.
@@ -240,6 +242,8 @@
     registry_.tick(now);
     findings_.tick(now);
     join_.tick(now);
+    duties_.set_candidate(relay_.is_direct());
+    duties_.tick(now);
     if (next_digest_ && now >= *next_digest_)
         exchange_loads(now);
     for (const auto& it : forwarder_.rollouts().due(now))
@@ -292,6 +296,7 @@
     gateway_.begin_stop();
     forwarder_.begin_stop(*stop_began_ + balancer_removal_time,
                           *stop_began_ + settings_.stop_grace - stop_reserve);
+    duties_.begin_stop();
     log_state("stop_began", "");
     log_.flush();
     rearm();
--- a/src/runlink/gateway/gateway_daemon_peers.cpp
+++ b/src/runlink/gateway/gateway_daemon_peers.cpp
@@ -155,6 +155,8 @@
         on_load_digest(now, *load);
     else if (const auto* crashes = std::get_if<crashes::crash_message>(&it))
         forwarder_.on_crash_news(now, *crashes);
+    else if (const auto* usage = std::get_if<duties::usage_report>(&it))
+        duties_.on_report(*usage);
     else if (const auto* leaving = std::get_if<routing::leaving_notices>(&it))
         forwarder_.on_leaving_told(now, *leaving);
     else if (const auto* limits = std::get_if<places::limit_reports>(&it))
--- a/src/runlink/gateway/gateway_daemon_store.cpp
+++ b/src/runlink/gateway/gateway_daemon_store.cpp
@@ -71,6 +71,7 @@
     std::set<crashes::request_fingerprint> harmful;
     std::set<core::service_id> ordered;
     std::set<core::service_id> recorded;
+    bool has_lease = false;
     for (const auto& item : items)
     {
         auto read = binding_.documents.read(item);
@@ -79,6 +80,7 @@
             endpoints.push_back(std::get<routing::endpoint_entry>(std::move(read).value()));
             continue;
         }
+        has_lease = has_lease || (read && std::holds_alternative<duties::lease_record>(read.value()));
         const auto name = binding_.documents.name(item.key);
         if (const auto* endpoint = std::get_if<control::endpoint_key>(&name))
             unreadable.push_back(endpoint->name);
@@ -99,6 +101,7 @@
             remove_harmful(now, it);
     forwarder_.on_evacuations(now, evacuated);
     forwarder_.rollouts().on_listed(now, ordered, recorded);
+    duties_.on_listed(now, has_lease);
     relay_.remember_all(now, items, follower_.revision());
     join_.on_listed(now);
     log_state("listed", std::to_string(endpoints.size()) + " endpoints");
@@ -150,6 +153,8 @@
         log_.write(now, rollout_record_line(*record, forwarder_.rollouts().status(record->service)),
                    observe::log_rank::vital);
     }
+    else
+        apply_duty_records(now, document);
 }
 
 void gateway_daemon::apply_table(core::time_point now, const routing::routing_table_ptr& it,
--- a/src/runlink/gateway/gateway_settings.cpp
+++ b/src/runlink/gateway/gateway_settings.cpp
@@ -97,6 +97,23 @@
     out.exposure_share = in.optional_number("exposure_share", out.exposure_share, 0, 1);
 }
 
+void read_duties(json_object_reader& in, duty_settings& out)
+{
+    out.address = read_address(in, "address");
+    for (const auto& it : in.optional_strings("names"))
+        if (it == "usage_report")
+            out.reports_usage = true;
+        else if (it == "autoscale")
+            out.orders_endpoints = true;
+        else
+            in.fault("names", "must be usage_report or autoscale");
+    out.lease = read_ms(in, "lease_ms", out.lease);
+    out.report_window = read_s(in, "report_window_s", out.report_window);
+    out.report_lateness = read_s(in, "report_lateness_s", out.report_lateness);
+    if (out.report_window == core::milliseconds{0})
+        in.fault("report_window_s", "must be positive");
+}
+
 void read_tuning(json_object_reader& in, forwarding_tuning& out)
 {
     constexpr double max_factor = 20;
@@ -146,6 +163,7 @@
     out.seeds = read_seeds(in);
     out.regions = read_regions(in);
     in.object("bounds", [&](auto& e) { read_bounds(e, out); });
+    in.object("duties", [&](auto& e) { read_duties(e, out.duties); });
     in.object("tuning", [&](auto& e) { read_tuning(e, out.tuning); });
     out.log_lines_per_second = static_cast<std::uint32_t>(
         in.optional_integer("log_lines_per_second", out.log_lines_per_second, 1, max_lines_per_second));
--- a/src/runlink/proto/gossip_codec.cpp
+++ b/src/runlink/proto/gossip_codec.cpp
@@ -162,6 +162,48 @@
     }
 }
 
+void to_wire(const duties::usage_report& it, wire::Datagram& to)
+{
+    auto& out = *to.mutable_usage();
+    out.set_sender(it.sender.str());
+    out.set_process(it.process.str());
+    for (const auto& e : it.windows)
+    {
+        auto* window = out.add_windows();
+        window->set_window(e.window.value());
+        for (const auto& [account, n] : e.accounts)
+        {
+            window->add_accounts(account.str());
+            window->add_counts(n);
+        }
+    }
+    for (const auto& e : it.loads)
+    {
+        auto* load = out.add_loads();
+        load->set_service(e.service.str());
+        load->set_running(e.running);
+    }
+}
+
+datagram from_wire(const wire::UsageReport& in)
+{
+    duties::usage_report out;
+    out.sender = core::instance_id{in.sender()};
+    out.process = core::incarnation_id{in.process()};
+    for (const auto& e : in.windows())
+    {
+        duties::window_counts window;
+        window.window = duties::window_number{e.window()};
+        const auto n = std::min(e.accounts_size(), e.counts_size());
+        for (int i = 0; i < n; ++i)
+            window.accounts[core::account_id{e.accounts(i)}] = e.counts(i);
+        out.windows.push_back(std::move(window));
+    }
+    for (const auto& e : in.loads())
+        out.loads.push_back({core::service_id{e.service()}, e.running()});
+    return out;
+}
+
 datagram from_wire(const wire::LeavingNotices& in)
 {
     routing::leaving_notices out;
@@ -318,6 +360,7 @@
     case wire::Datagram::kCrashes: return from_wire(in.crashes());
     case wire::Datagram::kLimits: return from_wire(in.limits());
     case wire::Datagram::kLeaving: return from_wire(in.leaving());
+    case wire::Datagram::kUsage: return from_wire(in.usage());
     case wire::Datagram::MESSAGE_NOT_SET: break;
     }
     return {};
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -67,6 +67,7 @@
         return retry_or_end(now, *request_flow, core::errc::endpoint_refused, true);
     }
     bounds_.rests().on_accepted(from->endpoint, from->started);
+    note_run(*request_flow);
     sample_end(now, *request_flow, *from, is_bad);
     if (!is_bad)
         chooser_.answered(from->endpoint);
@@ -88,6 +89,20 @@
     finish(now, *request_flow, "answered", head.status);
 }
 
+void request_forwarder::note_run(flow& it)
+{
+    if (!std::exchange(it.run_counted, true) && !it.account.empty())
+        hooks_.run_began(it.account);
+}
+
+std::map<service_id, std::uint32_t> request_forwarder::running() const
+{
+    std::map<service_id, std::uint32_t> out;
+    for (const auto& [id, it] : attempts_)
+        ++out[flows_.at(it.flow).service];
+    return out;
+}
+
 // Streams
 
 void request_forwarder::on_stream_head(time_point now, attempt_id id, const attempt_head& head)
@@ -100,6 +115,7 @@
     liveness_.heard(now, from.endpoint);
     bounds_.rests().on_accepted(from.endpoint, from.started);
     it->probe_at = now + liveness_.options().probe_after;
+    note_run(*it);
     if (!head.is_sealed)
     {
         sample_end(now, *it, from, true);
--- a/src/runlink/routing/rollout_control.cpp
+++ b/src/runlink/routing/rollout_control.cpp
@@ -296,4 +296,10 @@
                           it.trial.fresh(), it.trial.old(), it.trial.peer_count()};
 }
 
+bool rollout_control::is_running(const service_id& service) const
+{
+    const auto found = rollouts_.find(service);
+    return found != rollouts_.end() && is_running(found->second);
+}
+
 } // namespace runlink::routing
