Choice of an endpoint: spread over instances, and without a look at each endpoint

Cause 1: every process began its round robin at the same endpoint of the same order. Change: the rotation begins at the hash of the instance's id.

Change: endpoints are indexed by service, failure domain and hash; an idle one of the own failure domain is compared only with the endpoints that have the prompt and with its home, which is exact, as nothing else can be cheaper. Otherwise all are compared, as before. The home's score is a mixer of hashes kept in the index, so the homes of prompts differ from those of earlier builds.

Golden traces 06, 08, 09, 10, 28, 38 and cut_stream_test: endpoints of equal cost take turns in another order, since the rotation counts all endpoints of the service, not those left after earlier attempts.

--- a/include/runlink/routing/endpoint_chooser.hpp
+++ b/include/runlink/routing/endpoint_chooser.hpp
@@ -28,6 +28,13 @@
     /// Number of requests in flight by which an endpoint of the own failure domain may exceed one of another
     /// failure domain and still be preferred, for its shorter network path.
     std::uint32_t local_domain_bonus = 1;
+    /// Where the rotation among endpoints of equal cost begins. It should differ between instances: those
+    /// that handle few requests see equal costs everywhere, and would all begin at the same endpoints.
+    std::uint64_t rotation_start = 1;
+    /// Endpoints of the own failure domain that are looked at for an idle one before all are compared.
+    std::size_t max_idle_probes = 32;
+    /// Endpoints that are considered as the home of a prompt, by falling score, before all are compared.
+    std::size_t max_home_probes = 8;
     placement_options placement;
 };
 
@@ -48,7 +55,8 @@
 {
 public:
     endpoint_chooser(chooser_options options, failure_domain_id own_domain)
-        : options_{options}, own_domain_{own_domain}, placement_{options.placement, std::move(own_domain)}
+        : options_{options}, own_domain_{own_domain},
+          placement_{options.placement, std::move(own_domain)}, rotation_{options.rotation_start}
     {
     }
 
@@ -84,6 +92,17 @@
     bool is_backing_off(time_point now, const endpoint_id& id) const { return now < at(id).backoff_until; }
 
 private:
+    /// The endpoint with the highest score for a prompt, as found last. A request is placed twice: for its
+    /// admission and for its send.
+    struct ranked_home
+    {
+        const endpoint_group* group = nullptr;
+        std::uint64_t revision = 0; ///< of the group
+        prompt_hash shared;
+        const endpoint_entry* endpoint = nullptr;
+        std::uint64_t score = 0;
+    };
+
     struct load
     {
         std::uint32_t in_flight = 0;
@@ -92,6 +111,29 @@
     };
 
     const load& at(const endpoint_id& id) const;
+    /// Whether `it` meets the constraints, the preferences for a version included, and is not in backoff.
+    bool is_preferred(time_point now, const endpoint_directory& from, const endpoint_need& need,
+                      const endpoint_entry& it) const;
+    bool is_idle(time_point now, const endpoint_need& need, const endpoint_entry& it) const;
+    /// An idle endpoint of the own failure domain; null if none is found quickly.
+    const endpoint_entry* find_idle(time_point now, const endpoint_directory& from,
+                                    const endpoint_need& need) const;
+    /// The endpoint of the group with the highest score below `below`; without an endpoint if there is none.
+    static ranked_home best_below(const endpoint_group& group, const endpoint_need& need,
+                                  std::uint64_t below);
+    const ranked_home& top_home(const endpoint_group& group, const endpoint_need& need) const;
+    /// The home of the prompt among the endpoints that `is_preferred` admits; nothing if it is not found
+    /// quickly.
+    std::optional<const endpoint_entry*> find_home(time_point now, const endpoint_directory& from,
+                                                   const endpoint_need& need) const;
+    /// The choice among all endpoints, made without looking at each; null if that is not possible.
+    ///
+    /// No endpoint is cheaper than an idle one of the own failure domain, but for those that have the shared
+    /// parts of the prompt in their cache, and the home of the prompt.
+    const endpoint_entry* quick_choice(time_point now, const endpoint_directory& from,
+                                       const endpoint_need& need) const;
+    const endpoint_entry* compare_all(time_point now, const endpoint_directory& from,
+                                      const endpoint_need& need) const;
     void eject(time_point now, load& it);
     /// The candidates that are not in backoff.
     candidates without_backoff(time_point now, const candidates& from) const;
@@ -102,7 +144,8 @@
     failure_domain_id own_domain_;
     prompt_placement placement_;
     std::map<endpoint_id, load> loads_;
-    std::uint64_t rotation_ = 1; ///< index of the first candidate, for round-robin among equal costs
+    mutable ranked_home last_home_; ///< memo of `top_home`
+    std::uint64_t rotation_;        ///< index of the first candidate, for round-robin among equal costs
 };
 
 } // namespace runlink::routing
--- a/include/runlink/routing/endpoint_directory.hpp
+++ b/include/runlink/routing/endpoint_directory.hpp
@@ -8,45 +8,12 @@
 #include <string>
 #include <vector>
 
-#include "runlink/core/ids.hpp"
-#include "runlink/core/units.hpp"
+#include "runlink/routing/endpoint_entry.hpp"
+#include "runlink/routing/endpoint_index.hpp"
 
 namespace runlink::routing
 {
 
-using core::duration;
-using core::endpoint_id;
-using core::endpoint_incarnation;
-using core::endpoint_name;
-using core::failure_domain_id;
-using core::milliseconds;
-using core::service_id;
-using core::time_point;
-using core::version_id;
-
-/// The id of one incarnation of an endpoint, from its start to its end. Loads, failures, cached prompts and
-/// roll-out evidence are stored under this id, so that a restarted endpoint begins without them. The id
-/// of incarnation 0 is the name itself.
-endpoint_id endpoint_id_of(const endpoint_name& name, endpoint_incarnation incarnation);
-
-/// One incarnation of an endpoint.
-struct endpoint_entry
-{
-    endpoint_id id; ///< see `endpoint_id_of`
-    endpoint_name name;
-    endpoint_incarnation incarnation;
-    service_id service;
-    std::string host; ///< an IP address
-    std::uint16_t port = 0;
-    failure_domain_id failure_domain;
-    version_id version; ///< of its software or model weights
-    std::uint32_t slots = 1;
-    bool leaving = false;    ///< shutting down, takes no new work
-    milliseconds cold_for{}; ///< remaining warm-up with reduced load, as of the writing of the entry
-
-    friend bool operator==(const endpoint_entry&, const endpoint_entry&) = default;
-};
-
 /// Time limits of the directory.
 struct directory_options
 {
@@ -112,6 +79,8 @@
     bool is_last_resort(time_point now, const endpoint_id& id) const;
     std::vector<const endpoint_entry*> of_domain(const failure_domain_id& domain) const;
     const endpoint_entry* find(const endpoint_id& id) const;
+    /// All endpoints by service and hash, including those that may get no new work.
+    const endpoint_index& index() const { return index_; }
     /// The first entry for which `fits` returns true, or null.
     const endpoint_entry* find_if(const std::function<bool(const endpoint_entry&)>& fits) const;
     bool may_get_work(time_point now, const endpoint_id& id) const;
@@ -123,13 +92,14 @@
     struct record
     {
         endpoint_entry entry;
-        time_point usable_until = time_point::max(); ///< earlier if the entry vanished with an outage
         bool is_listed_as_leaving = false;
     };
 
-    static bool is_usable(time_point now, const record& it)
+    /// Whether the grace period of an entry that vanished with an outage is over.
+    bool has_vanished(time_point now, const endpoint_id& id) const;
+    bool is_usable(time_point now, const endpoint_entry& it) const
     {
-        return !it.entry.leaving && now < it.usable_until;
+        return !it.leaving && !has_vanished(now, it.id);
     }
 
     bool is_last_resort(time_point now, const record& it) const;
@@ -138,6 +108,8 @@
 
     directory_options options_;
     std::map<endpoint_id, record> records_;
+    endpoint_index index_;                        ///< of the entries in `records_`
+    std::map<endpoint_id, time_point> vanishing_; ///< entries that vanished with an outage, and their end
     std::map<endpoint_name, endpoint_id> current_ids_;           ///< current incarnation, in `records_`
     std::map<endpoint_name, endpoint_incarnation> incarnations_; ///< latest known incarnation
     std::map<endpoint_id, time_point>
--- a/include/runlink/routing/prompt_placement.hpp
+++ b/include/runlink/routing/prompt_placement.hpp
@@ -78,9 +78,25 @@
         const endpoint_entry* endpoint = nullptr;
         std::uint32_t in_flight = 0;
     };
-    /// The endpoint with the lowest cost for the prompt, or null if `from` is empty.
-    const endpoint_entry* choose(time_point now, const std::vector<candidate>& from,
-                                 const prompt_need& need) const;
+    /// The endpoint with the lowest cost for the prompt, or null if `from` is empty. `home` is the endpoint
+    /// that rendezvous hashing assigns to the shared parts: instances thereby send an uncached prompt to the
+    /// same endpoint without coordination.
+    const endpoint_entry* choose(time_point now, const std::vector<candidate>& from, const prompt_need& need,
+                                 const endpoint_entry* home) const;
+    /// The home of the prompt among all candidates.
+    static const endpoint_entry* home_of(const std::vector<candidate>& from, const prompt_need& need);
+    /// Score of an endpoint as the home of the prompt, by the hash of its id; the highest one wins.
+    static std::uint64_t home_score(std::uint64_t id_hash, const prompt_need& need);
+    /// Endpoints that are assumed to have the shared parts in their cache.
+    std::vector<endpoint_hash> endpoints_with(time_point now, const prompt_need& need) const
+    {
+        return kept_.endpoints_with(now, need.shared);
+    }
+    /// Whether no prompt is known to wait at the endpoint.
+    bool is_idle(time_point now, const endpoint_id& id) const
+    {
+        return backlog_.time_left(now, hash_of(id)) == duration{};
+    }
 
     /// Estimates for a prompt if it is sent now.
     placed_prompt expect(time_point now, const endpoint_entry& to, const prompt_need& need) const;
@@ -107,12 +123,7 @@
     void expire(time_point now);
 
 private:
-    /// The endpoint that rendezvous hashing assigns to the shared parts. Instances thereby send an uncached
-    /// prompt to the same endpoint without coordination.
-    static const endpoint_entry* rendezvous_choice(const std::vector<candidate>& from,
-                                                   const prompt_need& need);
-    duration cost(time_point now, const candidate& at, const prompt_need& need,
-                  bool is_rendezvous_choice) const;
+    duration cost(time_point now, const candidate& at, const prompt_need& need, bool is_home) const;
     std::uint32_t unread_tokens(time_point now, endpoint_hash at, const prompt_need& need) const;
 
     placement_options options_;
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -6,6 +6,7 @@
 
 #include <unistd.h>
 
+#include "runlink/core/hash.hpp"
 #include "runlink/gateway/rollout_log.hpp"
 
 namespace runlink::gateway
@@ -117,6 +118,7 @@
     out.cascade.start_small = tuning.start_small;
     out.cascade.accept_confidence = tuning.accept_confidence;
     out.cascade.accept_confidence_late = tuning.accept_confidence_late;
+    out.chooser.rotation_start = core::stable_hash(settings_.id.str());
     out.chooser.placement.far_per_kb = tuning.far_per_kb;
     out.chooser.placement.again_weight = tuning.again_weight;
     out.chooser.placement.late_weight = tuning.late_weight;
--- a/src/runlink/routing/endpoint_chooser.cpp
+++ b/src/runlink/routing/endpoint_chooser.cpp
@@ -1,6 +1,7 @@
 #include "runlink/routing/endpoint_chooser.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace runlink::routing
 {
@@ -122,7 +123,7 @@
         const auto* it = from[(n + rotation_) % from.size()];
         all.push_back({it, at(it->id).in_flight});
     }
-    return placement_.choose(now, all, need);
+    return placement_.choose(now, all, need, prompt_placement::home_of(all, need));
 }
 
 const endpoint_entry* endpoint_chooser::least_loaded(const candidates& from) const
@@ -154,6 +155,13 @@
 
 const endpoint_entry* endpoint_chooser::peek(time_point now, const endpoint_directory& from,
                                              const endpoint_need& need) const
+{
+    const auto* quick = quick_choice(now, from, need);
+    return quick != nullptr ? quick : compare_all(now, from, need);
+}
+
+const endpoint_entry* endpoint_chooser::compare_all(time_point now, const endpoint_directory& from,
+                                                    const endpoint_need& need) const
 {
     const auto all = fitting(now, from, need);
     if (all.empty())
@@ -163,4 +171,104 @@
     return need.prompt ? lowest_cost(now, usable, *need.prompt) : least_loaded(usable);
 }
 
+// Choice without a look at each endpoint
+
+bool endpoint_chooser::is_preferred(time_point now, const endpoint_directory& from, const endpoint_need& need,
+                                    const endpoint_entry& it) const
+{
+    const auto& [only, excluded, avoided, is_strict] = need.versions;
+    if ((excluded && it.version == *excluded) || (only && it.version != *only) ||
+        (!only && avoided && it.version == *avoided))
+        return false;
+    return from.may_get_work(now, it.id) && (need.tried == nullptr || !need.tried->contains(it.id)) &&
+           need.may_use(it) && !is_backing_off(now, it.id);
+}
+
+bool endpoint_chooser::is_idle(time_point now, const endpoint_need& need, const endpoint_entry& it) const
+{
+    return at(it.id).in_flight == 0 && (!need.prompt || placement_.is_idle(now, it.id));
+}
+
+const endpoint_entry* endpoint_chooser::find_idle(time_point now, const endpoint_directory& from,
+                                                  const endpoint_need& need) const
+{
+    const auto* group = from.index().group(need.service);
+    if (group == nullptr)
+        return nullptr;
+    const auto local = group->by_domain.find(own_domain_);
+    if (local == group->by_domain.end())
+        return nullptr;
+    const auto& near = local->second;
+    const auto probes = std::min(near.size(), options_.max_idle_probes);
+    for (std::size_t n = 0; n < probes; ++n)
+    {
+        const auto* it = near[(n + rotation_) % near.size()];
+        if (is_idle(now, need, *it) && is_preferred(now, from, need, *it))
+            return it;
+    }
+    return nullptr;
+}
+
+endpoint_chooser::ranked_home endpoint_chooser::best_below(const endpoint_group& group,
+                                                           const endpoint_need& need, std::uint64_t below)
+{
+    ranked_home out{&group, group.revision, need.prompt->shared, nullptr, 0};
+    for (std::size_t n = 0; n < group.all.size(); ++n)
+    {
+        const auto score = prompt_placement::home_score(group.hashes[n], *need.prompt);
+        if (score >= below || (out.endpoint != nullptr && score <= out.score))
+            continue;
+        out.endpoint = group.all[n];
+        out.score = score;
+    }
+    return out;
+}
+
+const endpoint_chooser::ranked_home& endpoint_chooser::top_home(const endpoint_group& group,
+                                                                const endpoint_need& need) const
+{
+    const bool is_known = last_home_.endpoint != nullptr && last_home_.group == &group &&
+                          last_home_.revision == group.revision && last_home_.shared == need.prompt->shared;
+    if (!is_known)
+        last_home_ = best_below(group, need, std::numeric_limits<std::uint64_t>::max());
+    return last_home_;
+}
+
+std::optional<const endpoint_entry*>
+endpoint_chooser::find_home(time_point now, const endpoint_directory& from, const endpoint_need& need) const
+{
+    const auto* group = from.index().group(need.service);
+    auto home = top_home(*group, need);
+    for (std::size_t probe = 0; probe < options_.max_home_probes; ++probe)
+    {
+        if (home.endpoint == nullptr || is_preferred(now, from, need, *home.endpoint))
+            return home.endpoint;
+        home = best_below(*group, need, home.score);
+    }
+    return std::nullopt;
+}
+
+const endpoint_entry* endpoint_chooser::quick_choice(time_point now, const endpoint_directory& from,
+                                                     const endpoint_need& need) const
+{
+    const auto* idle = find_idle(now, from, need);
+    if (idle == nullptr || !need.prompt || need.prompt->shared_tokens == 0)
+        return idle;
+    const auto home = find_home(now, from, need);
+    if (!home)
+        return nullptr;
+    std::vector<prompt_placement::candidate> all{{idle, 0}};
+    const auto add = [&](const endpoint_entry* it)
+    {
+        if (it != nullptr && it != idle)
+            all.push_back({it, at(it->id).in_flight});
+    };
+    add(*home);
+    for (const auto hash : placement_.endpoints_with(now, *need.prompt))
+        if (const auto* it = from.index().find(hash);
+            it != nullptr && it->service == need.service && is_preferred(now, from, need, *it))
+            add(it);
+    return placement_.choose(now, all, *need.prompt, *home);
+}
+
 } // namespace runlink::routing
--- a/src/runlink/routing/endpoint_directory.cpp
+++ b/src/runlink/routing/endpoint_directory.cpp
@@ -36,6 +36,7 @@
     {
         const bool replaced_incarnation = drop(it.name) == change::removed;
         auto& added = records_.emplace(it.id, record{it}).first->second;
+        index_.add(added.entry);
         added.is_listed_as_leaving = it.leaving;
         added.entry.leaving = it.leaving || leaving_marks_.contains(it.id);
         current_ids_[it.name] = it.id;
@@ -45,13 +46,17 @@
     }
     auto& old = found->second;
     const bool was_leaving = old.entry.leaving;
-    const bool returned = old.usable_until != time_point::max();
+    const bool returned = vanishing_.erase(it.id) > 0;
     auto entry = it;
     entry.leaving = it.leaving || was_leaving;
     const bool same = old.entry == entry;
-    old.entry = std::move(entry);
+    if (!same)
+    {
+        index_.remove(old.entry);
+        old.entry = std::move(entry);
+        index_.add(old.entry);
+    }
     old.is_listed_as_leaving = old.is_listed_as_leaving || it.leaving;
-    old.usable_until = time_point::max();
     if (old.entry.leaving && !was_leaving)
         return change::leaving;
     return same && !returned ? change::none : change::updated;
@@ -67,7 +72,7 @@
         store_returned_at_ != time_point::min() && now - store_returned_at_ < options_.store_recovery_window;
     if (!is_after_outage || it.entry.leaving)
         return drop(name);
-    it.usable_until = std::min(it.usable_until, now + options_.vanished_grace);
+    vanishing_.try_emplace(it.entry.id, now + options_.vanished_grace);
     return change::none;
 }
 
@@ -76,7 +81,9 @@
     const auto life = current_ids_.find(name);
     if (life == current_ids_.end())
         return change::none;
+    index_.remove(records_.at(life->second).entry);
     records_.erase(life->second);
+    vanishing_.erase(life->second);
     current_ids_.erase(life);
     return change::removed;
 }
@@ -112,10 +119,18 @@
     return leaving_marks_.contains(id) || (it != nullptr && it->leaving);
 }
 
+bool endpoint_directory::has_vanished(time_point now, const endpoint_id& id) const
+{
+    if (vanishing_.empty())
+        return false;
+    const auto found = vanishing_.find(id);
+    return found != vanishing_.end() && now >= found->second;
+}
+
 bool endpoint_directory::is_last_resort(time_point now, const record& it) const
 {
     const auto mark = leaving_marks_.find(it.entry.id);
-    return mark != leaving_marks_.end() && !it.is_listed_as_leaving && now < it.usable_until &&
+    return mark != leaving_marks_.end() && !it.is_listed_as_leaving && !has_vanished(now, it.entry.id) &&
            now < mark->second + options_.last_resort_time;
 }
 
@@ -146,9 +161,9 @@
 void endpoint_directory::forget_vanished(time_point now)
 {
     std::vector<endpoint_name> over;
-    for (const auto& [id, it] : records_)
-        if (now >= it.usable_until)
-            over.push_back(it.entry.name);
+    for (const auto& [id, until] : vanishing_)
+        if (now >= until)
+            over.push_back(records_.at(id).entry.name);
     for (const auto& name : over)
         drop(name);
     forget_old_incarnations();
@@ -165,9 +180,13 @@
 std::vector<const endpoint_entry*> endpoint_directory::usable(time_point now, const service_id& service) const
 {
     std::vector<const endpoint_entry*> out;
-    for (const auto& [id, it] : records_)
-        if (it.entry.service == service && is_usable(now, it))
-            out.push_back(&it.entry);
+    const auto* group = index_.group(service);
+    if (group == nullptr)
+        return out;
+    out.reserve(group->all.size());
+    for (const auto* it : group->all)
+        if (is_usable(now, *it))
+            out.push_back(it);
     return out;
 }
 
@@ -198,7 +217,7 @@
 bool endpoint_directory::may_get_work(time_point now, const endpoint_id& id) const
 {
     const auto found = records_.find(id);
-    return found != records_.end() && is_usable(now, found->second);
+    return found != records_.end() && is_usable(now, found->second.entry);
 }
 
 } // namespace runlink::routing
--- a/src/runlink/routing/prompt_placement.cpp
+++ b/src/runlink/routing/prompt_placement.cpp
@@ -30,14 +30,22 @@
     return need.own_tokens + (kept_.has(now, at, need.shared) ? 0 : need.shared_tokens);
 }
 
-const endpoint_entry* prompt_placement::rendezvous_choice(const std::vector<candidate>& from,
-                                                          const prompt_need& need)
+std::uint64_t prompt_placement::home_score(std::uint64_t id_hash, const prompt_need& need)
+{
+    // A bit mixer: cheap enough to be computed for each endpoint, and each bit of both inputs counts.
+    auto n = id_hash ^ (need.shared.value() * 0x9e3779b97f4a7c15U);
+    n = (n ^ (n >> 30U)) * 0xbf58476d1ce4e5b9U;
+    n = (n ^ (n >> 27U)) * 0x94d049bb133111ebU;
+    return n ^ (n >> 31U);
+}
+
+const endpoint_entry* prompt_placement::home_of(const std::vector<candidate>& from, const prompt_need& need)
 {
     const endpoint_entry* best = nullptr;
     std::uint64_t highest = 0;
     for (const auto& it : from)
     {
-        const auto score = core::stable_hash(it.endpoint->id.str(), need.shared.value());
+        const auto score = home_score(core::stable_hash(it.endpoint->id.str()), need);
         if (best != nullptr && score <= highest)
             continue;
         best = it.endpoint;
@@ -47,7 +55,7 @@
 }
 
 duration prompt_placement::cost(time_point now, const candidate& at, const prompt_need& need,
-                                bool is_rendezvous_choice) const
+                                bool is_home) const
 {
     const auto id = hash_of(at.endpoint->id);
     const auto wait = backlog_.time_left(now, id);
@@ -56,7 +64,7 @@
     if (first_token > need.time_to_target)
         out += (first_token - need.time_to_target) * options_.late_weight;
     out += speed_.time_to_read(need.model, need.own_tokens);
-    if (!is_rendezvous_choice && !kept_.has(now, id, need.shared))
+    if (!is_home && !kept_.has(now, id, need.shared))
         out += part_of(speed_.time_to_read(need.model, need.shared_tokens), options_.again_weight);
     if (at.endpoint->failure_domain != own_domain_)
         out += options_.far_per_kb * static_cast<std::int64_t>(need.request_bytes) / bytes_per_kb;
@@ -64,14 +72,13 @@
 }
 
 const endpoint_entry* prompt_placement::choose(time_point now, const std::vector<candidate>& from,
-                                               const prompt_need& need) const
+                                               const prompt_need& need, const endpoint_entry* home) const
 {
-    const auto* preferred = rendezvous_choice(from, need);
     const endpoint_entry* best = nullptr;
     duration lowest{};
     for (const auto& it : from)
     {
-        const auto costs = cost(now, it, need, it.endpoint == preferred);
+        const auto costs = cost(now, it, need, it.endpoint == home);
         if (best != nullptr && costs >= lowest)
             continue;
         best = it.endpoint;
