--- a/include/runlink/duties/duty_lease.hpp
+++ b/include/runlink/duties/duty_lease.hpp
@@ -55,7 +55,7 @@
     /// Candidates try at different times within this range, so that usually one write is sent.
     milliseconds candidate_jitter{500};
 
-    milliseconds renew_every() const { return lease / 3; }
+    milliseconds renew_every() const { return lease / 2; }
 };
 
 /// Actions of the lease.
--- a/include/runlink/duties/scale_orders.hpp
+++ b/include/runlink/duties/scale_orders.hpp
@@ -68,6 +68,9 @@
     planner_options planner;
     milliseconds plan_interval{1000};
     milliseconds retry_delay{600};
+    /// The first order for a service keeps the endpoints that it has, once their number has not grown for
+    /// this time: when a deployment starts, its endpoints appear one after the other.
+    milliseconds first_count_time{4000};
     /// An order without an answer may be carried out this much later, after newer ones; the latest order is
     /// then repeated.
     milliseconds late_call_time{8000};
@@ -125,6 +128,15 @@
     };
     using call_key = std::pair<scale_subject, bool>;
 
+    /// The highest number of ready endpoints of a subject without an order.
+    struct first_count
+    {
+        std::uint32_t ready = 0;
+        time_point since{};
+    };
+
+    /// Whether the service has orders, or the number of its endpoints no longer grows.
+    bool is_counted(time_point now, const core::service_id& service, const service_state& state);
     /// Plans all services; returns whether the plan differs from the record.
     bool plan(time_point now, order_record& next);
     domain_state state_of(time_point now, const scale_subject& subject, const service_state& service,
@@ -146,6 +158,7 @@
     std::map<call_key, call_state> calls_;
     std::map<scale_subject, time_point> changed_at_; ///< when an order for the subject was last accepted
     std::map<scale_subject, time_point> denied_until_;
+    std::map<scale_subject, first_count> first_counts_;
     std::optional<time_point> next_step_;
     time_point next_plan_{};
     time_point plan_from_{};
--- a/include/runlink/duties/scale_planner.hpp
+++ b/include/runlink/duties/scale_planner.hpp
@@ -57,7 +57,7 @@
     scaling_limits limits;
     std::uint32_t slots = 1; ///< per endpoint
     std::map<failure_domain_id, domain_state> domains;
-    /// Requests at the endpoints, over all instances; empty while too few instances have reported.
+    /// Requests at the endpoints, over all instances; empty if unknown.
     std::optional<std::uint32_t> running;
     /// Nothing is taken away: a roll-out or an evacuation is under way, or the store is unreachable.
     bool keeps_capacity = false;
@@ -69,7 +69,7 @@
     /// Share of the slots that is in use at the planned size. Endpoints slow down as their slots fill, and
     /// the other failure domains must be able to serve the requests of a domain whose preemptible endpoints
     /// are reclaimed.
-    double target_occupancy = 0.2;
+    double target_occupancy = 0.4;
     /// Regular endpoints of a failure domain, as a share of its endpoints.
     double regular_share = 0.05;
     /// The smallest excess for which endpoints are taken away, as a share of the planned size.
--- a/src/runlink/duties/scale_orders.cpp
+++ b/src/runlink/duties/scale_orders.cpp
@@ -72,6 +72,22 @@
     return out;
 }
 
+bool scale_orders::is_counted(time_point now, const core::service_id& service, const service_state& state)
+{
+    bool out = !state.ready.empty();
+    for (const auto& [domain, ready] : state.ready)
+    {
+        const scale_subject subject{service, domain};
+        if (record_.orders.contains(subject))
+            continue;
+        auto& known = first_counts_.try_emplace(subject, first_count{0, now}).first->second;
+        if (ready > known.ready)
+            known = {ready, now};
+        out = out && now - known.since >= options_.first_count_time;
+    }
+    return out;
+}
+
 bool scale_orders::plan(time_point now, order_record& next)
 {
     auto services = hooks_.services();
@@ -81,6 +97,8 @@
         for (const auto& [subject, order] : record_.orders)
             if (subject.service == service)
                 state.ready.try_emplace(subject.domain, 0);
+        if (!is_counted(now, service, state))
+            continue;
         scale_input in;
         in.limits = state.limits;
         in.slots = state.slots;
--- a/src/runlink/duties/scale_planner.cpp
+++ b/src/runlink/duties/scale_planner.cpp
@@ -9,7 +9,8 @@
 std::optional<std::uint32_t> scale_planner::needed_by_load(time_point now, const scale_input& in)
 {
     std::erase_if(loads_, [&](const auto& it) { return now - it.first > options_.peak_memory; });
-    if (in.running)
+    // Without requests the load is unknown rather than zero: traffic may be about to begin.
+    if (in.running && *in.running > 0)
         loads_[now] = *in.running;
     // A short history may hold only a quiet moment.
     if (loads_.empty() || now - loads_.begin()->first < options_.peak_memory / 2)
