--- a/include/runlink/duties/scale_orders.hpp
+++ b/include/runlink/duties/scale_orders.hpp
@@ -70,7 +70,7 @@
     milliseconds retry_delay{600};
     /// The first order for a service keeps the endpoints that it has, once their number has not grown for
     /// this time: when a deployment starts, its endpoints appear one after the other.
-    milliseconds first_count_time{4000};
+    milliseconds first_count_time{2000};
     /// An order without an answer may be carried out this much later, after newer ones; the latest order is
     /// then repeated.
     milliseconds late_call_time{8000};
