--- a/include/runlink/duties/scale_orders.hpp
+++ b/include/runlink/duties/scale_orders.hpp
@@ -77,11 +77,12 @@
     /// After the platform denied preemptible endpoints in a failure domain, they are not ordered there for
     /// this time.
     milliseconds denial_time{4000};
-    /// While fewer endpoints are ready than were ordered, the order is repeated after this time: the platform
-    /// does not replace reclaimed endpoints by itself.
-    milliseconds repeat_interval{5000};
-    /// Share of the ordered endpoints from which the order counts as fulfilled.
-    double fulfilled_share = 0.9;
+    /// While the number of ready endpoints differs from the ordered one, the orders are repeated after this
+    /// time: the platform does not replace reclaimed endpoints by itself, and a roll-out ends with endpoints
+    /// that were started beside the ordered ones.
+    milliseconds repeat_interval{2500};
+    /// Difference, as a share of the ordered endpoints, for which the orders are not repeated.
+    double tolerance = 0.1;
     /// A new holder gives no orders before the other instances have sent it their loads.
     milliseconds collect_time{1500};
 };
@@ -141,8 +142,9 @@
     bool plan(time_point now, order_record& next);
     domain_state state_of(time_point now, const scale_subject& subject, const service_state& service,
                           std::uint32_t ready) const;
-    /// Repeats the order for preemptible endpoints of which many are missing.
-    void repeat_unfulfilled(time_point now, const scale_subject& subject, const domain_state& state);
+    /// Repeats the orders of a subject whose number of ready endpoints differs from the ordered one.
+    void repeat_unfulfilled(time_point now, const scale_subject& subject, const domain_state& state,
+                            bool keeps_capacity);
     void store(const order_record& next);
     void on_stored(const order_record& next, write_result result);
     /// The next call that is due.
--- a/src/runlink/duties/scale_orders.cpp
+++ b/src/runlink/duties/scale_orders.cpp
@@ -107,7 +107,7 @@
         for (const auto& [domain, ready] : state.ready)
         {
             const auto domain_state = state_of(now, {service, domain}, state, ready);
-            repeat_unfulfilled(now, {service, domain}, domain_state);
+            repeat_unfulfilled(now, {service, domain}, domain_state, state.keeps_capacity);
             in.domains[domain] = domain_state;
         }
         const auto planner = planners_.try_emplace(service, options_.planner).first;
@@ -117,14 +117,20 @@
     return next.orders != record_.orders;
 }
 
-void scale_orders::repeat_unfulfilled(time_point now, const scale_subject& subject, const domain_state& state)
+void scale_orders::repeat_unfulfilled(time_point now, const scale_subject& subject, const domain_state& state,
+                                      bool keeps_capacity)
 {
-    const bool is_fulfilled = state.ready >= state.ordered.total() * options_.fulfilled_share;
-    if (is_fulfilled || !state.has_settled || state.ordered.preemptible == 0)
+    const double ordered = state.ordered.total();
+    const bool is_short = state.ready < ordered * (1 - options_.tolerance);
+    const bool is_surplus = state.ready > ordered * (1 + options_.tolerance) && !keeps_capacity;
+    if (!state.has_settled || (!is_short && !is_surplus))
         return;
-    auto& call = calls_[{subject, true}];
-    if (!call.repeat_at)
-        call.repeat_at = now + options_.repeat_interval;
+    for (const bool is_preemptible : {true, false})
+    {
+        const auto call = calls_.find({subject, is_preemptible});
+        if (call != calls_.end() && !call->second.repeat_at)
+            call->second.repeat_at = now + options_.repeat_interval;
+    }
 }
 
 void scale_orders::store(const order_record& next)
--- a/src/runlink/duties/scale_orders_test.cpp
+++ b/src/runlink/duties/scale_orders_test.cpp
@@ -219,3 +219,17 @@
     CHECK(by.count(by.regular) == 2);
     CHECK(by.count(by.preemptible) == 38);
 }
+
+TEST_CASE("endpoints that a roll-out leaves beside the ordered ones are taken away after it")
+{
+    orders_under_test by;
+    by.advance(milliseconds{30'000});
+    REQUIRE(by.count(by.regular) == 2);
+    by.service.keeps_capacity = true;
+    by.regular = {{north, 20}, {south, 20}}; // started by the roll-out
+    by.advance(milliseconds{20'000});
+    CHECK(by.count(by.regular) == 40);
+    by.service.keeps_capacity = false;
+    by.advance(milliseconds{10'000});
+    CHECK(by.count(by.regular) == 2);
+}
