Size: history, removed names and the choice of relays follow the fleet

Causes, by reading: (1) deletions beyond 1,000 were forgotten, and each further one scanned the map of all items from its start; a release of 0.45 of 10,002 endpoints removes 4,500 entries within seconds, after which all followers would read the store anew. As many deletions are kept now as the store has items, in an index of their own. (2) Beyond 1,024 removed names all were forgotten at once; as many are kept now as there are endpoints.

--- a/include/runlink/control/change_history.hpp
+++ b/include/runlink/control/change_history.hpp
@@ -5,8 +5,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "runlink/control/kv_store.hpp"
@@ -17,8 +19,9 @@
 /// Parameters of the history.
 struct history_options
 {
-    /// Maximum number of remembered deletions. A roll-out deletes one entry for each endpoint of a service.
-    std::size_t max_deletions = 1000;
+    /// Number of deletions that are always remembered. Beyond it, as many are remembered as the store has
+    /// items: a roll-out or a lost failure domain deletes a share of all entries within seconds.
+    std::size_t min_deletions = 1000;
     /// Maximum uncompressed size of a value that is sent to others. Compression reduces JSON to a fifth or
     /// less.
     std::size_t max_value_bytes = 256 * 1024;
@@ -52,15 +55,18 @@
     history_part changes_after(std::uint64_t since) const;
 
 private:
+    using change_key = std::pair<std::uint64_t, std::string>; ///< revision and key
+
     void put(const kv_event& it);
     /// Forgets the oldest deletions beyond the limit.
     void drop_old_deletions();
+    std::size_t max_deletions() const;
 
     history_options options_;
     /// By revision and key, since a transaction may change several keys.
-    std::map<std::pair<std::uint64_t, std::string>, kv_event> changes_;
+    std::map<change_key, kv_event> changes_;
     std::unordered_map<std::string, std::uint64_t> revisions_;
-    std::size_t deletions_ = 0;
+    std::set<change_key> deletions_; ///< the keys in `changes_` of deletions
     std::uint64_t complete_since_ = 0;
 };
 
--- a/include/runlink/control/relay.hpp
+++ b/include/runlink/control/relay.hpp
@@ -196,7 +196,10 @@
         std::uint32_t link_mbps = 0;
     };
 
-    std::vector<instance_id> relays(const core::failure_domain_id& domain) const;
+    /// The relays of a failure domain, in order. They are chosen anew only after instances were added,
+    /// changed or removed, since each round asks for them and all instances have to be compared.
+    const std::vector<instance_id>& relays(const core::failure_domain_id& domain) const;
+    std::map<core::failure_domain_id, std::vector<instance_id>> choose_relays() const;
     /// Instances to ask, in order: the relays of the own failure domain, then the first of each other one.
     std::vector<instance_id> sources() const;
     bool follows_store() const;
@@ -224,6 +227,8 @@
     relay_hooks hooks_;
     std::uint32_t link_mbps_;
     std::map<instance_id, peer> peers_;
+    /// Memo of `choose_relays`; empty after a change of the instances.
+    mutable std::map<core::failure_domain_id, std::vector<instance_id>> relays_;
     std::map<instance_id, subscriber> subscribers_;
     /// Joining instances that may get the same reply.
     struct joiner_group
--- a/src/runlink/control/change_history.cpp
+++ b/src/runlink/control/change_history.cpp
@@ -10,7 +10,7 @@
 {
     changes_.clear();
     revisions_.clear();
-    deletions_ = 0;
+    deletions_.clear();
     complete_since_ = revision;
     for (const auto& it : items)
         put({it, false});
@@ -29,28 +29,31 @@
     const auto found = revisions_.find(it.item.key);
     if (found != revisions_.end())
     {
-        const auto old = changes_.find({found->second, it.item.key});
-        deletions_ -= old->second.is_deleted ? 1 : 0;
+        const change_key old{found->second, it.item.key};
+        deletions_.erase(old);
         changes_.erase(old);
     }
     revisions_[it.item.key] = it.item.revision;
-    deletions_ += it.is_deleted ? 1 : 0;
-    changes_[{it.item.revision, it.item.key}] = it;
+    const change_key key{it.item.revision, it.item.key};
+    if (it.is_deleted)
+        deletions_.insert(key);
+    changes_[key] = it;
+}
+
+std::size_t change_history::max_deletions() const
+{
+    return std::max(options_.min_deletions, changes_.size() - deletions_.size());
 }
 
 void change_history::drop_old_deletions()
 {
-    for (auto it = changes_.begin(); deletions_ > options_.max_deletions && it != changes_.end();)
+    while (deletions_.size() > max_deletions())
     {
-        if (!it->second.is_deleted)
-        {
-            ++it;
-            continue;
-        }
-        complete_since_ = std::max(complete_since_, it->first.first);
-        revisions_.erase(it->first.second);
-        it = changes_.erase(it);
-        --deletions_;
+        const auto oldest = deletions_.begin();
+        complete_since_ = std::max(complete_since_, oldest->first);
+        revisions_.erase(oldest->second);
+        changes_.erase(*oldest);
+        deletions_.erase(oldest);
     }
 }
 
--- a/src/runlink/control/join_test.cpp
+++ b/src/runlink/control/join_test.cpp
@@ -246,7 +246,7 @@
 TEST_CASE("the oldest deletions are forgotten, and earlier revisions are reported as not covered")
 {
     history_options options;
-    options.max_deletions = 2;
+    options.min_deletions = 2;
     change_history it{options};
     it.reset({{"a", "", 1}, {"b", "", 2}, {"c", "", 3}, {"d", "", 4}}, 4);
     CHECK_FALSE(it.covers(3));
--- a/src/runlink/control/relay.cpp
+++ b/src/runlink/control/relay.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <bit>
 #include <chrono>
-#include <set>
 #include <utility>
 
 #include "runlink/core/hash.hpp"
@@ -56,20 +55,25 @@
 {
     if (id == self_)
         return;
-    peers_[id] = {domain, link_mbps};
+    auto& known = peers_[id];
     first_source_ = 0;
+    if (known.domain == domain && known.link_mbps == link_mbps)
+        return;
+    known = {domain, link_mbps};
+    relays_.clear();
 }
 
 void relay::remove_peer(const instance_id& id)
 {
     peers_.erase(id);
+    relays_.clear();
     subscribers_.erase(id);
     last_request_at_.erase(id);
     unanswered_.erase(id);
     first_source_ = 0;
 }
 
-std::vector<instance_id> relay::relays(const core::failure_domain_id& domain) const
+std::map<core::failure_domain_id, std::vector<instance_id>> relay::choose_relays() const
 {
     struct candidate
     {
@@ -77,25 +81,37 @@
         std::uint64_t weight = 0;
         instance_id id;
     };
-    std::vector<candidate> all;
-    const auto add = [&](const instance_id& id, std::uint32_t link_mbps) {
-        all.push_back({link_mbps, core::stable_hash(id.str(), core::stable_hash(domain.str())), id});
+    std::map<core::failure_domain_id, std::vector<candidate>> all;
+    const auto add = [&](const instance_id& id, const core::failure_domain_id& domain,
+                         std::uint32_t link_mbps) {
+        all[domain].push_back({link_mbps, core::stable_hash(id.str(), core::stable_hash(domain.str())), id});
     };
-    if (domain == domain_)
-        add(self_, link_mbps_);
+    add(self_, domain_, link_mbps_);
     for (const auto& [id, it] : peers_)
-        if (it.domain == domain)
-            add(id, it.link_mbps);
-    std::sort(all.begin(), all.end(),
-              [](const auto& a, const auto& b)
-              { return a.link_mbps != b.link_mbps ? a.link_mbps > b.link_mbps : a.weight < b.weight; });
-    std::vector<instance_id> out;
-    for (const auto& it : all)
-        if (out.size() < options_.relays_per_domain)
-            out.push_back(it.id);
+        add(id, it.domain, it.link_mbps);
+    std::map<core::failure_domain_id, std::vector<instance_id>> out;
+    for (auto& [domain, candidates] : all)
+    {
+        const auto n = std::min(candidates.size(), options_.relays_per_domain);
+        std::partial_sort(
+            candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(n), candidates.end(),
+            [](const auto& a, const auto& b)
+            { return a.link_mbps != b.link_mbps ? a.link_mbps > b.link_mbps : a.weight < b.weight; });
+        for (std::size_t i = 0; i < n; ++i)
+            out[domain].push_back(candidates[i].id);
+    }
     return out;
 }
 
+const std::vector<instance_id>& relay::relays(const core::failure_domain_id& domain) const
+{
+    static const std::vector<instance_id> none;
+    if (relays_.empty())
+        relays_ = choose_relays();
+    const auto found = relays_.find(domain);
+    return found == relays_.end() ? none : found->second;
+}
+
 std::vector<instance_id> relay::sources() const
 {
     if (initial_source_)
@@ -109,14 +125,11 @@
 
 std::vector<instance_id> relay::other_relays() const
 {
-    std::set<core::failure_domain_id> others;
-    for (const auto& [id, it] : peers_)
-        if (it.domain != domain_)
-            others.insert(it.domain);
+    relays(domain_); // brings the choice up to date
     std::vector<instance_id> out;
-    out.reserve(others.size());
-    for (const auto& it : others)
-        out.push_back(relays(it).front());
+    for (const auto& [domain, all] : relays_)
+        if (domain != domain_)
+            out.push_back(all.front());
     return out;
 }
 
--- a/src/runlink/routing/endpoint_directory.cpp
+++ b/src/runlink/routing/endpoint_directory.cpp
@@ -9,9 +9,10 @@
 namespace
 {
 
-/// Number of removed names whose latest incarnation is remembered. Delayed updates of an earlier incarnation
+/// Number of removed names whose latest incarnation is always remembered, beside as many as there are
+/// endpoints: a roll-out replaces a share of all within seconds. Delayed updates of an earlier incarnation
 /// arrive within seconds of a start.
-constexpr std::size_t most_removed_names = 1024;
+constexpr std::size_t min_removed_names = 1024;
 
 } // namespace
 
@@ -172,7 +173,8 @@
 
 void endpoint_directory::forget_old_incarnations()
 {
-    if (incarnations_.size() <= current_ids_.size() + most_removed_names)
+    const auto max_removed = std::max(min_removed_names, current_ids_.size());
+    if (incarnations_.size() <= current_ids_.size() + max_removed)
         return;
     std::erase_if(incarnations_, [&](const auto& it) { return !current_ids_.contains(it.first); });
 }
