--- a/bench/choice.cpp
+++ b/bench/choice.cpp
@@ -45,9 +45,11 @@
     routing::service service;
     service.id = models;
     service.runs_models = true;
+    routing::service plain_service;
+    plain_service.id = plain;
     return std::make_shared<const routing::routing_table>(
-        1, std::vector{look, ask}, std::vector{service, routing::service{plain}},
-        std::vector<routing::account>{}, routing::caller_limits{});
+        1, std::vector{look, ask}, std::vector{service, plain_service}, std::vector<routing::account>{},
+        routing::caller_limits{});
 }
 
 std::vector<routing::endpoint_entry> make_endpoints(int n)
--- a/include/runlink/routing/routing_table.hpp
+++ b/include/runlink/routing/routing_table.hpp
@@ -78,7 +78,7 @@
     std::vector<model_price> models;
     places::cold_limit cold;
     /// Set if the number of endpoints is ordered from the platform.
-    std::optional<duties::scaling_limits> scaling;
+    std::optional<duties::scaling_limits> scaling = std::nullopt;
 };
 
 /// A client account and its keys.
--- a/src/runlink/gateway/gateway_test.cpp
+++ b/src/runlink/gateway/gateway_test.cpp
@@ -230,6 +230,42 @@
     }
 }
 
+TEST_CASE("settings of duties are read, and invalid ones are reported")
+{
+    auto text = std::string{settings_text};
+    CHECK(parse_gateway_settings(text).value().duties.address.port == 0);
+    text.insert(text.find('{') + 1, R"("duties": {"address": "10.0.0.3:80", "names": ["usage_report"],
+        "lease_ms": 4000, "report_window_s": 5, "report_lateness_s": 10}, )");
+    const auto good = parse_gateway_settings(text);
+    REQUIRE(good);
+    const auto& duties = good.value().duties;
+    CHECK(duties.address.port == 80);
+    CHECK(duties.reports_usage);
+    CHECK_FALSE(duties.orders_endpoints);
+    CHECK(duties.lease == core::milliseconds{4000});
+    CHECK(duties.report_lateness == core::milliseconds{10'000});
+    auto wrong = std::string{settings_text};
+    wrong.insert(wrong.find('{') + 1,
+                 R"("duties": {"address": "here", "names": ["other"], "report_window_s": 0}, )");
+    const auto bad = parse_gateway_settings(wrong);
+    REQUIRE_FALSE(bad);
+    for (const auto* path : {"$.duties.address", "$.duties.names", "$.duties.report_window_s"})
+        CHECK(bad.error().detail.find(path) != std::string::npos);
+}
+
+TEST_CASE("counts for usage reports keep their contents when encoded and decoded")
+{
+    const duties::usage_report it{core::instance_id{"a"},
+                                  core::incarnation_id{"a/1"},
+                                  {{duties::window_number{7}, {{core::account_id{"acme"}, 3}}}},
+                                  {{core::service_id{"pool"}, 4}}};
+    const auto out = std::get<duties::usage_report>(proto::decode_datagram(proto::encode(it)));
+    CHECK(out.sender == it.sender);
+    CHECK(out.process == it.process);
+    CHECK(out.windows == it.windows);
+    CHECK(out.loads == it.loads);
+}
+
 TEST_CASE("datagrams keep their contents when encoded and decoded; invalid bytes are rejected")
 {
     routing::gossip_message it;
