Start of a large fleet: seeds serve the view within their link, joining instances wait their turn

Hypothesis: the view of 10,002 endpoints is ten parts of 256 KB; seeds send more than their links carry, lost parts begin the view anew at the next seed, and after 1.5 s all read the store, 21 pages each.

--- a/include/runlink/control/fleet_join.hpp
+++ b/include/runlink/control/fleet_join.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -19,8 +20,13 @@
     /// compresses the view. If all instances start at once, a seed may start later and miss the first
     /// request.
     milliseconds answer_timeout{120};
-    /// After this the instance reads the store instead. Leaves time for the seeds to read the store first if
-    /// all instances start at once.
+    /// Requests for the same further part before another seed is asked from the beginning. The timeout
+    /// doubles with each, since a seed serves many joining instances one after the other.
+    std::uint32_t max_part_requests = 3;
+    /// Time after which an instance that waits in a seed's queue asks again, in case the seed is gone.
+    milliseconds queued_interval{800};
+    /// After this time without a part of the view the instance reads the store instead. Leaves time for the
+    /// seeds to read the store first if all instances start at once.
     milliseconds store_fallback_delay{1500};
     /// Other instances should write this instance's entry to the store within this time; otherwise it writes
     /// the entry itself.
@@ -91,8 +97,15 @@
         settled,
     };
 
+    /// Asks the next seed for its view from the beginning.
     void ask_next(time_point now);
+    /// The seed is busy and serves this instance later.
+    void on_queued(time_point now);
+    /// Asks the same seed again if parts of its view are known, else the next one.
+    void ask_again(time_point now);
     void ask(time_point now);
+    /// Takes a part; a later part may change or delete items of an earlier one.
+    void take_part(const sync_reply& it);
     void read_store(time_point now);
     void begin_settling(time_point now);
 
@@ -103,7 +116,11 @@
     phase phase_ = phase::asking;
     std::size_t seed_index_ = 0;
     std::uint64_t request_number_ = 0;
-    joined_view view_; ///< the parts received so far
+    joined_view view_;                       ///< the parts received so far
+    instance_id source_;                     ///< sender of these parts
+    std::map<std::string, kv_event> events_; ///< of these parts, by key
+    std::uint32_t part_requests_ = 0;        ///< for the next part
+    bool is_queued_ = false;                 ///< the seed has this instance in its queue
     time_point store_fallback_at_{};
     time_point listing_deadline_{};
     bool is_listed_ = false;
--- a/include/runlink/control/relay.hpp
+++ b/include/runlink/control/relay.hpp
@@ -50,6 +50,8 @@
     std::uint64_t complete_since = 0;
     std::uint64_t store_revision = 0;
     bool has_more = false; ///< more changes follow; `store_revision` is the revision of the last one included
+    /// The sender has a queue of joining instances and replies later.
+    bool is_queued = false;
     bool history_gone = false; ///< the relay doesn't know all changes after the requested revision
     std::vector<kv_event> events;
     std::vector<std::string> omitted; ///< changed keys whose values are too large
@@ -77,6 +79,13 @@
     /// Requests of joining instances within this time get a common reply. Compressing the view for each of
     /// them would take a small processor several seconds.
     milliseconds joiners_delay{40};
+    /// Length of the queue of joining instances from which they are told that they wait.
+    std::size_t min_queue_to_tell = 16;
+    /// Part of the own link that replies to joining instances may use. A link that is full loses datagrams,
+    /// and each lost part is requested again.
+    double joiners_link_share = 0.8;
+    /// Factor by which the parts of a view are compressed, for the estimate of their size.
+    std::size_t compression_ratio = 10;
     /// An instance is considered gone after this time without a message. Instances may pause for a few
     /// seconds.
     milliseconds forget_after{20000};
@@ -207,7 +216,13 @@
     void begin_round(time_point now);
     void ask(time_point now);
     void ask_one(time_point now, const instance_id& to);
+    void on_join_request(time_point now, const sync_request& it, bool has_view);
+    /// Replies to as many joining instances as the link allows; the others stay in the queue.
     void answer_joiners(time_point now);
+    /// Bytes that replies to joining instances may take in one `joiners_delay`.
+    std::size_t joiner_bytes() const;
+    /// The estimated size of a reply as it is sent.
+    std::size_t compressed_size(const sync_reply& it) const;
     /// Reports instances of the own failure domain that are gone.
     void check_members(time_point now);
     bool has_stopped_asking(time_point now, const instance_id& id) const;
@@ -231,14 +246,9 @@
     mutable std::map<core::failure_domain_id, std::vector<instance_id>> relays_;
     std::map<instance_id, subscriber> subscribers_;
     /// Joining instances that may get the same reply.
-    struct joiner_group
-    {
-        std::uint64_t since = 0;  ///< revision of the view that they have
-        std::uint64_t number = 0; ///< of their request
-
-        friend auto operator<=>(const joiner_group&, const joiner_group&) = default;
-    };
-    std::map<joiner_group, std::vector<instance_id>> joiners_;
+    /// Instances that wait for the part of the view after a revision. Those that have got further come first,
+    /// so that they are done sooner.
+    std::map<std::uint64_t, std::vector<instance_id>, std::greater<>> joiners_;
     std::optional<time_point> answer_joiners_at_;
     change_history history_;
     std::optional<instance_id> initial_source_;
--- a/include/runlink/gateway/gossip_link.hpp
+++ b/include/runlink/gateway/gossip_link.hpp
@@ -76,6 +76,19 @@
         bool in_own_domain = false; ///< in the failure domain of this instance
     };
 
+    /// Identifies a part of the store's items that a relay sends to many instances one after the other.
+    struct part_key
+    {
+        std::uint64_t since = 0;
+        std::uint64_t revision = 0;
+        std::uint64_t complete_since = 0;
+
+        friend auto operator<=>(const part_key&, const part_key&) = default;
+    };
+
+    /// The bytes of a datagram. Parts of the store's items are encoded and compressed once: what changes in
+    /// them later is contained in later parts as well.
+    QByteArray bytes_of(const proto::datagram& it);
     void send_runs();
     void send_prompts();
     void start_prompt_timer();
@@ -99,6 +112,7 @@
     std::map<core::instance_id, peer> peers_;
     std::map<core::instance_id, peer> addresses_; ///< of instances that are not peers
     datagram_failures not_sent_;
+    std::map<part_key, QByteArray> parts_;
     std::vector<routing::session_run> pending_runs_;
     std::vector<routing::prompt_sent> pending_prompts_;
     std::vector<routing::prompt_answered> pending_answers_;
--- a/src/runlink/control/fleet_join.cpp
+++ b/src/runlink/control/fleet_join.cpp
@@ -1,5 +1,6 @@
 #include "runlink/control/fleet_join.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "runlink/core/hash.hpp"
@@ -30,34 +31,68 @@
     out.number = ++request_number_;
     out.store_revision = view_.revision;
     out.is_joining = true;
-    next_ = now + options_.answer_timeout;
-    hooks_.ask(seeds_[seed_index_ % seeds_.size()], out);
+    next_ = std::min<time_point>(now + options_.answer_timeout * (1U << part_requests_), store_fallback_at_);
+    hooks_.ask(view_.revision == 0 ? seeds_[seed_index_ % seeds_.size()] : source_, out);
 }
 
 void fleet_join::ask_next(time_point now)
 {
     // Parts of the views of different instances can't be combined.
     view_ = {};
+    events_.clear();
+    part_requests_ = 0;
     ++seed_index_;
     ask(now);
 }
 
+void fleet_join::on_queued(time_point now)
+{
+    is_queued_ = true;
+    store_fallback_at_ = now + options_.store_fallback_delay;
+    next_ = now + options_.queued_interval;
+}
+
+void fleet_join::ask_again(time_point now)
+{
+    if (std::exchange(is_queued_, false))
+        return ask(now);
+    if (view_.revision == 0 || part_requests_ + 1 >= options_.max_part_requests)
+        return ask_next(now);
+    ++part_requests_;
+    ask(now);
+}
+
+void fleet_join::take_part(const sync_reply& it)
+{
+    source_ = it.sender;
+    for (const auto& e : it.events)
+        events_[e.item.key] = e;
+    view_.revision = it.store_revision;
+    view_.complete_since = it.complete_since;
+}
+
 void fleet_join::on_reply(time_point now, const sync_reply& it)
 {
+    if (phase_ == phase::asking && it.is_queued && it.since == view_.revision)
+        return on_queued(now);
     // A seed that had no view yet may answer after the next seed was asked. A complete view is always usable.
     const bool is_complete = it.since == 0 && !it.has_more;
-    const bool is_next = it.number == request_number_ && it.since == view_.revision;
+    const bool is_next = it.since == view_.revision && (it.since == 0 || it.sender == source_);
     if (phase_ != phase::asking || it.store_revision == 0 || (!is_complete && !is_next))
         return;
-    if (is_complete)
-        view_ = {};
     if (!it.omitted.empty())
         return read_store(now); // a value is too large for a datagram
-    view_.events.insert(view_.events.end(), it.events.begin(), it.events.end());
-    view_.revision = it.store_revision;
-    view_.complete_since = it.complete_since;
+    if (is_complete)
+        events_.clear();
+    take_part(it);
+    part_requests_ = 0;
+    is_queued_ = false;
+    store_fallback_at_ = now + options_.store_fallback_delay;
     if (it.has_more)
         return ask(now);
+    for (auto& [key, e] : events_)
+        view_.events.push_back(std::move(e));
+    events_.clear();
     hooks_.take_view(now, std::exchange(view_, {}));
     begin_settling(now);
     hooks_.set_initial_source(now, it.sender);
@@ -68,6 +103,7 @@
     phase_ = phase::reading;
     next_.reset();
     view_ = {};
+    events_.clear();
     hooks_.list();
     hooks_.set_initial_source(now, self_);
 }
@@ -107,7 +143,7 @@
     if (phase_ == phase::asking && now >= store_fallback_at_)
         return read_store(now);
     if (phase_ == phase::asking)
-        return ask_next(now);
+        return ask_again(now);
     if (phase_ != phase::settling)
         return;
     phase_ = phase::settled;
--- a/src/runlink/control/fleet_size_test.cpp
+++ b/src/runlink/control/fleet_size_test.cpp
@@ -2,9 +2,12 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <set>
+#include <utility>
 
 #include "relayed_fixture.hpp"
+#include "runlink/control/fleet_join.hpp"
 #include "runlink/routing/endpoint_directory.hpp"
 
 using namespace runlink;
@@ -113,3 +116,74 @@
     CHECK(it.put(entry(1, 1)) == routing::endpoint_directory::change::outdated);
     CHECK(it.size() == endpoint_count - removed);
 }
+
+TEST_CASE("a seed serves the view of a large fleet to many joining instances within its link")
+{
+    constexpr std::uint32_t seed_mbps = 200;
+    constexpr int joiners = 330; // a third of the instances, as there are three seeds
+    core::time_point now{core::seconds{100}};
+    const instance_id seed_id{"seed"};
+    std::map<instance_id, fleet_join*> by_id;
+    std::uint64_t bytes = 0;
+    std::uint64_t most_bytes_in_a_second = 0;
+    std::uint64_t bytes_of_second = 0;
+    relay_options options;
+    relay_hooks hooks;
+    hooks.ask = [](const auto&, const auto&) {};
+    hooks.view = [](core::time_point) { return store_view{endpoint_count, 1, core::milliseconds{1}}; };
+    hooks.reply = [&](const std::vector<instance_id>& to, const sync_reply& it)
+    {
+        std::uint64_t size = 0;
+        for (const auto& e : it.events)
+            size += e.item.key.size() + e.item.value.size();
+        const auto sent = size / options.compression_ratio * to.size();
+        bytes += sent;
+        bytes_of_second += sent;
+        for (const auto& id : to)
+            by_id.at(id)->on_reply(now, it);
+    };
+    relay seed{options, seed_id, core::failure_domain_id{"a"}, seed_mbps, hooks};
+    auto items = endpoint_items();
+    for (auto& it : items)
+        it.value = std::string(250, 'x');
+    seed.remember_all(now, items, endpoint_count);
+    std::size_t done = 0;
+    std::size_t lists = 0;
+    std::vector<std::unique_ptr<fleet_join>> all;
+    for (int n = 0; n < joiners; ++n)
+    {
+        const instance_id id{"j" + std::to_string(n)};
+        join_hooks join;
+        join.ask = [&, id](const instance_id&, sync_request it)
+        {
+            it.sender.id = id;
+            it.sender.failure_domain = core::failure_domain_id{"b"};
+            seed.on_request(now, it);
+        };
+        join.list = [&] { ++lists; };
+        join.take_view = [&](core::time_point, const joined_view& it)
+        { done += it.events.size() == endpoint_count ? 1 : 0; };
+        join.set_initial_source = [](auto, const auto&) {};
+        join.settle = [](auto) {};
+        all.push_back(std::make_unique<fleet_join>(join_options{}, id, std::vector{seed_id}, join));
+        by_id[id] = all.back().get();
+    }
+    for (auto& it : all)
+        it->start(now);
+    int ms = 0;
+    constexpr int max_ms = 18'000; // within which a fleet has to serve again after all were killed
+    for (; ms < max_ms && done < joiners; ++ms)
+    {
+        now += core::milliseconds{1};
+        seed.tick(now);
+        for (auto& it : all)
+            it->tick(now);
+        if (ms % 1000 == 999)
+            most_bytes_in_a_second = std::max(most_bytes_in_a_second, std::exchange(bytes_of_second, 0));
+    }
+    INFO(ms << " ms, " << bytes << " bytes");
+    CHECK(done == joiners);
+    CHECK(lists == 0); // no joining instance reads the store
+    CHECK(most_bytes_in_a_second <= seed_mbps * 125'000);
+    CHECK(ms < max_ms / 2);
+}
--- a/src/runlink/control/relay_answers.cpp
+++ b/src/runlink/control/relay_answers.cpp
@@ -1,6 +1,8 @@
 // The part of the relay that records changes and replies to requests.
 
+#include <algorithm>
 #include <chrono>
+#include <limits>
 #include <utility>
 
 #include "runlink/control/relay.hpp"
@@ -53,15 +55,7 @@
     unanswered_.erase(from);
     const bool has_view = hooks_.view(now).store_revision != 0;
     if (it.is_joining)
-    {
-        // Without a view, the requests wait until it arrives; if all instances start at once, this is soon.
-        for (auto& [group, all] : joiners_)
-            std::erase(all, from); // replaced by this request
-        joiners_[joiner_group{it.store_revision, it.number}].push_back(from);
-        if (has_view)
-            answer_joiners_at_ = answer_joiners_at_.value_or(now + options_.joiners_delay);
-        return;
-    }
+        return on_join_request(now, it, has_view);
     if (!has_view)
         return;
     subscribers_[from] = {now, it.store_revision};
@@ -70,17 +64,74 @@
     hooks_.reply({from}, out);
 }
 
+void relay::on_join_request(time_point now, const sync_request& it, bool has_view)
+{
+    const auto& from = it.sender.id;
+    // Without a view, the requests wait until it arrives; if all instances start at once, this is soon.
+    std::size_t queued = 0;
+    for (auto& [since, all] : joiners_)
+    {
+        if (since != it.store_revision)
+            std::erase(all, from); // replaced by this request
+        queued += all.size();
+    }
+    auto& waiting = joiners_[it.store_revision];
+    if (std::find(waiting.begin(), waiting.end(), from) == waiting.end())
+        waiting.push_back(from); // a repeated request keeps its place
+    if (queued >= options_.min_queue_to_tell)
+    {
+        sync_reply out;
+        out.sender = self_;
+        out.since = it.store_revision;
+        out.is_queued = true;
+        hooks_.reply({from}, out);
+    }
+    if (has_view)
+        answer_joiners_at_ = answer_joiners_at_.value_or(now + options_.joiners_delay);
+}
+
+std::size_t relay::joiner_bytes() const
+{
+    if (link_mbps_ == 0)
+        return std::numeric_limits<std::size_t>::max();
+    constexpr double bytes_per_ms_of_mbps = 125;
+    return static_cast<std::size_t>(link_mbps_ * bytes_per_ms_of_mbps * options_.joiners_link_share *
+                                    static_cast<double>(options_.joiners_delay.count()));
+}
+
+std::size_t relay::compressed_size(const sync_reply& it) const
+{
+    std::size_t bytes = 0;
+    for (const auto& e : it.events)
+        bytes += e.item.key.size() + e.item.value.size();
+    return std::max<std::size_t>(bytes / options_.compression_ratio, 1);
+}
+
 void relay::answer_joiners(time_point now)
 {
     answer_joiners_at_.reset();
-    for (const auto& [group, all] : std::exchange(joiners_, {}))
+    auto left = joiner_bytes();
+    bool is_first = true;
+    for (auto& [since, waiting] : joiners_)
     {
-        if (all.empty())
+        if (waiting.empty())
             continue;
-        auto out = make_reply(now, group.since, true);
-        out.number = group.number;
-        hooks_.reply(all, out);
+        const auto out = make_reply(now, since, true);
+        const auto size = compressed_size(out);
+        // A part that is larger than the link carries in this time is sent to one instance.
+        const auto n = std::min(waiting.size(), std::max<std::size_t>(left / size, is_first ? 1 : 0));
+        if (n == 0)
+            break;
+        is_first = false;
+        const auto end = waiting.begin() + static_cast<std::ptrdiff_t>(n);
+        const std::vector<instance_id> to{waiting.begin(), end};
+        waiting.erase(waiting.begin(), end);
+        left -= std::min(left, n * size);
+        hooks_.reply(to, out);
     }
+    std::erase_if(joiners_, [](const auto& it) { return it.second.empty(); });
+    if (!joiners_.empty())
+        answer_joiners_at_ = now + options_.joiners_delay;
 }
 
 void relay::publish(time_point now, std::uint64_t revision)
--- a/src/runlink/gateway/gossip_link.cpp
+++ b/src/runlink/gateway/gossip_link.cpp
@@ -26,6 +26,8 @@
 constexpr std::uint32_t max_uncompressed_bytes = 4 * 1024 * 1024;
 /// The fastest level: the links are local and the processors are small.
 constexpr int compression_level = 1;
+/// Encoded parts of the store's items that are kept; the items of a large fleet take some ten parts.
+constexpr std::size_t max_known_parts = 64;
 /// First byte of a datagram, which tells whether the rest is compressed.
 constexpr char uncompressed_mark = 0;
 constexpr char compressed_mark = 1;
@@ -86,9 +88,23 @@
     addresses_[id] = {QHostAddress{QString::fromStdString(host)}, port};
 }
 
+QByteArray gossip_link::bytes_of(const proto::datagram& it)
+{
+    const auto* part = std::get_if<control::sync_reply>(&it);
+    if (part == nullptr || part->number != 0 || !part->has_more)
+        return pack(proto::encode(it));
+    const part_key key{part->since, part->store_revision, part->complete_since};
+    const auto known = parts_.find(key);
+    if (known != parts_.end())
+        return known->second;
+    if (parts_.size() >= max_known_parts)
+        parts_.clear();
+    return parts_.emplace(key, pack(proto::encode(it))).first->second;
+}
+
 void gossip_link::send_to(const std::vector<core::instance_id>& to, const proto::datagram& it)
 {
-    const auto bytes = pack(proto::encode(it));
+    const auto bytes = bytes_of(it);
     for (const auto& id : to)
         if (const auto peer = peers_.find(id); peer != peers_.end())
             write(peer->second, bytes);
--- a/src/runlink/proto/gossip_codec.cpp
+++ b/src/runlink/proto/gossip_codec.cpp
@@ -83,6 +83,7 @@
     out.set_complete_since(it.complete_since);
     out.set_store_revision(it.store_revision);
     out.set_history_gone(it.history_gone);
+    out.set_queued(it.is_queued);
     out.set_has_more(it.has_more);
     for (const auto& e : it.events)
     {
@@ -330,6 +331,7 @@
     out.complete_since = in.complete_since();
     out.store_revision = in.store_revision();
     out.history_gone = in.history_gone();
+    out.is_queued = in.queued();
     out.has_more = in.has_more();
     for (const auto& e : in.events())
         out.events.push_back({{e.key(), e.value(), e.revision()}, e.deleted()});
