--- a/bench/choice.cpp
+++ b/bench/choice.cpp
@@ -175,7 +175,7 @@
         auto by = make_instance(n, all, clock.now());
         for (int i = 0; i < requests_each; ++i)
         {
-            const auto number = static_cast<std::uint64_t>(n * requests_each + i);
+            const auto number = static_cast<std::uint64_t>(n) * requests_each + static_cast<std::uint64_t>(i);
             by->it.on_request(clock.now(), routing::flow_id{number + 1}, make_request(runs_models, number));
             by->it.on_caller_left(clock.now(), routing::flow_id{number + 1});
         }
