Duties: after a roll-out the preemptible endpoints start again before others are taken away

Cause: a roll-out ends the endpoints of the old version, the ordered preemptible ones among them, and leaves as many of the new version, which the repeated order for regular ones took away at once. Now the orders are repeated when the roll-out ends, that for regular ones once the others had time to start. The test's platform takes time to start endpoints; the case failed before.

--- a/include/runlink/duties/scale_orders.hpp
+++ b/include/runlink/duties/scale_orders.hpp
@@ -144,7 +144,14 @@
                           std::uint32_t ready) const;
     /// Repeats the orders of a subject whose number of ready endpoints differs from the ordered one.
     void repeat_unfulfilled(time_point now, const scale_subject& subject, const domain_state& state,
-                            bool keeps_capacity);
+                            const service_state& service);
+    /// Repeats both orders of a subject: the one for preemptible endpoints after this time, the other one
+    /// once these have started.
+    void repeat_orders(time_point now, const scale_subject& subject, const service_state& service,
+                       milliseconds after);
+    /// Repeats the orders when a roll-out or an evacuation has ended: a roll-out ends the ordered endpoints
+    /// of the old version, and leaves as many of the new one.
+    void on_kept(time_point now, const core::service_id& id, const service_state& service);
     void store(const order_record& next);
     void on_stored(const order_record& next, write_result result);
     /// The next call that is due.
@@ -161,6 +168,7 @@
     std::map<scale_subject, time_point> changed_at_; ///< when an order for the subject was last accepted
     std::map<scale_subject, time_point> denied_until_;
     std::map<scale_subject, first_count> first_counts_;
+    std::map<core::service_id, bool> kept_; ///< `keeps_capacity` at the last plan
     std::optional<time_point> next_step_;
     time_point next_plan_{};
     time_point plan_from_{};
--- a/src/runlink/duties/scale_orders.cpp
+++ b/src/runlink/duties/scale_orders.cpp
@@ -99,6 +99,7 @@
                 state.ready.try_emplace(subject.domain, 0);
         if (!is_counted(now, service, state))
             continue;
+        on_kept(now, service, state);
         scale_input in;
         in.limits = state.limits;
         in.slots = state.slots;
@@ -107,7 +108,7 @@
         for (const auto& [domain, ready] : state.ready)
         {
             const auto domain_state = state_of(now, {service, domain}, state, ready);
-            repeat_unfulfilled(now, {service, domain}, domain_state, state.keeps_capacity);
+            repeat_unfulfilled(now, {service, domain}, domain_state, state);
             in.domains[domain] = domain_state;
         }
         const auto planner = planners_.try_emplace(service, options_.planner).first;
@@ -118,19 +119,37 @@
 }
 
 void scale_orders::repeat_unfulfilled(time_point now, const scale_subject& subject, const domain_state& state,
-                                      bool keeps_capacity)
+                                      const service_state& service)
 {
     const double ordered = state.ordered.total();
     const bool is_short = state.ready < ordered * (1 - options_.tolerance);
-    const bool is_surplus = state.ready > ordered * (1 + options_.tolerance) && !keeps_capacity;
+    const bool is_surplus = state.ready > ordered * (1 + options_.tolerance) && !service.keeps_capacity;
     if (!state.has_settled || (!is_short && !is_surplus))
         return;
-    for (const bool is_preemptible : {true, false})
+    repeat_orders(now, subject, service, options_.repeat_interval);
+}
+
+void scale_orders::repeat_orders(time_point now, const scale_subject& subject, const service_state& service,
+                                 milliseconds after)
+{
+    const auto repeat = [&](bool is_preemptible, milliseconds delay)
     {
         const auto call = calls_.find({subject, is_preemptible});
         if (call != calls_.end() && !call->second.repeat_at)
-            call->second.repeat_at = now + options_.repeat_interval;
-    }
+            call->second.repeat_at = now + delay;
+    };
+    // Other endpoints may serve in the place of the preemptible ones; they are kept until those have started.
+    repeat(true, after);
+    repeat(false, after + service.limits.startup + service.warm_up);
+}
+
+void scale_orders::on_kept(time_point now, const core::service_id& id, const service_state& service)
+{
+    const bool has_ended = std::exchange(kept_[id], service.keeps_capacity) && !service.keeps_capacity;
+    if (!has_ended)
+        return;
+    for (const auto& [domain, ready] : service.ready)
+        repeat_orders(now, {id, domain}, service, milliseconds{0});
 }
 
 void scale_orders::store(const order_record& next)
@@ -206,10 +225,11 @@
             state.repeat_at = now + options_.late_call_time;
         return;
     }
-    if (state.accepted != it.desired)
+    const bool is_repeat = state.repeat_at && now >= *state.repeat_at;
+    if (state.accepted != it.desired || is_repeat)
         changed_at_[it.subject] = now;
     state.accepted = it.desired;
-    if (state.repeat_at && now >= *state.repeat_at)
+    if (is_repeat)
         state.repeat_at.reset();
 }
 
--- a/src/runlink/duties/scale_orders_test.cpp
+++ b/src/runlink/duties/scale_orders_test.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <utility>
 #include <vector>
 
 #include "runlink/duties/scale_orders.hpp"
@@ -35,6 +37,8 @@
     service_state service;
     std::map<failure_domain_id, std::uint32_t> regular{{north, 20}, {south, 20}};
     std::map<failure_domain_id, std::uint32_t> preemptible;
+    /// Time of the end of the start, and the number then, by failure domain and kind.
+    std::map<std::pair<failure_domain_id, bool>, std::pair<time_point, std::uint32_t>> starting;
     std::vector<scale_call> calls;
     std::uint32_t least_ready = 40;
     std::uint64_t revision = 1;
@@ -67,10 +71,29 @@
             return {call_outcome::unanswered};
         if (e.is_preemptible && !has_preemptible)
             return {call_outcome::fenced, true};
-        (e.is_preemptible ? preemptible : regular)[e.subject.domain] = e.desired;
+        auto& serving = (e.is_preemptible ? preemptible : regular)[e.subject.domain];
+        if (e.desired > serving)
+            starting.try_emplace({e.subject.domain, e.is_preemptible}, clock.now() + service.limits.startup,
+                                 e.desired);
+        else
+            serving = e.desired;
         return {call_outcome::accepted};
     }
 
+    /// Endpoints that were ordered serve once they have started.
+    void finish_starts()
+    {
+        for (auto it = starting.begin(); it != starting.end();)
+            if (clock.now() < it->second.first)
+                ++it;
+            else
+            {
+                auto& serving = (it->first.second ? preemptible : regular)[it->first.first];
+                serving = std::max(serving, it->second.second);
+                it = starting.erase(it);
+            }
+    }
+
     std::map<core::service_id, service_state> services()
     {
         auto out = service;
@@ -89,6 +112,7 @@
         for (milliseconds n{0}; n < by; n += milliseconds{250})
         {
             clock.advance(milliseconds{250});
+            finish_starts();
             it.tick(clock.now());
         }
     }
@@ -177,10 +201,10 @@
     REQUIRE_FALSE(by.calls.empty());
     const auto first = by.calls.front();
     by.platform_answers = true;
-    by.advance(milliseconds{3000});
+    by.advance(milliseconds{6000});
     CHECK(by.preemptible[first.subject.domain] == first.desired);
     by.preemptible[first.subject.domain] = 3; // an earlier order was carried out late
-    by.advance(by.options.late_call_time);
+    by.advance(by.options.late_call_time + by.service.limits.startup);
     CHECK(by.preemptible[first.subject.domain] == first.desired);
 }
 
@@ -230,6 +254,10 @@
     by.advance(milliseconds{20'000});
     CHECK(by.count(by.regular) == 40);
     by.service.keeps_capacity = false;
-    by.advance(milliseconds{10'000});
+    by.preemptible.clear(); // the old version ends with the roll-out
+    by.least_ready = 40;
+    by.advance(milliseconds{20'000});
     CHECK(by.count(by.regular) == 2);
+    CHECK(by.count(by.preemptible) == 38);
+    CHECK(by.least_ready >= 40);
 }
