Duties: no endpoint is taken away right after a roll-out

Log: at 26.2 s the plan took the load's smaller target, which changed the order for regular endpoints from 2 to 1 a failure domain, and the platform took away the 65 of the new version that had taken the place of the preemptible ones. Now the time to start and to warm up passes first. The test's load needs fewer endpoints; it fails without the change (tried).

--- a/src/runlink/duties/scale_orders.cpp
+++ b/src/runlink/duties/scale_orders.cpp
@@ -149,7 +149,10 @@
     if (!has_ended)
         return;
     for (const auto& [domain, ready] : service.ready)
+    {
+        changed_at_[{id, domain}] = now; // nothing is taken away before the ordered endpoints serve again
         repeat_orders(now, {id, domain}, service, milliseconds{0});
+    }
 }
 
 void scale_orders::store(const order_record& next)
