--- a/standins/kv_standin.cpp
+++ b/standins/kv_standin.cpp
@@ -50,6 +50,22 @@
     record_change(key);
 }
 
+kv_standin::snapshot kv_standin::take_snapshot() const
+{
+    return {items_, revision_};
+}
+
+void kv_standin::restore(const snapshot& from)
+{
+    items_ = from.items;
+    revision_ = from.revision;
+    ++era_;
+    leases_.clear();
+    std::erase_if(history_, [&](const auto& it) { return it.first > revision_; });
+    for (const auto& it : std::exchange(watches_, {}))
+        it.connection->reset();
+}
+
 json kv_standin::value(const std::string& key) const
 {
     const auto found = items_.find(key);
@@ -99,13 +115,15 @@
 
 void kv_standin::answer(const connection_ptr& to, int status, const json& body)
 {
-    to->write(net::write_response(status, {}, body.dump()));
+    net::http_fields fields;
+    fields.add("Store-Era", std::to_string(era_));
+    to->write(net::write_response(status, fields, body.dump()));
     to->finish(false);
 }
 
 void kv_standin::on_watch(const connection_ptr& from, std::uint64_t after)
 {
-    if (after < oldest_watch_revision_)
+    if (after < oldest_watch_revision_ || after > revision_)
         return answer(from, status_gone, json::object());
     const auto events = changes_since(after);
     if (events.empty())
--- a/standins/kv_standin.hpp
+++ b/standins/kv_standin.hpp
@@ -38,6 +38,13 @@
     void remove(const std::string& key);
     /// Discards the history: watches that resume from the current revision or an earlier one get status 410.
     void forget_history() { oldest_watch_revision_ = revision_ + 1; }
+    /// The contents of the store at one revision.
+    struct snapshot;
+    snapshot take_snapshot() const;
+    /// Replaces the contents by an earlier copy. Revisions continue from the copy's, leases are lost, and the
+    /// era rises by one.
+    void restore(const snapshot& from);
+    std::uint64_t revision() const { return revision_; }
     /// The value of `key`, or JSON null if the key does not exist.
     nlohmann::json value(const std::string& key) const;
     std::size_t calls(const std::string& path) const;
@@ -81,8 +88,15 @@
     std::map<std::string, std::size_t> calls_;
     std::map<std::uint64_t, lease> leases_;
     std::uint64_t next_lease_ = 1;
+    std::uint64_t era_ = 1;
     std::uint64_t revision_ = 1;
     std::uint64_t oldest_watch_revision_ = 0;
 };
 
+struct kv_standin::snapshot
+{
+    std::map<std::string, item> items;
+    std::uint64_t revision = 0;
+};
+
 } // namespace runlink::standins
