Store revisions carry the era; the newest configuration is told by its version

Cause: a revision was taken for a clock. After a return from a copy the store gives revisions out again; store_follower, the proof and apply_table took the smaller one for the older state, and an equal one for the same content. Mend: core::store_revision is an era and a number, compared together; the adapter reads the era of every answer. A later era begins with a new list; what was asked in an earlier era proves nothing; a proof of another era's revision reads the configuration. The configuration in force is never replaced by one of a lower version. Proofs count only when what the copy lacks had time to be written again, two seconds, or as soon as the configuration has been written after the return: keys fail closed. Why it holds: no decision on this path compares a number of one era with one of another.

--- a/include/runlink/control/documents.hpp
+++ b/include/runlink/control/documents.hpp
@@ -103,15 +103,25 @@
     std::function<duties::scale_result(const duties::scale_call&, int status)> read_scale_result;
 };
 
+/// The answer to a call.
+struct http_answer
+{
+    int status = 0; ///< 0: there was no answer
+    std::string body;
+    std::vector<std::pair<std::string, std::string>> fields;
+};
+
 /// HTTP requests and responses of a deployment's store.
 struct kv_wire
 {
     std::function<http_call(const std::string& after_key)> list;
     std::function<http_call(std::uint64_t after, core::milliseconds wait)> watch;
     std::function<http_call(const kv_transaction&)> commit;
-    std::function<kv_result<kv_page>(int status, const std::string& body)> read_page;
-    std::function<kv_result<kv_changes>(int status, const std::string& body)> read_changes;
-    std::function<kv_commit_result(int status, const std::string& body)> read_commit;
+    /// The era in which the store gave an answer; 0 if the answer doesn't tell.
+    std::function<core::store_era(const http_answer&)> read_era;
+    std::function<kv_result<kv_page>(const http_answer&)> read_page;
+    std::function<kv_result<kv_changes>(const http_answer&)> read_changes;
+    std::function<kv_commit_result(const http_answer&)> read_commit;
 };
 
 } // namespace runlink::control
--- a/include/runlink/control/kv_store.hpp
+++ b/include/runlink/control/kv_store.hpp
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "runlink/core/store_revision.hpp"
 #include "runlink/core/units.hpp"
 
 namespace runlink::control
@@ -19,7 +20,7 @@
 {
     std::string key;
     std::string value;
-    std::uint64_t revision = 0;
+    core::store_revision revision{};
 };
 
 /// One change reported by a watch.
@@ -34,14 +35,14 @@
 {
     std::vector<kv_item> items;
     bool has_more = false;
-    std::uint64_t store_revision = 0;
+    core::store_revision store_revision;
 };
 
 /// Result of a watch. No events if its wait ended without a change.
 struct kv_changes
 {
     std::vector<kv_event> events;
-    std::uint64_t store_revision = 0;
+    core::store_revision store_revision;
 };
 
 /// A precondition of a transaction: the key is at this revision, or absent if the revision is 0.
@@ -66,6 +67,7 @@
     refused,      ///< the store rejected the call, e.g. because of a rate limit; nothing was applied
     history_gone, ///< the store no longer has the changes after the given revision
     malformed,    ///< the answer can't be parsed
+    outdated,     ///< the answer belongs to an earlier era of the store; a write may be lost
 };
 
 std::string_view to_string(kv_error it);
@@ -79,7 +81,7 @@
 /// The transaction was applied.
 struct kv_committed
 {
-    std::uint64_t revision = 0;
+    core::store_revision revision{};
 };
 
 template <class T>
--- a/include/runlink/control/store_follower.hpp
+++ b/include/runlink/control/store_follower.hpp
@@ -39,6 +39,9 @@
     milliseconds max_watch_lag{250};
     milliseconds min_retry_delay{150};
     milliseconds max_retry_delay{700};
+    /// Time after a return of the store from a copy within which what it lost is written again. Until then
+    /// the copy's configuration may lack changes that were acknowledged before, so that it proves nothing.
+    milliseconds recovery_time{2000};
 };
 
 /// Notifications of the follower.
@@ -46,15 +49,21 @@
 {
     std::function<void(time_point, std::vector<kv_item>)> listed; ///< all items of the store
     /// All changes up to the revision have been reported.
-    std::function<void(time_point, std::uint64_t revision)> caught_up;
+    std::function<void(time_point, core::store_revision)> caught_up;
     std::function<void(time_point, const kv_event&)> changed;
     /// A call sent at this time proved that the last reported configuration is the newest.
     std::function<void(time_point sent_at)> proven;
     std::function<void(time_point, kv_error)> lost;          ///< the store became unreachable
     std::function<void(time_point, duration away)> regained; ///< the store answers again after this time
+    /// The store has returned from a copy.
+    std::function<void(time_point, core::store_era previous, core::store_era)> era_began = [](auto, auto,
+                                                                                              auto) {};
 };
 
 /// Keeps a view of the store up to date. The reported revisions of a key never decrease.
+///
+/// If the store returns from an older copy, its era rises: the view is read again, and answers to calls that
+/// were sent in an earlier era are not used.
 class store_follower
 {
 public:
@@ -79,8 +88,11 @@
     void list_again() { list(); }
     /// Schedules a proof. If the store has a newer configuration, the proof returns it.
     void prove_soon(time_point now, milliseconds after);
-    std::uint64_t revision() const { return revision_; }
-    std::uint64_t configuration_revision() const { return configuration_revision_; }
+    core::store_revision revision() const { return revision_; }
+    core::store_revision configuration_revision() const { return configuration_revision_; }
+    core::store_era era() const { return era_; }
+    /// The store has given an answer in this era. To be called before the answer itself is handled.
+    void on_era(core::store_era era);
     void tick(time_point now);
     std::optional<time_point> next_due() const;
     /// Report the outcome of store calls made elsewhere in the process.
@@ -94,18 +106,23 @@
 
 private:
     void list();
+    void request_page(const std::string& after);
     void on_page(kv_result<kv_page> page);
     void finish_list();
-    void take_list(time_point now, std::vector<kv_item> items, std::uint64_t revision);
+    void take_list(time_point now, std::vector<kv_item> items, core::store_revision revision);
     void watch();
     void restart_watch();
     void check_watch();
     void on_changes(kv_result<kv_changes> changes);
     void prove(time_point now);
+    /// The revision that a proof requires of the configuration.
+    std::uint64_t revision_to_prove() const;
     void on_proof(time_point sent_at, const kv_commit_result& result);
     void note_failure(time_point now, kv_error why);
     void note_success(time_point now);
-    void remember(const kv_item& item, bool is_deleted);
+    void remember(time_point now, const kv_item& item, bool is_deleted);
+    /// Proofs count from now on, since the store's contents are complete again.
+    void settle(time_point now);
     void note_proof(time_point sent_at);
     milliseconds watch_delay(time_point now) const;
     /// Time until the latest proof is one `proof_interval` old.
@@ -116,10 +133,15 @@
     kv_store store_;
     follower_hooks hooks_;
     std::vector<kv_item> pages_;
-    std::uint64_t revision_ = 0; ///< all changes up to this revision are known
-    std::uint64_t list_revision_ = 0;
+    core::store_era era_;           ///< latest that the store has told
+    core::store_revision revision_; ///< all changes up to this revision are known
+    core::store_revision list_revision_;
+    /// The first known revision of the era; none before a list has told it.
+    core::store_revision era_began_at_;
+    time_point settled_at_ = time_point::min(); ///< from when proofs count, see `recovery_time`
+    std::uint64_t list_number_ = 0;
     time_point list_sent_at_{}; ///< of the first page
-    std::uint64_t configuration_revision_ = 0;
+    core::store_revision configuration_revision_;
     bool is_direct_ = true; ///< see `set_direct`
     bool is_listed_ = false;
     bool is_listing_ = false;
@@ -133,7 +155,7 @@
     std::optional<time_point> next_watch_;
     std::optional<time_point> next_proof_;
     std::optional<time_point> next_watch_check_;
-    std::uint64_t proven_revision_ = 0; ///< store revision returned by the latest proof
+    core::store_revision proven_revision_; ///< store revision returned by the latest proof
     std::uint64_t watch_number_ = 0;
 };
 
--- a/include/runlink/gateway/gateway_daemon.hpp
+++ b/include/runlink/gateway/gateway_daemon.hpp
@@ -70,7 +70,10 @@
     void on_changed(core::time_point now, const control::kv_event& it);
     /// Applies an item of the store. `written_at`: the best known time at which it was written.
     void apply_item(core::time_point now, const control::kv_item& item, core::time_point written_at);
-    void apply_table(core::time_point now, const routing::routing_table_ptr& it, std::uint64_t revision);
+    void apply_table(core::time_point now, const routing::routing_table_ptr& it,
+                     const core::store_revision& revision);
+    /// The store holds an older configuration than this instance applies, e.g. in an older copy.
+    void log_outdated_table(core::time_point now, const routing::routing_table& it);
     void apply_endpoint(core::time_point now, const routing::endpoint_entry& it);
     void on_datagram(const proto::datagram& it);
     void on_gossip(core::time_point now, const routing::gossip_message& it);
@@ -151,7 +154,7 @@
     routing::load_exchange remote_loads_;
     std::optional<core::time_point> next_digest_; ///< set while this relay exchanges loads with other relays
     std::optional<core::time_point> configuration_proven_at_;
-    std::uint64_t table_revision_ = 0;
+    core::store_revision table_revision_;
     bool table_is_readable_ = false;
     bool has_listed_store_ = false; ///< the store has been listed completely at least once
     bool was_ready_ = false;
--- a/include/runlink/gateway/http_caller.hpp
+++ b/include/runlink/gateway/http_caller.hpp
@@ -25,8 +25,8 @@
 class http_caller
 {
 public:
-    /// Receives the answer; `status` is 0 if there was none.
-    using answer_handler = std::function<void(int status, const std::string& body)>;
+    /// Receives the answer.
+    using answer_handler = std::function<void(const control::http_answer&)>;
     struct call;
     using call_ptr = std::shared_ptr<call>;
 
@@ -39,7 +39,10 @@
     static void cancel(call& it);
 
 private:
-    static void finish(const call_ptr& it, int status);
+    /// Reports the answer received so far.
+    static void finish(const call_ptr& it);
+    /// Reports that there was no answer.
+    static void fail(const call_ptr& it);
 
     http_caller_options options_;
     net::peer_address address_;
--- a/include/runlink/gateway/kv_http_store.hpp
+++ b/include/runlink/gateway/kv_http_store.hpp
@@ -48,6 +48,9 @@
     control::kv_store port();
     const kv_call_counters& counters() const { return counters_; }
 
+    /// The era of an answer. Called for each answer, failures included, before its handler.
+    std::function<void(core::store_era)> on_era = [](auto) {};
+
 private:
     /// Sends a call and counts its outcome.
     http_caller::call_ptr send(const control::http_call& request, core::milliseconds timeout,
--- a/src/runlink/control/change_history.cpp
+++ b/src/runlink/control/change_history.cpp
@@ -33,8 +33,8 @@
         deletions_.erase(old);
         changes_.erase(old);
     }
-    revisions_[it.item.key] = it.item.revision;
-    const change_key key{it.item.revision, it.item.key};
+    revisions_[it.item.key] = it.item.revision.number;
+    const change_key key{it.item.revision.number, it.item.key};
     if (it.is_deleted)
         deletions_.insert(key);
     changes_[key] = it;
@@ -68,12 +68,12 @@
         const bool is_large = item.value.size() > options_.max_value_bytes;
         bytes += item.key.size() + (is_large ? 0 : item.value.size());
         // The changes of one transaction share a revision and are never split between parts.
-        if (bytes > options_.max_part_bytes && !out.events.empty() && item.revision != out.revision)
+        if (bytes > options_.max_part_bytes && !out.events.empty() && item.revision.number != out.revision)
         {
             out.has_more = true;
             return out;
         }
-        out.revision = item.revision;
+        out.revision = item.revision.number;
         if (is_large)
             out.omitted.push_back(item.key);
         else
--- a/src/runlink/control/relay.cpp
+++ b/src/runlink/control/relay.cpp
@@ -335,7 +335,7 @@
         return false; // changes before these events are missing
     std::vector<kv_event> fresh;
     for (const auto& e : it.events)
-        if (e.item.revision > own)
+        if (e.item.revision.number > own)
             fresh.push_back(e);
     if (it.store_revision > own)
         hooks_.apply(now, fresh, it.store_revision);
--- a/src/runlink/control/store_follower.cpp
+++ b/src/runlink/control/store_follower.cpp
@@ -10,6 +10,8 @@
 
 /// Maximum number of doublings of the retry delay; by then the upper limit applies anyway.
 constexpr std::uint32_t max_doublings = 5;
+/// A revision that no item has. A condition on it always fails, so that the answer contains the item.
+constexpr std::uint64_t unused_revision = (std::uint64_t{1} << 53U) - 1;
 
 } // namespace
 
@@ -21,6 +23,7 @@
     case kv_error::refused: return "refused";
     case kv_error::history_gone: return "history_gone";
     case kv_error::malformed: return "malformed";
+    case kv_error::outdated: return "outdated";
     }
     return "unknown";
 }
@@ -40,7 +43,7 @@
 {
     const auto now = clock();
     started_at_ = now;
-    take_list(now, std::move(items), revision);
+    take_list(now, std::move(items), {era_, revision});
 }
 
 void store_follower::tick(time_point now)
@@ -122,17 +125,43 @@
 
 void store_follower::apply(time_point now, const std::vector<kv_event>& events, std::uint64_t revision)
 {
-    if (revision <= revision_)
+    const core::store_revision at{revision_.era, revision};
+    if (at <= revision_)
         return;
-    revision_ = revision;
+    revision_ = at;
     for (const auto& it : events)
     {
-        remember(it.item, it.is_deleted);
+        remember(now, it.item, it.is_deleted);
         hooks_.changed(now, it);
     }
     hooks_.caught_up(now, revision_);
 }
 
+// Era
+
+void store_follower::on_era(core::store_era era)
+{
+    if (era <= era_)
+        return;
+    const auto previous = std::exchange(era_, era);
+    if (!is_listed_)
+        return;
+    const auto now = clock();
+    era_began_at_ = {};
+    settled_at_ = now + options_.recovery_time;
+    hooks_.era_began(now, previous, era);
+    if (is_direct_)
+        list(); // otherwise the relay reports the changes
+}
+
+void store_follower::settle(time_point now)
+{
+    if (now >= settled_at_)
+        return;
+    settled_at_ = now;
+    prove_soon(now, milliseconds{0});
+}
+
 // List
 
 void store_follower::list()
@@ -140,14 +169,25 @@
     if (is_listing_)
         return;
     is_listing_ = true;
+    ++list_number_;
     ++watch_number_; // ignores the result of a pending watch, which is older than the list
     if (std::exchange(is_watching_, false))
         store_.cancel_watch();
     next_watch_.reset();
     pages_.clear();
-    list_revision_ = 0;
+    list_revision_ = {};
     list_sent_at_ = clock();
-    store_.list({}, [this](kv_result<kv_page> it) { on_page(std::move(it)); });
+    request_page({});
+}
+
+void store_follower::request_page(const std::string& after)
+{
+    store_.list(after,
+                [this, list_number = list_number_](kv_result<kv_page> it)
+                {
+                    if (list_number == list_number_)
+                        on_page(std::move(it));
+                });
 }
 
 void store_follower::on_page(kv_result<kv_page> page)
@@ -161,13 +201,19 @@
         return;
     }
     auto& it = std::get<kv_page>(page);
+    const bool is_same_era = list_revision_.is_none() || list_revision_.era == it.store_revision.era;
+    if (it.store_revision.era < era_ || !is_same_era)
+    {
+        is_listing_ = false; // pages of different eras don't belong together
+        return list();
+    }
     // The pages are no snapshot, so changes are watched from the revision of the first page.
-    if (list_revision_ == 0)
+    if (list_revision_.is_none())
         list_revision_ = it.store_revision;
     std::move(it.items.begin(), it.items.end(), std::back_inserter(pages_));
     if (!it.has_more || pages_.empty())
         return finish_list();
-    store_.list(pages_.back().key, [this](kv_result<kv_page> e) { on_page(std::move(e)); });
+    request_page(pages_.back().key);
 }
 
 void store_follower::finish_list()
@@ -180,27 +226,31 @@
     take_list(now, std::exchange(pages_, {}), list_revision_);
     watch();
     // Without a known configuration, a list without one proves that there is none.
-    if (has_configuration || configuration_revision_ == 0)
+    if (has_configuration || configuration_revision_.is_none())
         note_proof(list_sent_at_);
     if (is_direct_)
         prove_soon(now, options_.proof_interval);
 }
 
-void store_follower::take_list(time_point now, std::vector<kv_item> items, std::uint64_t revision)
+void store_follower::take_list(time_point now, std::vector<kv_item> items, core::store_revision revision)
 {
     is_listed_ = true;
     revision_ = revision;
+    if (era_began_at_.is_none())
+        era_began_at_ = revision;
     for (const auto& it : items)
-        remember(it, false);
+        remember(now, it, false);
     hooks_.listed(now, std::move(items));
     hooks_.caught_up(now, revision_);
 }
 
-void store_follower::remember(const kv_item& item, bool is_deleted)
+void store_follower::remember(time_point now, const kv_item& item, bool is_deleted)
 {
-    if (item.key != options_.configuration_key)
+    if (item.key != options_.configuration_key || item.revision < configuration_revision_)
         return;
-    configuration_revision_ = is_deleted ? 0 : std::max(configuration_revision_, item.revision);
+    configuration_revision_ = is_deleted ? core::store_revision{} : item.revision;
+    if (!era_began_at_.is_none() && item.revision > era_began_at_)
+        settle(now); // written after the return, so it is the newest
 }
 
 // Watch
@@ -209,9 +259,11 @@
 {
     if (is_watching_ || is_listing_ || !is_listed_ || !is_direct_)
         return;
+    if (revision_.era != era_)
+        return list(); // the revision means nothing in this era
     is_watching_ = true;
     const auto watch_number = ++watch_number_;
-    store_.watch(revision_, options_.watch_wait,
+    store_.watch(revision_.number, options_.watch_wait,
                  [this, watch_number](kv_result<kv_changes> it)
                  {
                      if (watch_number == watch_number_)
@@ -260,7 +312,7 @@
     revision_ = std::max(revision_, it.store_revision);
     for (const auto& e : it.events)
     {
-        remember(e.item, e.is_deleted);
+        remember(now, e.item, e.is_deleted);
         hooks_.changed(now, e);
     }
     hooks_.caught_up(now, revision_);
@@ -275,7 +327,8 @@
 void store_follower::note_proof(time_point sent_at)
 {
     proven_at_ = std::max(proven_at_.value_or(sent_at), sent_at);
-    hooks_.proven(sent_at);
+    if (sent_at >= settled_at_)
+        hooks_.proven(sent_at);
 }
 
 milliseconds store_follower::time_to_proof(time_point now) const
@@ -293,8 +346,22 @@
     is_proving_ = true;
     next_proof_.reset();
     kv_transaction check;
-    check.conditions.push_back({options_.configuration_key, configuration_revision_});
-    store_.commit(check, [this, now](const kv_commit_result& it) { on_proof(now, it); });
+    check.conditions.push_back({options_.configuration_key, revision_to_prove()});
+    store_.commit(check,
+                  [this, now, sent_in = era_](const kv_commit_result& it)
+                  {
+                      if (sent_in == era_)
+                          return on_proof(now, it);
+                      is_proving_ = false;
+                      prove_soon(clock(), milliseconds{0}); // the revision belongs to an earlier era
+                  });
+}
+
+std::uint64_t store_follower::revision_to_prove() const
+{
+    if (configuration_revision_.is_none() || configuration_revision_.era == era_)
+        return configuration_revision_.number;
+    return unused_revision;
 }
 
 void store_follower::on_proof(time_point sent_at, const kv_commit_result& result)
@@ -312,7 +379,7 @@
     if (const auto* conflict = std::get_if<kv_conflict>(&result))
         for (const auto& it : conflict->items)
         {
-            remember(it, false);
+            remember(now, it, false);
             hooks_.changed(now, {it, false});
         }
     note_proof(sent_at);
@@ -324,6 +391,8 @@
     }
     if (is_direct_)
         next_proof_ = sent_at + std::max(options_.proof_interval, milliseconds{1});
+    if (sent_at < settled_at_)
+        prove_soon(now, std::chrono::ceil<milliseconds>(settled_at_ - now));
 }
 
 } // namespace runlink::control
--- a/src/runlink/gateway/duty_runner.cpp
+++ b/src/runlink/gateway/duty_runner.cpp
@@ -27,7 +27,7 @@
 {
     using outcome = duties::write_result::outcome;
     if (const auto* done = std::get_if<control::kv_committed>(&it))
-        return {outcome::committed, done->revision};
+        return {outcome::committed, done->revision.number};
     if (std::holds_alternative<control::kv_conflict>(it))
         return {outcome::conflict, 0};
     return {std::get<control::kv_error>(it) == control::kv_error::refused ? outcome::refused
@@ -180,9 +180,9 @@
     out.send = [this](const duties::window_counts& it, std::function<void(duties::call_outcome)> done)
     {
         platform_.send(wire_.report_usage(caller(), it), call_timeout,
-                       [this, done = std::move(done)](int status, const std::string&)
+                       [this, done = std::move(done)](const control::http_answer& answer)
                        {
-                           const auto result = wire_.read_usage_result(status);
+                           const auto result = wire_.read_usage_result(answer.status);
                            on_call(result);
                            done(result);
                        });
@@ -219,9 +219,9 @@
     out.send = [this](const duties::scale_call& it, std::function<void(duties::scale_result)> done)
     {
         platform_.send(wire_.scale(caller(), it), call_timeout,
-                       [this, it, done = std::move(done)](int status, const std::string&)
+                       [this, it, done = std::move(done)](const control::http_answer& answer)
                        {
-                           const auto result = wire_.read_scale_result(it, status);
+                           const auto result = wire_.read_scale_result(it, answer.status);
                            on_call(result.what);
                            done(result);
                        });
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -87,6 +87,7 @@
         rearm();
     };
     follower_.clock = clock_;
+    store_.on_era = [this](core::store_era it) { follower_.on_era(it); };
     forwarder_.rollouts().on_verdict =
         [this](const core::service_id& service, const routing::version_fault& why)
     {
--- a/src/runlink/gateway/gateway_daemon_metrics.cpp
+++ b/src/runlink/gateway/gateway_daemon_metrics.cpp
@@ -90,6 +90,8 @@
         gauge("runlink_configuration_proof_age_seconds",
               "Age of the proof that the configuration is the newest",
               age ? static_cast<double>(age->count()) / us_per_s : -1),
+        gauge("runlink_store_era", "Era of the store, which rises when it returns from a copy",
+              static_cast<double>(follower_.era().value())),
         gauge("runlink_endpoints", "Endpoints that the store lists",
               static_cast<double>(forwarder_.endpoints().size())),
     });
--- a/src/runlink/gateway/gateway_daemon_peers.cpp
+++ b/src/runlink/gateway/gateway_daemon_peers.cpp
@@ -181,8 +181,8 @@
     out.view = [this](core::time_point now)
     {
         control::store_view it;
-        it.store_revision = follower_.revision();
-        it.configuration_revision = follower_.configuration_revision();
+        it.store_revision = follower_.revision().number;
+        it.configuration_revision = follower_.configuration_revision().number;
         if (configuration_proven_at_)
             it.proof_age = now - *configuration_proven_at_;
         return it;
--- a/src/runlink/gateway/gateway_daemon_store.cpp
+++ b/src/runlink/gateway/gateway_daemon_store.cpp
@@ -37,7 +37,8 @@
     out.listed = [this](core::time_point now, const std::vector<control::kv_item>& items)
     { on_listed(now, items); };
     out.changed = [this](core::time_point now, const control::kv_event& it) { on_changed(now, it); };
-    out.caught_up = [this](core::time_point now, std::uint64_t revision) { relay_.publish(now, revision); };
+    out.caught_up = [this](core::time_point now, core::store_revision revision)
+    { relay_.publish(now, revision.number); };
     out.proven = [this](core::time_point sent_at)
     {
         note_proof(sent_at);
@@ -50,6 +51,16 @@
         log_state("store_regained",
                   std::to_string(std::chrono::floor<core::milliseconds>(away).count()) + " ms");
     };
+    out.era_began = [this](core::time_point now, core::store_era previous, core::store_era era)
+    {
+        forwarder_.endpoints().store_returned(now);
+        log_.write(now,
+                   observe::log_line{"store_era_began"}
+                       .number("previous", static_cast<std::int64_t>(previous.value()))
+                       .number("era", static_cast<std::int64_t>(era.value()))
+                       .number("known_revision", static_cast<std::int64_t>(follower_.revision().number)),
+                   observe::log_rank::vital);
+    };
     return out;
 }
 
@@ -102,7 +113,7 @@
     forwarder_.on_evacuations(now, evacuated);
     forwarder_.rollouts().on_listed(now, ordered, recorded);
     duties_.on_listed(now, has_lease);
-    relay_.remember_all(now, items, follower_.revision());
+    relay_.remember_all(now, items, follower_.revision().number);
     join_.on_listed(now);
     log_state("listed", std::to_string(endpoints.size()) + " endpoints");
     rearm();
@@ -158,12 +169,14 @@
 }
 
 void gateway_daemon::apply_table(core::time_point now, const routing::routing_table_ptr& it,
-                                 std::uint64_t revision)
+                                 const core::store_revision& revision)
 {
     if (revision <= table_revision_)
         return;
     table_revision_ = revision;
     table_is_readable_ = true;
+    if (forwarder_.table() && it->version() < forwarder_.table()->version())
+        return log_outdated_table(now, *it);
     forwarder_.apply(it);
     net::listener_limits limits;
     limits.message.max_header_bytes = it->limits().max_header_bytes;
@@ -173,7 +186,8 @@
     gateway_.listener().set_limits(limits);
     observe::log_line line{"configuration_applied"};
     line.number("table", static_cast<std::int64_t>(it->version()))
-        .number("revision", static_cast<std::int64_t>(revision))
+        .number("era", static_cast<std::int64_t>(revision.era.value()))
+        .number("revision", static_cast<std::int64_t>(revision.number))
         .number("routes", static_cast<std::int64_t>(it->route_count()))
         .number("accounts", static_cast<std::int64_t>(it->account_count()))
         .number("requests_without_key", static_cast<std::int64_t>(forwarder_.count_without_key()));
@@ -182,6 +196,17 @@
     log_.write(now, line, observe::log_rank::notable);
 }
 
+void gateway_daemon::log_outdated_table(core::time_point now, const routing::routing_table& it)
+{
+    log_.write(now,
+               observe::log_line{"configuration_outdated"}
+                   .number("table", static_cast<std::int64_t>(it.version()))
+                   .number("kept", static_cast<std::int64_t>(forwarder_.table()->version()))
+                   .number("era", static_cast<std::int64_t>(table_revision_.era.value()))
+                   .number("revision", static_cast<std::int64_t>(table_revision_.number)),
+               observe::log_rank::vital);
+}
+
 void gateway_daemon::apply_endpoint(core::time_point now, const routing::endpoint_entry& it)
 {
     const auto change = forwarder_.on_endpoint(now, it);
@@ -287,7 +312,7 @@
                            if (const auto* done = std::get_if<control::kv_committed>(&result))
                            {
                                auto record = it;
-                               record.revision = done->revision;
+                               record.revision = done->revision.number;
                                forwarder_.rollouts().on_record(at, record);
                            }
                            else
--- a/src/runlink/gateway/http_caller.cpp
+++ b/src/runlink/gateway/http_caller.cpp
@@ -4,20 +4,11 @@
 
 namespace runlink::gateway
 {
-namespace
-{
-
-/// Passed to handlers if there was no answer.
-constexpr int no_status = 0;
-
-} // namespace
-
 struct http_caller::call
 {
     net::exchange exchange;
     QTimer timer;
-    int status = no_status;
-    std::string body;
+    control::http_answer answer;
     answer_handler handler;
 };
 
@@ -39,7 +30,7 @@
                          if (!expired)
                              return;
                          const auto exchange = expired->exchange.lock();
-                         finish(expired, no_status);
+                         fail(expired);
                          if (exchange)
                              exchange->abandon();
                      });
@@ -53,10 +44,15 @@
         head.fields.add(name, value);
     net::exchange_hooks hooks;
     hooks.sent = [] {};
-    hooks.head = [pending](const net::http_response_head& e) { pending->status = e.status; };
-    hooks.body = [pending](std::string_view e) { pending->body.append(e); };
-    hooks.end = [pending] { finish(pending, pending->status); };
-    hooks.failed = [pending](net::exchange_failure) { finish(pending, no_status); };
+    hooks.head = [pending](const net::http_response_head& e)
+    {
+        pending->answer.status = e.status;
+        for (const auto& field : e.fields)
+            pending->answer.fields.emplace_back(field.name, field.value);
+    };
+    hooks.body = [pending](std::string_view e) { pending->answer.body.append(e); };
+    hooks.end = [pending] { finish(pending); };
+    hooks.failed = [pending](net::exchange_failure) { fail(pending); };
     net::exchange_options options;
     options.connect_timeout = options_.connect_timeout;
     options.max_rest = options_.max_idle_time;
@@ -74,12 +70,18 @@
         exchange->abandon();
 }
 
-void http_caller::finish(const call_ptr& it, int status)
+void http_caller::fail(const call_ptr& it)
+{
+    it->answer = {};
+    finish(it);
+}
+
+void http_caller::finish(const call_ptr& it)
 {
     it->timer.stop();
     const auto handler = std::exchange(it->handler, nullptr);
     if (handler)
-        handler(status, it->body);
+        handler(it->answer);
 }
 
 } // namespace runlink::gateway
--- a/src/runlink/gateway/kv_http_store.cpp
+++ b/src/runlink/gateway/kv_http_store.cpp
@@ -30,15 +30,14 @@
     {
         ++counters_.lists;
         send(wire_.list(after), options_.call_timeout,
-             [this, to](int status, const std::string& body) { to(wire_.read_page(status, body)); });
+             [this, to](const control::http_answer& it) { to(wire_.read_page(it)); });
     };
     out.watch = [this](std::uint64_t after, core::milliseconds wait,
                        const std::function<void(control::kv_result<control::kv_changes>)>& to)
     {
         ++counters_.watches;
-        watch_ =
-            send(wire_.watch(after, wait), wait + options_.watch_slack,
-                 [this, to](int status, const std::string& body) { to(wire_.read_changes(status, body)); });
+        watch_ = send(wire_.watch(after, wait), wait + options_.watch_slack,
+                      [this, to](const control::http_answer& it) { to(wire_.read_changes(it)); });
     };
     out.commit =
         [this](const control::kv_transaction& it, const std::function<void(control::kv_commit_result)>& to)
@@ -46,7 +45,7 @@
         ++counters_.commits;
         counters_.writes += it.writes.empty() && it.removals.empty() ? 0 : 1;
         send(wire_.commit(it), options_.call_timeout,
-             [this, to](int status, const std::string& body) { to(wire_.read_commit(status, body)); });
+             [this, to](const control::http_answer& it) { to(wire_.read_commit(it)); });
     };
     out.cancel_watch = [this]
     {
@@ -60,12 +59,15 @@
                                           http_caller::answer_handler handler)
 {
     return caller_.send(request, timeout,
-                        [this, handler = std::move(handler)](int status, const std::string& body)
+                        [this, handler = std::move(handler)](const control::http_answer& it)
                         {
+                            const int status = it.status;
                             counters_.unanswered += status == no_status ? 1 : 0;
                             counters_.refused +=
                                 status == status_too_many || status == status_unavailable ? 1 : 0;
-                            handler(status, body);
+                            if (status != no_status)
+                                on_era(wire_.read_era(it));
+                            handler(it);
                         });
 }
 
--- a/src/runlink/proto/gossip_codec.cpp
+++ b/src/runlink/proto/gossip_codec.cpp
@@ -90,7 +90,7 @@
         auto* event = out.add_events();
         event->set_key(e.item.key);
         event->set_value(e.item.value);
-        event->set_revision(e.item.revision);
+        event->set_revision(e.item.revision.number);
         event->set_deleted(e.is_deleted);
     }
     for (const auto& e : it.omitted)
