Relays: revisions between instances carry the era; followers get the difference to a copy

Callers saw: requests sent to an endpoint 3.5 s after its entry said that it leaves (record, DRAIN), by followers of a relay. Evidence: in the record two of four leavings, acknowledged within 5 ms, are missing at each of 25 logs, the later two are there. Mend: requests, replies, events and parts of joining instances carry era and revision; a proof between instances names the configuration's version, not a revision. A relay compares the list of a new era with what it knew and tells the difference; its history still covers followers at a revision of the earlier era, unless they had got further than itself. While a relay waits for that, its followers don't turn to the store.

--- a/include/runlink/control/change_history.hpp
+++ b/include/runlink/control/change_history.hpp
@@ -34,7 +34,7 @@
 {
     std::vector<kv_event> events;
     std::vector<std::string> omitted; ///< changed keys whose values are too large
-    std::uint64_t revision = 0;       ///< of the last change in this part
+    core::store_revision revision;    ///< of the last change in this part
     bool has_more = false;            ///< later changes follow in another part
 };
 
@@ -45,19 +45,30 @@
     explicit change_history(history_options options = {}) : options_{options} {}
 
     /// Replaces the contents by the store's items at the given revision. Earlier deletions are unknown.
-    void reset(const std::vector<kv_item>& items, std::uint64_t revision);
+    void reset(const std::vector<kv_item>& items, const core::store_revision& revision);
     void remember(const kv_event& it);
-    /// Whether all changes after the revision are known.
-    bool covers(std::uint64_t since) const { return since >= complete_since_; }
+    /// All changes up to the revision have been remembered.
+    void reached(const core::store_revision& it);
+    /// Whether all changes after the revision are known. In an earlier era of the store the instance that has
+    /// the revision must not have seen changes that are missing here.
+    bool covers(const core::store_revision& since) const;
     /// Revision after which all changes are known.
-    std::uint64_t complete_since() const { return complete_since_; }
+    const core::store_revision& complete_since() const { return complete_since_; }
     /// Returns the first part of the changes after a revision.
-    history_part changes_after(std::uint64_t since) const;
+    history_part changes_after(const core::store_revision& since) const;
+    /// The events with which the known items become those of a list that was read after the store's return
+    /// from a copy. Events for changes that the copy has lost are marked as `is_from_copy`.
+    std::vector<kv_event> difference(const std::vector<kv_item>& listed,
+                                     const core::store_revision& revision) const;
 
 private:
-    using change_key = std::pair<std::uint64_t, std::string>; ///< revision and key
+    using change_key = std::pair<core::store_revision, std::string>; ///< revision and key
 
     void put(const kv_event& it);
+    const kv_event* find(const std::string& key) const;
+    /// The highest revision number of the list that is known to belong to the copy rather than to a change
+    /// after the return.
+    std::uint64_t last_of_copy(const std::vector<kv_item>& listed) const;
     /// Forgets the oldest deletions beyond the limit.
     void drop_old_deletions();
     std::size_t max_deletions() const;
@@ -65,9 +76,12 @@
     history_options options_;
     /// By revision and key, since a transaction may change several keys.
     std::map<change_key, kv_event> changes_;
-    std::unordered_map<std::string, std::uint64_t> revisions_;
+    std::unordered_map<std::string, core::store_revision> revisions_;
     std::set<change_key> deletions_; ///< the keys in `changes_` of deletions
-    std::uint64_t complete_since_ = 0;
+    core::store_revision complete_since_;
+    core::store_revision reached_;
+    /// The last revisions that were reached in earlier eras.
+    std::map<core::store_era, std::uint64_t> era_ends_;
 };
 
 } // namespace runlink::control
--- a/include/runlink/control/fleet_join.hpp
+++ b/include/runlink/control/fleet_join.hpp
@@ -40,8 +40,8 @@
 struct joined_view
 {
     std::vector<kv_event> events;
-    std::uint64_t revision = 0;
-    std::uint64_t complete_since = 0; ///< all deletions after this revision are included
+    core::store_revision revision;
+    core::store_revision complete_since; ///< all deletions after this revision are included
 };
 
 /// Actions that the start-up triggers.
--- a/include/runlink/control/kv_store.hpp
+++ b/include/runlink/control/kv_store.hpp
@@ -28,6 +28,9 @@
 {
     kv_item item;
     bool is_deleted = false;
+    /// The state of the key in an older copy from which the store has returned. A later change was lost; its
+    /// writer may write it again.
+    bool is_from_copy = false;
 };
 
 /// One page of a list. Pages may be read at different revisions; together they are no snapshot.
--- a/include/runlink/control/relay.hpp
+++ b/include/runlink/control/relay.hpp
@@ -33,7 +33,7 @@
 {
     peer_entry sender; ///< where the reply is sent; relays write this entry to the store
     std::uint64_t number = 0;
-    std::uint64_t store_revision = 0;
+    core::store_revision store_revision;
     /// The sender has no view of the store yet, or only parts of the receiver's view.
     bool is_joining = false;
 };
@@ -44,11 +44,13 @@
     instance_id sender;
     std::uint64_t number = 0;
     std::optional<milliseconds> proof_age;
-    std::uint64_t configuration_revision = 0;
-    std::uint64_t since = 0; ///< the events contain all changes after this revision
+    /// The sender waits until what the store lost is written again; it has no proof before.
+    bool is_recovering = false;
+    std::uint64_t configuration_version = 0; ///< which the proof confirms
+    core::store_revision since;              ///< the events contain all changes after this revision
     /// For a joining instance: all deletions after this revision are included.
-    std::uint64_t complete_since = 0;
-    std::uint64_t store_revision = 0;
+    core::store_revision complete_since;
+    core::store_revision store_revision;
     bool has_more = false; ///< more changes follow; `store_revision` is the revision of the last one included
     /// The sender has a queue of joining instances and replies later.
     bool is_queued = false;
@@ -114,9 +116,10 @@
 /// State of this instance's view of the store.
 struct store_view
 {
-    std::uint64_t store_revision = 0;
-    std::uint64_t configuration_revision = 0;
-    std::optional<duration> proof_age; ///< empty without a proof
+    core::store_revision store_revision;
+    std::uint64_t configuration_version = 0; ///< of the configuration in force
+    std::optional<duration> proof_age;       ///< empty without a proof
+    bool is_recovering = false;              ///< see `sync_reply`
 };
 
 /// Actions and queries of the relay logic.
@@ -128,7 +131,7 @@
     /// Starts or stops following the store directly.
     std::function<void(time_point, bool direct)> set_direct;
     /// Applies all changes after the own revision, up to the given one.
-    std::function<void(time_point, const std::vector<kv_event>&, std::uint64_t revision)> apply;
+    std::function<void(time_point, const std::vector<kv_event>&, const core::store_revision&)> apply;
     /// Reads the values of these keys from the store; with no keys, the configuration.
     std::function<void(time_point, const std::vector<std::string>& keys)> fetch;
     /// Reads the whole store again.
@@ -162,13 +165,16 @@
     /// Records a change for replies to followers.
     void remember(const kv_event& it);
     /// Sends the recorded changes to subscribers. All changes up to the revision must be recorded.
-    void publish(time_point now, std::uint64_t revision);
+    void publish(time_point now, const core::store_revision& revision);
     /// Records the store's items at the given revision. Earlier changes are forgotten.
-    void remember_all(time_point now, const std::vector<kv_item>& items, std::uint64_t revision);
+    void remember_all(time_point now, const std::vector<kv_item>& items,
+                      const core::store_revision& revision);
+    /// The known items, and what changed in them.
+    const change_history& history() const { return history_; }
 
     /// Records the view received from another instance, including the deletions after `complete_since`. With
     /// them, followers of a relay that has just started need not read the store.
-    void remember_view(const std::vector<kv_event>& events, std::uint64_t complete_since)
+    void remember_view(const std::vector<kv_event>& events, const core::store_revision& complete_since)
     {
         history_.reset({}, complete_since);
         for (const auto& it : events)
@@ -196,7 +202,7 @@
     struct subscriber
     {
         time_point asked{};
-        std::uint64_t revision = 0;
+        core::store_revision revision;
     };
 
     struct peer
@@ -230,8 +236,9 @@
     void on_no_proof(time_point now);
     void on_no_source_left(time_point now);
     void on_proof(time_point now, const sync_reply& it);
+    void on_recovering(time_point now);
     void set_direct(time_point now, bool direct);
-    sync_reply make_reply(time_point now, std::uint64_t since, bool is_joining) const;
+    sync_reply make_reply(time_point now, const core::store_revision& since, bool is_joining) const;
     /// Applies the events of a reply. Returns false if changes are missing between the own revision and the
     /// reply.
     bool take_events(time_point now, const sync_reply& it);
@@ -248,7 +255,7 @@
     /// Joining instances that may get the same reply.
     /// Instances that wait for the part of the view after a revision. Those that have got further come first,
     /// so that they are done sooner.
-    std::map<std::uint64_t, std::vector<instance_id>, std::greater<>> joiners_;
+    std::map<core::store_revision, std::vector<instance_id>, std::greater<>> joiners_;
     std::optional<time_point> answer_joiners_at_;
     change_history history_;
     std::optional<instance_id> initial_source_;
--- a/include/runlink/control/store_follower.hpp
+++ b/include/runlink/control/store_follower.hpp
@@ -8,10 +8,12 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "runlink/control/change_history.hpp"
 #include "runlink/control/kv_store.hpp"
 
 namespace runlink::control
@@ -48,6 +50,8 @@
 struct follower_hooks
 {
     std::function<void(time_point, std::vector<kv_item>)> listed; ///< all items of the store
+    /// The items that have been reported, for the comparison with a copy from which the store has returned.
+    std::function<const change_history&()> known;
     /// All changes up to the revision have been reported.
     std::function<void(time_point, core::store_revision)> caught_up;
     std::function<void(time_point, const kv_event&)> changed;
@@ -63,7 +67,9 @@
 /// Keeps a view of the store up to date. The reported revisions of a key never decrease.
 ///
 /// If the store returns from an older copy, its era rises: the view is read again, and answers to calls that
-/// were sent in an earlier era are not used.
+/// were sent in an earlier era are not used. The differences between the view and the copy are reported as
+/// changes. Those that undo a lost change are reported as `is_from_copy`, and without that mark if the key
+/// has not been written again within `recovery_time`.
 class store_follower
 {
 public:
@@ -77,13 +83,13 @@
     /// Reads the whole store. A list that contains the configuration is a proof, like a transaction.
     void start();
     /// Starts with the items of another instance's view.
-    void start_with(std::vector<kv_item> items, std::uint64_t revision);
+    void start_with(std::vector<kv_item> items, const core::store_revision& revision);
     /// Enables or disables the own watches and proofs. While disabled, a relay supplies both.
     void set_direct(time_point now, bool direct);
     void set_proof_interval(milliseconds it) { options_.proof_interval = it; }
     void set_gather_delay(milliseconds it) { options_.gather_delay = it; }
     /// Applies the changes received from a relay, which are complete up to the revision.
-    void apply(time_point now, const std::vector<kv_event>& events, std::uint64_t revision);
+    void apply(time_point now, const std::vector<kv_event>& events, const core::store_revision& revision);
     /// Reads the whole store again.
     void list_again() { list(); }
     /// Schedules a proof. If the store has a newer configuration, the proof returns it.
@@ -93,6 +99,8 @@
     core::store_era era() const { return era_; }
     /// The store has given an answer in this era. To be called before the answer itself is handled.
     void on_era(core::store_era era);
+    /// Whether what the store has lost may still be written again; there is no proof before.
+    bool is_recovering(time_point now) const { return now < settled_at_; }
     void tick(time_point now);
     std::optional<time_point> next_due() const;
     /// Report the outcome of store calls made elsewhere in the process.
@@ -105,6 +113,11 @@
     bool is_connected() const { return !lost_at_; }
 
 private:
+    void begin_era(time_point now, core::store_era era);
+    /// Reports a change.
+    void report(time_point now, const kv_event& it);
+    /// Reports the copy's state of the keys that have not been written again.
+    void end_recovery(time_point now);
     void list();
     void request_page(const std::string& after);
     void on_page(kv_result<kv_page> page);
@@ -138,7 +151,9 @@
     core::store_revision list_revision_;
     /// The first known revision of the era; none before a list has told it.
     core::store_revision era_began_at_;
-    time_point settled_at_ = time_point::min(); ///< from when proofs count, see `recovery_time`
+    time_point settled_at_ = time_point::min();       ///< from when proofs count, see `recovery_time`
+    time_point recovery_ends_at_ = time_point::min(); ///< when the copy's state counts
+    std::map<std::string, kv_event> from_copy_;       ///< by key, those that have not been written again
     std::uint64_t list_number_ = 0;
     time_point list_sent_at_{}; ///< of the first page
     core::store_revision configuration_revision_;
--- a/include/runlink/gateway/gossip_link.hpp
+++ b/include/runlink/gateway/gossip_link.hpp
@@ -79,9 +79,9 @@
     /// Identifies a part of the store's items that a relay sends to many instances one after the other.
     struct part_key
     {
-        std::uint64_t since = 0;
-        std::uint64_t revision = 0;
-        std::uint64_t complete_since = 0;
+        core::store_revision since;
+        core::store_revision revision;
+        core::store_revision complete_since;
 
         friend auto operator<=>(const part_key&, const part_key&) = default;
     };
--- a/src/runlink/control/change_history.cpp
+++ b/src/runlink/control/change_history.cpp
@@ -1,12 +1,13 @@
 #include "runlink/control/change_history.hpp"
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 namespace runlink::control
 {
 
-void change_history::reset(const std::vector<kv_item>& items, std::uint64_t revision)
+void change_history::reset(const std::vector<kv_item>& items, const core::store_revision& revision)
 {
     changes_.clear();
     revisions_.clear();
@@ -33,8 +34,8 @@
         deletions_.erase(old);
         changes_.erase(old);
     }
-    revisions_[it.item.key] = it.item.revision.number;
-    const change_key key{it.item.revision.number, it.item.key};
+    revisions_[it.item.key] = it.item.revision;
+    const change_key key{it.item.revision, it.item.key};
     if (it.is_deleted)
         deletions_.insert(key);
     changes_[key] = it;
@@ -57,23 +58,78 @@
     }
 }
 
-history_part change_history::changes_after(std::uint64_t since) const
+void change_history::reached(const core::store_revision& it)
+{
+    if (it.era > reached_.era)
+        era_ends_[reached_.era] = reached_.number;
+    reached_ = std::max(reached_, it);
+}
+
+bool change_history::covers(const core::store_revision& since) const
+{
+    if (since < complete_since_)
+        return false;
+    const auto end = era_ends_.find(since.era);
+    return end == era_ends_.end() ? since.era >= reached_.era : since.number <= end->second;
+}
+
+const kv_event* change_history::find(const std::string& key) const
+{
+    const auto found = revisions_.find(key);
+    return found == revisions_.end() ? nullptr : &changes_.at({found->second, key});
+}
+
+std::uint64_t change_history::last_of_copy(const std::vector<kv_item>& listed) const
+{
+    std::uint64_t out = 0;
+    for (const auto& it : listed)
+    {
+        const auto* known = find(it.key);
+        const bool is_same = known != nullptr && !known->is_deleted && known->item.value == it.value &&
+                             known->item.revision.number == it.revision.number;
+        if (is_same && known->item.revision.era < it.revision.era)
+            out = std::max(out, it.revision.number);
+    }
+    return out;
+}
+
+std::vector<kv_event> change_history::difference(const std::vector<kv_item>& listed,
+                                                 const core::store_revision& revision) const
+{
+    const auto last_of_copy = this->last_of_copy(listed);
+    std::vector<kv_event> out;
+    std::unordered_set<std::string> keys;
+    for (const auto& it : listed)
+    {
+        keys.insert(it.key);
+        const auto* known = find(it.key);
+        const bool is_new = known == nullptr || known->is_deleted || known->item.value != it.value;
+        if (is_new)
+            out.push_back({it, false, known != nullptr && it.revision.number <= last_of_copy});
+    }
+    for (const auto& [key, it] : changes_)
+        if (!it.is_deleted && !keys.contains(it.item.key))
+            out.push_back({{it.item.key, {}, revision}, true, true});
+    return out;
+}
+
+history_part change_history::changes_after(const core::store_revision& since) const
 {
     history_part out;
     out.revision = since;
     std::size_t bytes = 0;
-    for (auto it = changes_.lower_bound({since + 1, {}}); it != changes_.end(); ++it)
+    for (auto it = changes_.lower_bound({since.next(), {}}); it != changes_.end(); ++it)
     {
         const auto& item = it->second.item;
         const bool is_large = item.value.size() > options_.max_value_bytes;
         bytes += item.key.size() + (is_large ? 0 : item.value.size());
         // The changes of one transaction share a revision and are never split between parts.
-        if (bytes > options_.max_part_bytes && !out.events.empty() && item.revision.number != out.revision)
+        if (bytes > options_.max_part_bytes && !out.events.empty() && item.revision != out.revision)
         {
             out.has_more = true;
             return out;
         }
-        out.revision = item.revision.number;
+        out.revision = item.revision;
         if (is_large)
             out.omitted.push_back(item.key);
         else
--- a/src/runlink/control/fleet_join.cpp
+++ b/src/runlink/control/fleet_join.cpp
@@ -32,7 +32,7 @@
     out.store_revision = view_.revision;
     out.is_joining = true;
     next_ = std::min<time_point>(now + options_.answer_timeout * (1U << part_requests_), store_fallback_at_);
-    hooks_.ask(view_.revision == 0 ? seeds_[seed_index_ % seeds_.size()] : source_, out);
+    hooks_.ask(view_.revision.is_none() ? seeds_[seed_index_ % seeds_.size()] : source_, out);
 }
 
 void fleet_join::ask_next(time_point now)
@@ -56,7 +56,7 @@
 {
     if (std::exchange(is_queued_, false))
         return ask(now);
-    if (view_.revision == 0 || part_requests_ + 1 >= options_.max_part_requests)
+    if (view_.revision.is_none() || part_requests_ + 1 >= options_.max_part_requests)
         return ask_next(now);
     ++part_requests_;
     ask(now);
@@ -76,9 +76,9 @@
     if (phase_ == phase::asking && it.is_queued && it.since == view_.revision)
         return on_queued(now);
     // A seed that had no view yet may answer after the next seed was asked. A complete view is always usable.
-    const bool is_complete = it.since == 0 && !it.has_more;
-    const bool is_next = it.since == view_.revision && (it.since == 0 || it.sender == source_);
-    if (phase_ != phase::asking || it.store_revision == 0 || (!is_complete && !is_next))
+    const bool is_complete = it.since.is_none() && !it.has_more;
+    const bool is_next = it.since == view_.revision && (it.since.is_none() || it.sender == source_);
+    if (phase_ != phase::asking || it.store_revision.is_none() || (!is_complete && !is_next))
         return;
     if (!it.omitted.empty())
         return read_store(now); // a value is too large for a datagram
--- a/src/runlink/control/followed_fixture.hpp
+++ b/src/runlink/control/followed_fixture.hpp
@@ -59,6 +59,7 @@
     fake_kv store;
     core::time_point now{core::seconds{100}};
     std::vector<std::string> told;
+    change_history known;
     std::optional<core::time_point> proven;
     store_follower it{{"conf"}, store.port(), hooks()};
 
@@ -72,9 +73,17 @@
     {
         follower_hooks out;
         out.listed = [this](auto, const std::vector<kv_item>& all)
-        { told.push_back("listed " + std::to_string(all.size())); };
+        {
+            known.reset(all, it.revision());
+            told.push_back("listed " + std::to_string(all.size()));
+        };
+        out.known = [this]() -> const change_history& { return known; };
         out.changed = [this](auto, const kv_event& e)
-        { told.push_back((e.is_deleted ? "gone " : "changed ") + e.item.key); };
+        {
+            known.remember(e);
+            const std::string what = e.is_deleted ? "gone " : "changed ";
+            told.push_back((e.is_from_copy ? "copy " : "") + what + e.item.key);
+        };
         out.caught_up = [](auto, auto) {};
         out.proven = [this](core::time_point at) { proven = at; };
         out.lost = [this](auto, kv_error why) { told.push_back("lost " + std::string{to_string(why)}); };
--- a/src/runlink/control/join_test.cpp
+++ b/src/runlink/control/join_test.cpp
@@ -42,7 +42,7 @@
         out.take_view = [this](auto, const joined_view& e)
         {
             view = e.events;
-            told.push_back("view " + std::to_string(e.revision));
+            told.push_back("view " + std::to_string(e.revision.number));
         };
         out.set_initial_source = [this](auto, const instance_id& by) { told.push_back("by " + by.str()); };
         out.settle = [this](auto) { told.push_back("settled"); };
--- a/src/runlink/control/relay.cpp
+++ b/src/runlink/control/relay.cpp
@@ -292,18 +292,27 @@
         next_ = now; // request the remaining changes
     if (!is_whole || !is_answer)
         return;
+    if (it.is_recovering)
+        return on_recovering(now);
     if (!it.proof_age || *it.proof_age > options_.max_proof_age)
         return on_no_proof(now); // the relay has lost the store itself
     on_proof(now, it);
 }
 
+void relay::on_recovering(time_point now)
+{
+    // The store itself proves no more, and all followers would ask it at the same time.
+    asked_at_.reset();
+    next_ = now + options_.ask_interval;
+}
+
 void relay::on_proof(time_point now, const sync_reply& it)
 {
     const auto asked_at = *asked_at_;
     asked_at_.reset();
     first_source_ += sources_tried_;
     rounds_without_proof_ = 0;
-    if (it.configuration_revision != hooks_.view(now).configuration_revision)
+    if (it.configuration_version != hooks_.view(now).configuration_version)
     {
         // Either instance may not have the newest configuration yet; it arrives with the next changes.
         next_ = now + options_.answer_timeout;
@@ -335,7 +344,7 @@
         return false; // changes before these events are missing
     std::vector<kv_event> fresh;
     for (const auto& e : it.events)
-        if (e.item.revision.number > own)
+        if (e.item.revision > own)
             fresh.push_back(e);
     if (it.store_revision > own)
         hooks_.apply(now, fresh, it.store_revision);
--- a/src/runlink/control/relay_answers.cpp
+++ b/src/runlink/control/relay_answers.cpp
@@ -15,19 +15,22 @@
     history_.remember(it);
 }
 
-void relay::remember_all(time_point now, const std::vector<kv_item>& items, std::uint64_t revision)
+void relay::remember_all(time_point now, const std::vector<kv_item>& items,
+                         const core::store_revision& revision)
 {
     history_.reset(items, revision);
+    history_.reached(revision);
     if (!joiners_.empty())
         answer_joiners_at_ = now;
 }
 
-sync_reply relay::make_reply(time_point now, std::uint64_t since, bool is_joining) const
+sync_reply relay::make_reply(time_point now, const core::store_revision& since, bool is_joining) const
 {
     const auto view = hooks_.view(now);
     sync_reply out;
     out.sender = self_;
-    out.configuration_revision = view.configuration_revision;
+    out.configuration_version = view.configuration_version;
+    out.is_recovering = view.is_recovering;
     out.store_revision = view.store_revision;
     out.since = since;
     out.complete_since = history_.complete_since();
@@ -53,7 +56,7 @@
     if (it.sender.failure_domain == domain_)
         last_request_at_[from] = now;
     unanswered_.erase(from);
-    const bool has_view = hooks_.view(now).store_revision != 0;
+    const bool has_view = !hooks_.view(now).store_revision.is_none();
     if (it.is_joining)
         return on_join_request(now, it, has_view);
     if (!has_view)
@@ -134,11 +137,13 @@
         answer_joiners_at_ = now + options_.joiners_delay;
 }
 
-void relay::publish(time_point now, std::uint64_t revision)
+void relay::publish(time_point now, const core::store_revision& revision)
 {
+    history_.reached(revision);
     std::erase_if(subscribers_,
                   [&](const auto& it) { return now - it.second.asked > options_.subscription_lifetime; });
-    std::map<std::uint64_t, std::vector<instance_id>> behind; // most subscribers have the same revision
+    std::map<core::store_revision, std::vector<instance_id>>
+        behind; // most subscribers have the same revision
     for (const auto& [id, it] : subscribers_)
         if (it.revision < revision)
             behind[it.revision].push_back(id);
--- a/src/runlink/control/relay_test.cpp
+++ b/src/runlink/control/relay_test.cpp
@@ -34,7 +34,7 @@
     f.advance(3000);
     auto& follower = f.follower();
     for (const auto& name : f.direct())
-        f.members.at(name).view.configuration_revision = 11;
+        f.members.at(name).view.configuration_version = 11;
     f.change("conf", 11, std::string(relay_options{}.history.max_value_bytes + 1, 'x'));
     CHECK(follower.told == std::vector<std::string>{"fetch conf"});
     follower.proven.reset();
@@ -123,7 +123,7 @@
     relayed f{{"n1", "n2", "n3", "n4"}};
     f.advance(3000);
     for (const auto& name : f.direct())
-        f.members.at(name).view.configuration_revision = 12;
+        f.members.at(name).view.configuration_version = 12;
     auto& follower = f.follower();
     follower.proven.reset();
     f.advance(2000);
--- a/src/runlink/control/relayed_fixture.hpp
+++ b/src/runlink/control/relayed_fixture.hpp
@@ -91,7 +91,8 @@
         };
         out.view = [&self](core::time_point) { return self.view; };
         out.set_direct = [&self](core::time_point, bool direct) { self.direct = direct; };
-        out.apply = [&self](core::time_point, const std::vector<kv_event>& events, std::uint64_t revision)
+        out.apply = [&self](core::time_point, const std::vector<kv_event>& events,
+                            const core::store_revision& revision)
         {
             self.view.store_revision = revision;
             for (const auto& e : events)
--- a/src/runlink/control/store_era_test.cpp
+++ b/src/runlink/control/store_era_test.cpp
@@ -167,3 +167,25 @@
     CHECK(f.it.revision() == at(3, 35));
     CHECK(f.it.configuration_revision() == at(3, 30));
 }
+
+TEST_CASE("a history covers a revision of an earlier era only up to where that era was known")
+{
+    change_history it;
+    it.reset({{"a", "1", at(1, 3)}, {"b", "1", at(1, 4)}}, at(1, 5));
+    it.reached(at(1, 5));
+    it.remember({{"a", "2", at(1, 9)}});
+    it.reached(at(1, 9));
+    for (const auto& e : it.difference({{"a", "1", at(2, 3)}, {"c", "1", at(2, 6)}}, at(2, 6)))
+        it.remember(e);
+    it.reached(at(2, 6));
+    CHECK(it.covers(at(1, 5)));
+    CHECK(it.covers(at(1, 9)));
+    CHECK_FALSE(it.covers(at(1, 10)));
+    CHECK(it.covers(at(2, 6)));
+    const auto part = it.changes_after(at(1, 9));
+    REQUIRE(part.events.size() == 3);
+    CHECK(part.events[0].item.key == "a");
+    CHECK(part.events[1].item.key == "b");
+    CHECK(part.events[1].is_from_copy);
+    CHECK(part.events[2].item.key == "c");
+}
--- a/src/runlink/control/store_follower.cpp
+++ b/src/runlink/control/store_follower.cpp
@@ -39,11 +39,12 @@
     list();
 }
 
-void store_follower::start_with(std::vector<kv_item> items, std::uint64_t revision)
+void store_follower::start_with(std::vector<kv_item> items, const core::store_revision& revision)
 {
+    era_ = std::max(era_, revision.era);
     const auto now = clock();
     started_at_ = now;
-    take_list(now, std::move(items), {era_, revision});
+    take_list(now, std::move(items), revision);
 }
 
 void store_follower::tick(time_point now)
@@ -63,11 +64,15 @@
         check_watch();
     if (is_due(next_proof_))
         prove(now);
+    if (now >= recovery_ends_at_)
+        end_recovery(now);
 }
 
 std::optional<time_point> store_follower::next_due() const
 {
     std::optional<time_point> out;
+    if (!from_copy_.empty())
+        out = recovery_ends_at_;
     for (const auto& it : {next_list_, next_watch_, next_proof_, next_watch_check_})
         if (it)
             out = out ? std::min(*out, *it) : it;
@@ -123,17 +128,18 @@
     next_proof_.reset();
 }
 
-void store_follower::apply(time_point now, const std::vector<kv_event>& events, std::uint64_t revision)
+void store_follower::apply(time_point now, const std::vector<kv_event>& events,
+                           const core::store_revision& revision)
 {
-    const core::store_revision at{revision_.era, revision};
-    if (at <= revision_)
+    if (revision <= revision_)
         return;
-    revision_ = at;
+    if (revision.era > era_)
+        begin_era(now, revision.era);
+    revision_ = revision;
+    if (era_began_at_.is_none())
+        era_began_at_ = revision;
     for (const auto& it : events)
-    {
-        remember(now, it.item, it.is_deleted);
-        hooks_.changed(now, it);
-    }
+        report(now, it);
     hooks_.caught_up(now, revision_);
 }
 
@@ -143,17 +149,44 @@
 {
     if (era <= era_)
         return;
-    const auto previous = std::exchange(era_, era);
     if (!is_listed_)
+    {
+        era_ = era;
         return;
-    const auto now = clock();
-    era_began_at_ = {};
-    settled_at_ = now + options_.recovery_time;
-    hooks_.era_began(now, previous, era);
+    }
+    begin_era(clock(), era);
     if (is_direct_)
         list(); // otherwise the relay reports the changes
 }
 
+void store_follower::begin_era(time_point now, core::store_era era)
+{
+    const auto previous = std::exchange(era_, era);
+    era_began_at_ = {};
+    recovery_ends_at_ = now + options_.recovery_time;
+    settled_at_ = recovery_ends_at_;
+    hooks_.era_began(now, previous, era);
+}
+
+void store_follower::report(time_point now, const kv_event& it)
+{
+    if (it.is_from_copy)
+        from_copy_[it.item.key] = it;
+    else
+        from_copy_.erase(it.item.key);
+    remember(now, it.item, it.is_deleted);
+    hooks_.changed(now, it);
+}
+
+void store_follower::end_recovery(time_point now)
+{
+    for (auto& [key, it] : std::exchange(from_copy_, {}))
+    {
+        it.is_from_copy = false;
+        report(now, it);
+    }
+}
+
 void store_follower::settle(time_point now)
 {
     if (now >= settled_at_)
@@ -234,13 +267,18 @@
 
 void store_follower::take_list(time_point now, std::vector<kv_item> items, core::store_revision revision)
 {
+    const bool is_copy = is_listed_ && (revision.era > revision_.era || now < recovery_ends_at_);
     is_listed_ = true;
     revision_ = revision;
     if (era_began_at_.is_none())
         era_began_at_ = revision;
     for (const auto& it : items)
         remember(now, it, false);
-    hooks_.listed(now, std::move(items));
+    if (!is_copy)
+        hooks_.listed(now, std::move(items));
+    else
+        for (const auto& it : hooks_.known().difference(items, revision))
+            report(now, it);
     hooks_.caught_up(now, revision_);
 }
 
@@ -311,10 +349,7 @@
     note_success(now);
     revision_ = std::max(revision_, it.store_revision);
     for (const auto& e : it.events)
-    {
-        remember(now, e.item, e.is_deleted);
-        hooks_.changed(now, e);
-    }
+        report(now, e);
     hooks_.caught_up(now, revision_);
     next_watch_ = it.events.empty() ? now : now + watch_delay(now);
 }
@@ -379,8 +414,7 @@
     if (const auto* conflict = std::get_if<kv_conflict>(&result))
         for (const auto& it : conflict->items)
         {
-            remember(now, it, false);
-            hooks_.changed(now, {it, false});
+            report(now, {it, false});
         }
     note_proof(sent_at);
     if (const auto* done = std::get_if<kv_committed>(&result))
--- a/src/runlink/gateway/gateway_daemon_peers.cpp
+++ b/src/runlink/gateway/gateway_daemon_peers.cpp
@@ -181,8 +181,9 @@
     out.view = [this](core::time_point now)
     {
         control::store_view it;
-        it.store_revision = follower_.revision().number;
-        it.configuration_revision = follower_.configuration_revision().number;
+        it.store_revision = follower_.revision();
+        it.configuration_version = forwarder_.table() ? forwarder_.table()->version() : 0;
+        it.is_recovering = follower_.is_connected() && follower_.is_recovering(now);
         if (configuration_proven_at_)
             it.proof_age = now - *configuration_proven_at_;
         return it;
@@ -194,7 +195,7 @@
         forwarder_.rollouts().set_follows_store(direct);
     };
     out.apply = [this](core::time_point now, const std::vector<control::kv_event>& events,
-                       std::uint64_t revision) { follower_.apply(now, events, revision); };
+                       const core::store_revision& revision) { follower_.apply(now, events, revision); };
     out.fetch = [this](core::time_point now, const std::vector<std::string>& keys)
     {
         const bool is_configuration =
--- a/src/runlink/gateway/gateway_daemon_store.cpp
+++ b/src/runlink/gateway/gateway_daemon_store.cpp
@@ -36,9 +36,10 @@
     control::follower_hooks out;
     out.listed = [this](core::time_point now, const std::vector<control::kv_item>& items)
     { on_listed(now, items); };
+    out.known = [this]() -> const control::change_history& { return relay_.history(); };
     out.changed = [this](core::time_point now, const control::kv_event& it) { on_changed(now, it); };
     out.caught_up = [this](core::time_point now, core::store_revision revision)
-    { relay_.publish(now, revision.number); };
+    { relay_.publish(now, revision); };
     out.proven = [this](core::time_point sent_at)
     {
         note_proof(sent_at);
@@ -113,7 +114,7 @@
     forwarder_.on_evacuations(now, evacuated);
     forwarder_.rollouts().on_listed(now, ordered, recorded);
     duties_.on_listed(now, has_lease);
-    relay_.remember_all(now, items, follower_.revision().number);
+    relay_.remember_all(now, items, follower_.revision());
     join_.on_listed(now);
     log_state("listed", std::to_string(endpoints.size()) + " endpoints");
     rearm();
@@ -122,6 +123,8 @@
 void gateway_daemon::on_changed(core::time_point now, const control::kv_event& it)
 {
     relay_.remember(it);
+    if (it.is_from_copy && it.item.key != binding_.documents.configuration_key)
+        return; // what is known stays in force until the recovery ends
     if (it.is_deleted)
         remove_item(now, it.item.key);
     else
--- a/src/runlink/proto/gossip_codec.cpp
+++ b/src/runlink/proto/gossip_codec.cpp
@@ -12,6 +12,17 @@
 
 void to_wire(const std::monostate&, wire::Datagram&) {}
 
+void to_wire(const core::store_revision& it, wire::StoreRevision& to)
+{
+    to.set_era(it.era.value());
+    to.set_number(it.number);
+}
+
+core::store_revision from_wire(const wire::StoreRevision& in)
+{
+    return {core::store_era{in.era()}, in.number()};
+}
+
 void to_wire(const routing::answer_counts& it, wire::AnswerCounts& to)
 {
     to.set_all(it.all);
@@ -67,7 +78,7 @@
     out.set_port(it.sender.port);
     out.set_link_mbps(it.sender.link_mbps);
     out.set_number(it.number);
-    out.set_store_revision(it.store_revision);
+    to_wire(it.store_revision, *out.mutable_store_at());
     out.set_joining(it.is_joining);
 }
 
@@ -78,10 +89,11 @@
     out.set_number(it.number);
     out.set_has_proof(it.proof_age.has_value());
     out.set_proof_age_ms(it.proof_age ? static_cast<std::uint64_t>(it.proof_age->count()) : 0);
-    out.set_configuration_revision(it.configuration_revision);
-    out.set_since(it.since);
-    out.set_complete_since(it.complete_since);
-    out.set_store_revision(it.store_revision);
+    out.set_configuration_version(it.configuration_version);
+    out.set_recovering(it.is_recovering);
+    to_wire(it.since, *out.mutable_since());
+    to_wire(it.complete_since, *out.mutable_complete_since());
+    to_wire(it.store_revision, *out.mutable_store_at());
     out.set_history_gone(it.history_gone);
     out.set_queued(it.is_queued);
     out.set_has_more(it.has_more);
@@ -90,8 +102,9 @@
         auto* event = out.add_events();
         event->set_key(e.item.key);
         event->set_value(e.item.value);
-        event->set_revision(e.item.revision.number);
+        to_wire(e.item.revision, *event->mutable_at());
         event->set_deleted(e.is_deleted);
+        event->set_from_copy(e.is_from_copy);
     }
     for (const auto& e : it.omitted)
         out.add_omitted(e);
@@ -314,7 +327,7 @@
     out.sender.port = static_cast<std::uint16_t>(in.port());
     out.sender.link_mbps = in.link_mbps();
     out.number = in.number();
-    out.store_revision = in.store_revision();
+    out.store_revision = from_wire(in.store_at());
     out.is_joining = in.joining();
     return out;
 }
@@ -326,15 +339,16 @@
     out.number = in.number();
     if (in.has_proof())
         out.proof_age = core::milliseconds{static_cast<core::milliseconds::rep>(in.proof_age_ms())};
-    out.configuration_revision = in.configuration_revision();
-    out.since = in.since();
-    out.complete_since = in.complete_since();
-    out.store_revision = in.store_revision();
+    out.configuration_version = in.configuration_version();
+    out.is_recovering = in.recovering();
+    out.since = from_wire(in.since());
+    out.complete_since = from_wire(in.complete_since());
+    out.store_revision = from_wire(in.store_at());
     out.history_gone = in.history_gone();
     out.is_queued = in.queued();
     out.has_more = in.has_more();
     for (const auto& e : in.events())
-        out.events.push_back({{e.key(), e.value(), e.revision()}, e.deleted()});
+        out.events.push_back({{e.key(), e.value(), from_wire(e.at())}, e.deleted(), e.from_copy()});
     out.omitted = {in.omitted().begin(), in.omitted().end()};
     return out;
 }
--- a/tests/support/store_fleet.cpp
+++ b/tests/support/store_fleet.cpp
@@ -37,6 +37,7 @@
 
 void fleet_instance::start()
 {
+    follower_.set_direct(clock_(), false);
     follower_.start();
     relay_.start(clock_());
 }
@@ -55,6 +56,8 @@
 
 void fleet_instance::apply(const control::kv_event& it)
 {
+    if (it.is_from_copy)
+        return;
     if (it.is_deleted)
         values_.erase(it.item.key);
     else
@@ -69,14 +72,15 @@
         values_.clear();
         for (const auto& it : items)
             values_[it.key] = it.value;
-        relay_.remember_all(now, items, follower_.revision().number);
+        relay_.remember_all(now, items, follower_.revision());
     };
+    out.known = [this]() -> const control::change_history& { return relay_.history(); };
     out.changed = [this](core::time_point, const control::kv_event& it)
     {
         relay_.remember(it);
         apply(it);
     };
-    out.caught_up = [this](core::time_point now, core::store_revision it) { relay_.publish(now, it.number); };
+    out.caught_up = [this](core::time_point now, core::store_revision it) { relay_.publish(now, it); };
     out.proven = [this](core::time_point sent_at)
     {
         proven_ = std::max(proven_.value_or(sent_at), sent_at);
@@ -96,15 +100,16 @@
     out.view = [this](core::time_point now)
     {
         control::store_view it;
-        it.store_revision = follower_.revision().number;
-        it.configuration_revision = follower_.configuration_revision().number;
+        it.store_revision = follower_.revision();
+        it.configuration_version = std::stoull(value(configuration_key).value_or("0"));
+        it.is_recovering = follower_.is_recovering(now);
         if (proven_)
             it.proof_age = now - *proven_;
         return it;
     };
     out.set_direct = [this](core::time_point now, bool direct) { follower_.set_direct(now, direct); };
     out.apply = [this](core::time_point now, const std::vector<control::kv_event>& events,
-                       std::uint64_t revision) { follower_.apply(now, events, revision); };
+                       const core::store_revision& revision) { follower_.apply(now, events, revision); };
     out.fetch = [this](core::time_point now, const std::vector<std::string>& keys)
     {
         if (keys.empty())
