Roll-outs, members and findings outlast a return of the store from a copy

A roll-out that was done began anew when its order was written again; a record of the copy took back a share or a verdict; entries of instances and findings were believed to be listed. Mend: orders, records and evidence carry the store's era. In a later era an unchanged order stays the same order, a record never falls behind the known one, which is written again under the condition of what the store holds now.

--- a/include/runlink/control/change_history.hpp
+++ b/include/runlink/control/change_history.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -57,9 +58,10 @@
     /// Returns the first part of the changes after a revision.
     history_part changes_after(const core::store_revision& since) const;
     /// The events with which the known items become those of a list that was read after the store's return
-    /// from a copy. Events for changes that the copy has lost are marked as `is_from_copy`.
-    std::vector<kv_event> difference(const std::vector<kv_item>& listed,
-                                     const core::store_revision& revision) const;
+    /// from a copy. Events for changes that the copy has lost are marked as `is_from_copy`. Unchanged items
+    /// are included if `is_versioned` holds for their keys.
+    std::vector<kv_event> difference(const std::vector<kv_item>& listed, const core::store_revision& revision,
+                                     const std::function<bool(const std::string&)>& is_versioned) const;
 
 private:
     using change_key = std::pair<core::store_revision, std::string>; ///< revision and key
--- a/include/runlink/control/documents.hpp
+++ b/include/runlink/control/documents.hpp
@@ -60,8 +60,25 @@
 {
     crashes::request_fingerprint request;
 };
-using document_key =
-    std::variant<std::monostate, endpoint_key, order_key, record_key, peer_key, evacuation_key, harmful_key>;
+struct lease_key
+{
+};
+struct usage_key
+{
+};
+struct scale_orders_key
+{
+};
+using document_key = std::variant<std::monostate, endpoint_key, order_key, record_key, peer_key,
+                                  evacuation_key, harmful_key, lease_key, usage_key, scale_orders_key>;
+
+/// Whether revisions of such documents are compared or used as conditions of writes.
+inline bool is_versioned(const document_key& it)
+{
+    return std::holds_alternative<order_key>(it) || std::holds_alternative<record_key>(it) ||
+           std::holds_alternative<lease_key>(it) || std::holds_alternative<usage_key>(it) ||
+           std::holds_alternative<scale_orders_key>(it);
+}
 
 /// Keys and encoding of a deployment's documents.
 struct document_codec
--- a/include/runlink/control/store_follower.hpp
+++ b/include/runlink/control/store_follower.hpp
@@ -52,6 +52,8 @@
     std::function<void(time_point, std::vector<kv_item>)> listed; ///< all items of the store
     /// The items that have been reported, for the comparison with a copy from which the store has returned.
     std::function<const change_history&()> known;
+    /// Whether the revision of the key's item is used, e.g. as a condition of a write.
+    std::function<bool(const std::string& key)> is_versioned = [](const auto&) { return false; };
     /// All changes up to the revision have been reported.
     std::function<void(time_point, core::store_revision)> caught_up;
     std::function<void(time_point, const kv_event&)> changed;
--- a/include/runlink/gateway/gateway_daemon.hpp
+++ b/include/runlink/gateway/gateway_daemon.hpp
@@ -68,6 +68,10 @@
 
     void on_listed(core::time_point now, const std::vector<control::kv_item>& items);
     void on_changed(core::time_point now, const control::kv_event& it);
+    /// The store has returned from a copy that lacks the latest change of a key.
+    void on_lost_change(core::time_point now, const control::kv_event& it);
+    /// The copy lacks a document whose revision is used.
+    void on_record_lost(core::time_point now, const control::document_key& name);
     /// Applies an item of the store. `written_at`: the best known time at which it was written.
     void apply_item(core::time_point now, const control::kv_item& item, core::time_point written_at);
     void apply_table(core::time_point now, const routing::routing_table_ptr& it,
--- a/include/runlink/routing/gossip_messages.hpp
+++ b/include/runlink/routing/gossip_messages.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "runlink/core/ids.hpp"
+#include "runlink/core/store_revision.hpp"
 #include "runlink/core/units.hpp"
 #include "runlink/routing/answer_counts.hpp"
 
@@ -53,7 +54,7 @@
 struct version_evidence
 {
     core::service_id service;
-    std::uint64_t order_revision = 0; ///< of the order in the store
+    core::store_revision order_revision{}; ///< of the order in the store
     answer_group group;
     answer_counts fresh; ///< of the new version
     answer_counts old;
--- a/include/runlink/routing/rollout_control.hpp
+++ b/include/runlink/routing/rollout_control.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "runlink/core/ids.hpp"
+#include "runlink/core/store_revision.hpp"
 #include "runlink/core/units.hpp"
 #include "runlink/routing/answer_times.hpp"
 #include "runlink/routing/gossip_messages.hpp"
@@ -33,8 +34,8 @@
 {
     service_id service;
     version_id target;
-    milliseconds allowed{};     ///< time for the whole roll-out, from the order
-    std::uint64_t revision = 0; ///< of the order in the store
+    milliseconds allowed{};          ///< time for the whole roll-out, from the order
+    core::store_revision revision{}; ///< of the order in the store
 };
 
 /// State of a roll-out.
@@ -54,7 +55,7 @@
     version_id target;
     rollout_state state = rollout_state::running;
     std::uint32_t share_percent = 0; ///< share of the requests that may go to the new version
-    std::uint64_t revision = 0;      ///< of the record in the store; 0: no record exists
+    core::store_revision revision{}; ///< of the record in the store; none: no record exists
 };
 
 /// Parameters of roll-outs.
@@ -116,6 +117,9 @@
     void on_record(time_point now, const rollout_record& record);
     /// The record was deleted from the store.
     void on_record_removed(time_point now, const service_id& service);
+    /// The store has returned from a copy that does not hold the record. What it says is kept and written
+    /// again.
+    void on_record_lost(time_point now, const service_id& service);
     /// Takes the complete list of services with orders and records in the store; all others are removed.
     void on_listed(time_point now, const std::set<service_id>& orders, const std::set<service_id>& records);
     /// Takes new information about an answer. `counted` holds what was already counted for this answer and is
@@ -176,8 +180,9 @@
         std::optional<version_id> stable_version; ///< version of the last successful roll-out
         time_point ordered_at{};                  ///< when the order was written
         time_point step_began{};
-        time_point next_write{};               ///< earliest time of the next write
-        bool is_bad = false;                   ///< this instance found the target faulty
+        time_point next_write{};              ///< earliest time of the next write
+        std::optional<time_point> restore_at; ///< when the record, which the store has lost, is written again
+        bool is_bad = false;                  ///< this instance found the target faulty
         std::optional<time_point> verdict_due; ///< when the roll-back is written
         std::uint32_t answers_before_step = 0; ///< answers of the new version before the current step
         std::uint64_t sent = 0;                ///< requests of this instance since the order
@@ -188,6 +193,8 @@
         std::optional<version_id> rejected;        ///< version that an earlier order rolled back
     };
 
+    /// Whether the known record is further than one that the store holds after its return from a copy.
+    static bool is_ahead(const rollout_record& known, const rollout_record& stored);
     static bool is_running(const rollout& it) { return it.record.state == rollout_state::running; }
     /// Whether the target was found faulty, by this instance or a peer.
     static bool is_rejected(const rollout& it)
--- a/src/runlink/control/change_history.cpp
+++ b/src/runlink/control/change_history.cpp
@@ -93,8 +93,9 @@
     return out;
 }
 
-std::vector<kv_event> change_history::difference(const std::vector<kv_item>& listed,
-                                                 const core::store_revision& revision) const
+std::vector<kv_event>
+change_history::difference(const std::vector<kv_item>& listed, const core::store_revision& revision,
+                           const std::function<bool(const std::string&)>& is_versioned) const
 {
     const auto last_of_copy = this->last_of_copy(listed);
     std::vector<kv_event> out;
@@ -106,6 +107,8 @@
         const bool is_new = known == nullptr || known->is_deleted || known->item.value != it.value;
         if (is_new)
             out.push_back({it, false, known != nullptr && it.revision.number <= last_of_copy});
+        else if (is_versioned(it.key))
+            out.push_back({it});
     }
     for (const auto& [key, it] : changes_)
         if (!it.is_deleted && !keys.contains(it.item.key))
--- a/src/runlink/control/store_era_test.cpp
+++ b/src/runlink/control/store_era_test.cpp
@@ -175,7 +175,8 @@
     it.reached(at(1, 5));
     it.remember({{"a", "2", at(1, 9)}});
     it.reached(at(1, 9));
-    for (const auto& e : it.difference({{"a", "1", at(2, 3)}, {"c", "1", at(2, 6)}}, at(2, 6)))
+    for (const auto& e : it.difference({{"a", "1", at(2, 3)}, {"c", "1", at(2, 6)}}, at(2, 6),
+                                       [](const auto&) { return false; }))
         it.remember(e);
     it.reached(at(2, 6));
     CHECK(it.covers(at(1, 5)));
--- a/src/runlink/control/store_follower.cpp
+++ b/src/runlink/control/store_follower.cpp
@@ -277,7 +277,7 @@
     if (!is_copy)
         hooks_.listed(now, std::move(items));
     else
-        for (const auto& it : hooks_.known().difference(items, revision))
+        for (const auto& it : hooks_.known().difference(items, revision, hooks_.is_versioned))
             report(now, it);
     hooks_.caught_up(now, revision_);
 }
--- a/src/runlink/gateway/gateway_daemon_store.cpp
+++ b/src/runlink/gateway/gateway_daemon_store.cpp
@@ -37,6 +37,8 @@
     out.listed = [this](core::time_point now, const std::vector<control::kv_item>& items)
     { on_listed(now, items); };
     out.known = [this]() -> const control::change_history& { return relay_.history(); };
+    out.is_versioned = [this](const std::string& key)
+    { return control::is_versioned(binding_.documents.name(key)); };
     out.changed = [this](core::time_point now, const control::kv_event& it) { on_changed(now, it); };
     out.caught_up = [this](core::time_point now, core::store_revision revision)
     { relay_.publish(now, revision); };
@@ -123,15 +125,38 @@
 void gateway_daemon::on_changed(core::time_point now, const control::kv_event& it)
 {
     relay_.remember(it);
-    if (it.is_from_copy && it.item.key != binding_.documents.configuration_key)
-        return; // what is known stays in force until the recovery ends
-    if (it.is_deleted)
+    if (it.is_from_copy)
+        on_lost_change(now, it);
+    else if (it.is_deleted)
         remove_item(now, it.item.key);
     else
         apply_item(now, it.item, now);
     rearm();
 }
 
+void gateway_daemon::on_lost_change(core::time_point now, const control::kv_event& it)
+{
+    const auto name = binding_.documents.name(it.item.key);
+    log_state("store_change_lost", it.item.key);
+    if (control::is_versioned(name) || it.item.key == binding_.documents.configuration_key)
+        return it.is_deleted ? on_record_lost(now, name) : apply_item(now, it.item, now);
+    // All else that is known stays in force for now; what this fleet has written is written again.
+    if (const auto* peer = std::get_if<control::peer_key>(&name); peer != nullptr && it.is_deleted)
+        registry_.unlisted(peer->id);
+    if (const auto* harmful = std::get_if<control::harmful_key>(&name); harmful != nullptr && it.is_deleted)
+    {
+        findings_.unlisted(harmful->request);
+        if (relay_.is_direct())
+            findings_.found(now, harmful->request);
+    }
+}
+
+void gateway_daemon::on_record_lost(core::time_point now, const control::document_key& name)
+{
+    if (const auto* record = std::get_if<control::record_key>(&name))
+        forwarder_.rollouts().on_record_lost(now, record->service);
+}
+
 void gateway_daemon::apply_item(core::time_point now, const control::kv_item& item,
                                 core::time_point written_at)
 {
@@ -301,7 +326,7 @@
 {
     auto item = binding_.documents.write_record(it);
     control::kv_transaction write;
-    write.conditions.push_back({item.key, it.revision});
+    write.conditions.push_back({item.key, it.revision.number});
     write.writes.push_back(std::move(item));
     log_.write(clock_(), rollout_write_line(it, forwarder_.rollouts().status(it.service)),
                observe::log_rank::vital);
@@ -315,7 +340,7 @@
                            if (const auto* done = std::get_if<control::kv_committed>(&result))
                            {
                                auto record = it;
-                               record.revision = done->revision.number;
+                               record.revision = done->revision;
                                forwarder_.rollouts().on_record(at, record);
                            }
                            else
--- a/src/runlink/gateway/rollout_log.cpp
+++ b/src/runlink/gateway/rollout_log.cpp
@@ -18,7 +18,7 @@
         .text("version", it.target.str())
         .text("state", to_string(it.state))
         .number("share_percent", it.share_percent)
-        .number("revision", signed_number(it.revision));
+        .number("revision", signed_number(it.revision.number));
 }
 
 void add_counts(observe::log_line& to, const std::optional<routing::rollout_status>& known)
@@ -49,7 +49,7 @@
     out.text("service", it.service.str())
         .text("version", it.target.str())
         .number("allowed_ms", it.allowed.count())
-        .number("revision", signed_number(it.revision));
+        .number("revision", signed_number(it.revision.number));
     return out;
 }
 
@@ -59,7 +59,7 @@
     observe::log_line out{"rollout_record"};
     add_record(out, it);
     if (known)
-        out.number("order_revision", signed_number(known->order.revision));
+        out.number("order_revision", signed_number(known->order.revision.number));
     add_counts(out, known);
     return out;
 }
--- a/src/runlink/proto/gossip_codec.cpp
+++ b/src/runlink/proto/gossip_codec.cpp
@@ -44,7 +44,7 @@
     {
         auto* evidence = out.add_evidence();
         evidence->set_service(e.service.str());
-        evidence->set_order_revision(e.order_revision);
+        to_wire(e.order_revision, *evidence->mutable_order());
         evidence->set_route(e.group.route);
         evidence->set_model(e.group.model.str());
         to_wire(e.fresh, *evidence->mutable_fresh());
@@ -291,7 +291,7 @@
 {
     routing::version_evidence out;
     out.service = core::service_id{in.service()};
-    out.order_revision = in.order_revision();
+    out.order_revision = from_wire(in.order());
     out.group = {in.route(), core::model_id{in.model()}};
     out.fresh = from_wire(in.fresh());
     out.old = from_wire(in.old());
--- a/src/runlink/routing/rollout_control.cpp
+++ b/src/runlink/routing/rollout_control.cpp
@@ -10,6 +10,11 @@
 
 constexpr std::uint64_t whole_percent = 100;
 
+bool is_same_state(const rollout_record& a, const rollout_record& b)
+{
+    return a.target == b.target && a.state == b.state && a.share_percent == b.share_percent;
+}
+
 } // namespace
 
 std::string_view to_string(rollout_state it)
@@ -43,7 +48,7 @@
 rollout_control::rollout* rollout_control::find_running(const service_id& service)
 {
     const auto found = rollouts_.find(service);
-    if (found == rollouts_.end() || found->second.order.revision == 0 || !is_running(found->second))
+    if (found == rollouts_.end() || found->second.order.revision.is_none() || !is_running(found->second))
         return nullptr;
     return &found->second;
 }
@@ -53,9 +58,11 @@
     auto& it = at(order.service);
     if (it.order.revision == order.revision)
         return false;
-    const bool is_written_again = it.order.revision != 0 && is_running(it) &&
-                                  it.order.target == order.target && it.order.allowed == order.allowed;
-    if (is_written_again)
+    const bool is_same =
+        !it.order.revision.is_none() && it.order.target == order.target && it.order.allowed == order.allowed;
+    // After a return of the store from a copy the order is read or written again, also one that is done.
+    const bool is_of_later_era = order.revision.era > it.order.revision.era;
+    if (is_same && (is_running(it) || is_of_later_era))
     {
         // Counts and verdict are kept. Otherwise each rewrite of the order would restart the evaluation, and
         // three rewrites could let a version pass that fails a fifth of its requests.
@@ -106,14 +113,29 @@
     auto& it = at(record.service);
     if (record.revision <= it.record.revision)
         return;
-    const bool belongs =
-        it.order.revision != 0 && record.revision > it.order.revision && record.target == it.order.target;
+    const bool is_of_later_era = record.revision.era > it.record.revision.era;
+    if (is_of_later_era && is_ahead(it.record, record))
+    {
+        it.record.revision = record.revision;
+        it.restore_at = now + write_delay();
+        return;
+    }
+    it.restore_at.reset();
+    if (is_of_later_era && is_same_state(it.record, record))
+    {
+        it.record.revision = record.revision;
+        return;
+    }
+    // Both may be of the copy, where the order's revision is known later than the record's.
+    const bool is_after_order =
+        record.revision > it.order.revision || record.revision.era > it.order.revision.era;
+    const bool belongs = !it.order.revision.is_none() && is_after_order && record.target == it.order.target;
     if (!belongs)
     {
         it.record.revision = record.revision;
         if (record.state == rollout_state::rolled_back && record.target != it.order.target)
             it.rejected = record.target;
-        if (it.order.revision == 0)
+        if (it.order.revision.is_none())
             it.record = record;
         return;
     }
@@ -132,7 +154,7 @@
         return;
     auto& it = found->second;
     // The next write is conditional on the record's absence. A verdict and a final state are kept.
-    it.record.revision = 0;
+    it.record.revision = {};
     if (!is_running(it))
         return;
     it.record.share_percent = 0;
@@ -140,14 +162,35 @@
     it.next_write = now;
 }
 
+void rollout_control::on_record_lost(time_point now, const service_id& service)
+{
+    const auto found = rollouts_.find(service);
+    if (found == rollouts_.end() || found->second.order.revision.is_none())
+        return;
+    auto& it = found->second;
+    if (it.record.revision.is_none())
+        return;
+    it.record.revision = {};
+    it.restore_at = now + write_delay();
+}
+
+bool rollout_control::is_ahead(const rollout_record& known, const rollout_record& stored)
+{
+    if (known.target != stored.target)
+        return false;
+    if (known.state != stored.state)
+        return known.state != rollout_state::running;
+    return known.share_percent > stored.share_percent;
+}
+
 void rollout_control::on_listed(time_point now, const std::set<service_id>& orders,
                                 const std::set<service_id>& records)
 {
     for (auto& [service, it] : rollouts_)
     {
-        if (it.order.revision != 0 && !orders.contains(service))
+        if (!it.order.revision.is_none() && !orders.contains(service))
             on_order_removed(service);
-        if (it.record.revision != 0 && !records.contains(service))
+        if (!it.record.revision.is_none() && !records.contains(service))
             on_record_removed(now, service);
     }
 }
@@ -164,7 +207,7 @@
 bool rollout_control::announces_runs(const service_id& service, session_hash session) const
 {
     const auto found = rollouts_.find(service);
-    if (found == rollouts_.end() || found->second.order.revision == 0 || !is_running(found->second))
+    if (found == rollouts_.end() || found->second.order.revision.is_none() || !is_running(found->second))
         return false;
     return schedule_.in_first_part(found->second.record.share_percent) &&
            session.value() % whole_percent < schedule_.options().first_share_percent;
@@ -178,7 +221,7 @@
     if (found == rollouts_.end())
         return out;
     const auto& it = found->second;
-    if (it.order.revision == 0)
+    if (it.order.revision.is_none())
     {
         out.avoided = it.rejected;
         return out;
@@ -255,7 +298,13 @@
     std::vector<rollout_record> out;
     for (auto& [service, it] : rollouts_)
     {
-        if (it.order.revision == 0 || !is_running(it) || now < it.next_write)
+        if (it.restore_at && now >= *it.restore_at)
+        {
+            it.restore_at = now + options_.rewrite_after + write_delay();
+            out.push_back(it.record);
+            continue;
+        }
+        if (it.order.revision.is_none() || !is_running(it) || it.restore_at || now < it.next_write)
             continue;
         auto next = next_record(it, now);
         if (!next)
@@ -271,7 +320,9 @@
     std::optional<time_point> out;
     for (const auto& [service, it] : rollouts_)
     {
-        if (it.order.revision == 0 || !is_running(it))
+        if (it.restore_at)
+            out = out ? std::min(*out, *it.restore_at) : it.restore_at;
+        if (it.order.revision.is_none() || !is_running(it) || it.restore_at)
             continue;
         const auto change = next_change(it);
         const auto at = std::max(it.next_write, it.is_bad ? change : change + write_delay());
@@ -283,7 +334,8 @@
 const rollout_record* rollout_control::find(const service_id& service) const
 {
     const auto found = rollouts_.find(service);
-    return found == rollouts_.end() || found->second.order.revision == 0 ? nullptr : &found->second.record;
+    return found == rollouts_.end() || found->second.order.revision.is_none() ? nullptr
+                                                                              : &found->second.record;
 }
 
 std::optional<rollout_status> rollout_control::status(const service_id& service) const
--- a/src/runlink/routing/rollout_evidence.cpp
+++ b/src/runlink/routing/rollout_evidence.cpp
@@ -35,7 +35,7 @@
 void rollout_control::on_sent(const service_id& service, const version_id& version)
 {
     const auto found = rollouts_.find(service);
-    if (found == rollouts_.end() || found->second.order.revision == 0)
+    if (found == rollouts_.end() || found->second.order.revision.is_none())
         return;
     auto& it = found->second;
     ++it.sent;
@@ -106,7 +106,7 @@
         if (!it.evidence_due_at || now < *it.evidence_due_at)
             continue;
         it.evidence_due_at.reset();
-        if (it.order.revision == 0 || !is_running(it))
+        if (it.order.revision.is_none() || !is_running(it))
             continue;
         if (!std::exchange(it.is_repeat_scheduled, true))
             it.evidence_due_at = now + options_.evidence_delay;
--- a/src/runlink/routing/rollout_test.cpp
+++ b/src/runlink/routing/rollout_test.cpp
@@ -36,7 +36,7 @@
 
 /// Evidence of one instance with flawed answers of two endpoints.
 std::vector<version_evidence> make_evidence(std::uint32_t all, std::uint32_t failed,
-                                            std::uint64_t order_revision)
+                                            const core::store_revision& order_revision)
 {
     return {{core::service_id{"s"},
              order_revision,
@@ -74,7 +74,7 @@
     for (auto& it : all)
         it.on_order(start, of);
     rollout_run out;
-    std::uint64_t revision = of.revision;
+    std::uint64_t revision = of.revision.number;
     std::uint64_t session = 0;
     for (milliseconds t{0}; t < allowed; t += step)
     {
@@ -160,7 +160,7 @@
     it.on_peer_evidence(start, core::instance_id{"b"}, e);
     it.on_peer_evidence(start, core::instance_id{"b"}, e);
     CHECK(verdict.empty());
-    it.on_peer_evidence(start, core::instance_id{"c"}, make_evidence(5, 3, order.revision + 1));
+    it.on_peer_evidence(start, core::instance_id{"c"}, make_evidence(5, 3, order.revision.next()));
     CHECK(verdict.empty()); // the evidence belongs to another order
     it.on_peer_evidence(start, core::instance_id{"c"}, e);
     CHECK_FALSE(verdict.empty());
@@ -221,10 +221,10 @@
     CHECK(it.on_order(start, order));
     CHECK_FALSE(it.on_order(start, order));
     auto again = order;
-    ++again.revision;
+    again.revision = again.revision.next();
     CHECK_FALSE(it.on_order(start, again));
     again.target = core::version_id{"v3"};
-    ++again.revision;
+    again.revision = again.revision.next();
     CHECK(it.on_order(start, again));
 }
 
