Duties outlast a return of the store from a copy

A lost lease let the epoch fall and two holders have the same one; a lost record of reports let a successor report a window with other counts. Mend: a later era ends each held lease; all wait for a whole lease from its first sign, a first holder too, since the record of another may be lost. An epoch is made of the era and the revision that its holder replaced. A write that was sent in an earlier era holds nothing. Reports only accumulate; those that the store lacks are written again by those that know them, and a report is first sent one second after it was stored, so that others know it. Orders are kept.

--- a/include/runlink/duties/duty_lease.hpp
+++ b/include/runlink/duties/duty_lease.hpp
@@ -9,6 +9,7 @@
 
 #include "runlink/core/clock.hpp"
 #include "runlink/core/ids.hpp"
+#include "runlink/core/store_revision.hpp"
 #include "runlink/core/units.hpp"
 
 namespace runlink::duties
@@ -21,9 +22,9 @@
 struct lease_record
 {
     core::instance_id holder;
-    core::incarnation_id process; ///< one start of the holder
-    core::fencing_number epoch;   ///< increases with each new holder
-    std::uint64_t revision = 0;   ///< assigned by the store
+    core::incarnation_id process;    ///< one start of the holder
+    core::fencing_number epoch;      ///< increases with each new holder
+    core::store_revision revision{}; ///< assigned by the store
 
     friend bool operator==(const lease_record&, const lease_record&) = default;
 };
@@ -40,7 +41,7 @@
     };
 
     outcome what = outcome::unknown;
-    std::uint64_t revision = 0; ///< of the written record, if committed
+    core::store_revision revision{}; ///< of the written record, if committed
 };
 
 /// Times of the lease.
@@ -61,8 +62,8 @@
 /// Actions of the lease.
 struct lease_hooks
 {
-    /// Writes the record if the stored one is at the expected revision; 0: if there is none.
-    std::function<void(const lease_record& next, std::uint64_t expected_revision,
+    /// Writes the record if the stored one is at the expected revision; none: if there is no record.
+    std::function<void(const lease_record& next, const core::store_revision& expected,
                        std::function<void(write_result)>)>
         write;
     /// Returns the current time when a write returns.
@@ -78,6 +79,11 @@
 /// instances. A write whose answer is lost counts as applied only once the record is seen in the store, and
 /// then from the time of the earliest such write. A holder whose lease has expired continues only after a
 /// renewal, which succeeds only if no other instance has held the lease meanwhile.
+///
+/// After a return of the store from a copy all instances, the holder included, wait for a whole lease before
+/// they take it over: the copy may lack another holder. The epoch of a new holder is above all others, also
+/// above those that were lost with the store: it is made of the store's era and the revision that it
+/// replaces.
 class duty_lease
 {
 public:
@@ -93,6 +99,8 @@
     void on_record(time_point now, const lease_record& it);
     /// A complete list of the store contains no record.
     void on_absent(time_point now);
+    /// The store has returned from a copy.
+    void on_era(time_point now, core::store_era era);
 
     /// Stops renewing the lease and competing for it.
     void resign();
@@ -103,15 +111,18 @@
     /// Whether a duty may be carried out now.
     bool may_act(time_point now) const;
     core::fencing_number epoch() const { return known_.epoch; }
+    core::store_era era() const { return era_; }
     /// The current holder as far as is known; empty without one.
     const core::instance_id& holder() const { return known_.holder; }
 
 private:
-    /// The last record was written by this process.
-    bool is_own() const { return known_.process == process_ && known_.holder == self_; }
+    /// The last record was written by this process, in the present era of the store.
+    bool is_own() const;
     void write(time_point now, core::fencing_number epoch);
     void on_written(time_point sent_at, const lease_record& it, write_result result);
     void set_known(time_point now, const lease_record& it);
+    /// The epoch of this instance if it takes the lease over.
+    core::fencing_number next_epoch() const;
     /// Reports a change of `may_act`.
     void report(time_point now);
     time_point takeover_time() const;
@@ -121,6 +132,8 @@
     core::incarnation_id process_;
     lease_hooks hooks_;
     lease_record known_;
+    core::fencing_number highest_epoch_; ///< that this process has seen
+    core::store_era era_;
     std::optional<time_point> known_since_; ///< when the revision was first seen; empty before the first view
     std::optional<time_point> own_until_;
     std::optional<time_point> oldest_unanswered_; ///< when the earliest write of unknown outcome was sent
--- a/include/runlink/duties/scale_orders.hpp
+++ b/include/runlink/duties/scale_orders.hpp
@@ -29,7 +29,7 @@
 struct order_record
 {
     std::map<scale_subject, domain_order> orders;
-    std::uint64_t revision = 0; ///< assigned by the store
+    core::store_revision revision{}; ///< assigned by the store
 
     friend bool operator==(const order_record&, const order_record&) = default;
 };
@@ -111,6 +111,8 @@
     scale_orders& operator=(const scale_orders&) = delete;
 
     void on_record(const order_record& it);
+    /// The store has returned from a copy without a record.
+    void on_record_lost() { record_.revision = {}; }
     /// The store has been listed, so that a missing record is known to be missing.
     void on_listed() { is_listed_ = true; }
     /// This instance has acquired the duty. Orders of the previous holder may not have arrived.
--- a/include/runlink/duties/usage_reporter.hpp
+++ b/include/runlink/duties/usage_reporter.hpp
@@ -19,7 +19,7 @@
 struct usage_record
 {
     std::vector<window_counts> reports;
-    std::uint64_t revision = 0; ///< assigned by the store
+    core::store_revision revision{}; ///< assigned by the store
 
     friend bool operator==(const usage_record&, const usage_record&) = default;
 };
@@ -45,6 +45,9 @@
     /// A new holder fixes no report before the other instances have sent it their counts.
     milliseconds collect_time{1500};
     milliseconds retry_delay{500};
+    /// Delay between the storing of a report and its first call, in which the other instances learn of the
+    /// report. They write it again if the store loses it.
+    milliseconds spread_time{1000};
     std::size_t max_stored = 4; ///< reports kept in the record
 };
 
@@ -74,8 +77,13 @@
     usage_reporter(const usage_reporter&) = delete;
     usage_reporter& operator=(const usage_reporter&) = delete;
 
-    /// The store holds this record.
-    void on_record(const usage_record& it);
+    /// The store holds this record. Reports that it lacks after a return of the store from a copy are kept
+    /// and written again.
+    void on_record(time_point now, const usage_record& it);
+    /// The store has returned from a copy without a record.
+    void on_record_lost(time_point now);
+    /// Delay between the loss of reports and their restoring, different for each instance.
+    void set_restore_delay(milliseconds it) { restore_delay_ = it; }
     /// The store has been listed, so that a missing record is known to be missing.
     void on_listed() { is_listed_ = true; }
     /// This instance has acquired the duty.
@@ -84,26 +92,33 @@
     void tick(time_point now, wall_time wall);
     /// The next time to call `tick`, while this instance holds the duty.
     std::optional<time_point> next_due() const { return next_step_; }
+    /// When lost reports are written again; also without the duty.
+    std::optional<time_point> restore_due() const { return restore_at_; }
     /// Windows whose report the platform has accepted from this process.
     std::size_t accepted_count() const { return accepted_total_; }
 
 private:
+    /// Writes reports again that the store has lost.
+    void restore(time_point now);
     /// The latest window that ended long enough ago and has no report; nothing if there is none.
     std::optional<window_number> window_to_fix(wall_time wall) const;
     void fix(time_point now, window_number window);
     void on_fixed(const usage_record& next, write_result result);
     /// The oldest stored report that can still be sent.
-    const window_counts* report_to_send(wall_time wall) const;
+    const window_counts* report_to_send(time_point now, wall_time wall) const;
     void send(const window_counts& it);
     void on_sent(const window_counts& it, call_outcome result);
 
     report_options options_;
     report_hooks hooks_;
     usage_record record_;
+    std::optional<time_point> restore_at_;
+    milliseconds restore_delay_{0};
     std::set<window_number> settled_;           ///< accepted, or too late
     std::optional<window_number> first_window_; ///< in which this process started
     std::optional<time_point> next_step_;
     time_point fix_from_{};
+    time_point send_from_{};
     std::size_t accepted_total_ = 0;
     bool is_listed_ = false;
     bool is_busy_ = false;
--- a/include/runlink/gateway/duty_runner.hpp
+++ b/include/runlink/gateway/duty_runner.hpp
@@ -65,11 +65,17 @@
     void on_report(const duties::usage_report& it);
     // Records of the store.
     void on_record(core::time_point now, const duties::lease_record& it) { lease_.on_record(now, it); }
-    void on_record(const duties::usage_record& it) { reporter_.on_record(it); }
+    void on_record(core::time_point now, const duties::usage_record& it) { reporter_.on_record(now, it); }
     void on_record(const duties::order_record& it) { orders_.on_record(it); }
     /// The store was listed completely; `has_lease`: the list contained the lease.
     void on_listed(core::time_point now, bool has_lease);
-    void set_candidate(bool it) { lease_.set_candidate(it && !is_stopping_); }
+    /// The store has given an answer in this era.
+    void on_era(core::time_point now, core::store_era it) { lease_.on_era(now, it); }
+    // The store has returned from a copy that lacks the record.
+    void on_usage_lost(core::time_point now) { reporter_.on_record_lost(now); }
+    void on_orders_lost() { orders_.on_record_lost(); }
+    /// Whether this instance follows the store directly and may hold the duties.
+    void set_candidate(bool it);
     /// The process stops: the duties are left to another instance.
     void begin_stop();
 
@@ -86,7 +92,7 @@
     bool may_act(core::time_point now) const { return !is_stopping_ && lease_.may_act(now); }
     control::duty_caller caller() const { return {self_, lease_.epoch()}; }
     /// Writes an item if the stored one is at the expected revision.
-    void write(control::kv_item item, std::uint64_t expected_revision,
+    void write(control::kv_item item, const core::store_revision& expected,
                std::function<void(duties::write_result)> done);
     void apply_conflict(const control::kv_conflict& it);
     /// Counts the result of a call and passes it on.
--- a/include/runlink/gateway/gateway_daemon.hpp
+++ b/include/runlink/gateway/gateway_daemon.hpp
@@ -70,6 +70,7 @@
     void on_changed(core::time_point now, const control::kv_event& it);
     /// The store has returned from a copy that lacks the latest change of a key.
     void on_lost_change(core::time_point now, const control::kv_event& it);
+    void on_era_began(core::time_point now, core::store_era previous, core::store_era era);
     /// The copy lacks a document whose revision is used.
     void on_record_lost(core::time_point now, const control::document_key& name);
     /// Applies an item of the store. `written_at`: the best known time at which it was written.
--- a/src/runlink/duties/duty_lease.cpp
+++ b/src/runlink/duties/duty_lease.cpp
@@ -7,6 +7,13 @@
 
 namespace runlink::duties
 {
+namespace
+{
+
+/// Lower bits of an epoch, which order the holders within one era of the store.
+constexpr unsigned revision_bits = 32;
+
+} // namespace
 
 duty_lease::duty_lease(lease_options options, core::instance_id self, core::incarnation_id process,
                        lease_hooks hooks)
@@ -14,12 +21,19 @@
 {
 }
 
+bool duty_lease::is_own() const
+{
+    const bool is_of_this_era = known_.epoch.value() >> revision_bits == era_.value();
+    return is_of_this_era && known_.process == process_ && known_.holder == self_;
+}
+
 // Observations
 
 void duty_lease::on_record(time_point now, const lease_record& it)
 {
     if (it.revision <= known_.revision)
         return;
+    on_era(now, it.revision.era);
     set_known(now, it);
     if (is_own() && oldest_unanswered_)
     {
@@ -32,14 +46,31 @@
 
 void duty_lease::on_absent(time_point now)
 {
+    // There may have been a holder that the store has lost.
     if (!known_since_)
-        known_since_ = now - options_.lease;
+        known_since_ = now;
+}
+
+void duty_lease::on_era(time_point now, core::store_era era)
+{
+    if (era <= era_)
+        return;
+    const bool is_first = !known_since_;
+    era_ = era;
+    if (is_first)
+        return;
+    known_.revision = {};
+    known_since_ = now;
+    own_until_.reset();
+    oldest_unanswered_.reset();
+    report(now);
 }
 
 void duty_lease::set_known(time_point now, const lease_record& it)
 {
     known_ = it;
     known_since_ = now;
+    highest_epoch_ = std::max(highest_epoch_, it.epoch);
     if (!is_own())
     {
         own_until_.reset();
@@ -76,7 +107,14 @@
     if (is_own() && own_until_)
         return write(now, known_.epoch);
     if (is_candidate_ && known_since_ && now >= takeover_time())
-        write(now, core::fencing_number{known_.epoch.value() + 1});
+        write(now, next_epoch());
+}
+
+core::fencing_number duty_lease::next_epoch() const
+{
+    // No two writes of one era replace the same revision.
+    const auto replaced = (era_.value() << revision_bits) + known_.revision.number;
+    return core::fencing_number{std::max(highest_epoch_.value(), replaced) + 1};
 }
 
 std::optional<time_point> duty_lease::next_due() const
@@ -98,7 +136,15 @@
     next_write_ = now + options_.retry_delay;
     const lease_record next{self_, process_, epoch, 0};
     hooks_.write(next, known_.revision,
-                 [this, now, next](write_result result) { on_written(now, next, result); });
+                 [this, now, next, sent_in = era_](write_result result)
+                 {
+                     on_era(hooks_.now(), result.revision.era);
+                     if (sent_in == era_)
+                         return on_written(now, next, result);
+                     // The condition held in the copy, or for a revision that was given out again: this
+                     // proves no lease.
+                     is_writing_ = false;
+                 });
 }
 
 void duty_lease::on_written(time_point sent_at, const lease_record& it, write_result result)
@@ -108,8 +154,9 @@
     switch (result.what)
     {
     case write_result::outcome::committed:
-        if (result.revision < known_.revision)
-            break; // a later record has been seen meanwhile
+        if (result.revision < known_.revision || result.revision.era < era_)
+            break; // a later record has been seen meanwhile, or the store has lost this one
+        highest_epoch_ = std::max(highest_epoch_, it.epoch);
         known_ = it;
         known_.revision = result.revision;
         known_since_ = now;
--- a/src/runlink/duties/scale_orders.cpp
+++ b/src/runlink/duties/scale_orders.cpp
@@ -25,7 +25,13 @@
 
 void scale_orders::on_record(const order_record& it)
 {
-    if (it.revision > record_.revision)
+    if (it.revision <= record_.revision)
+        return;
+    // The copy from which the store has returned may hold earlier orders.
+    const bool is_earlier = it.revision.era > record_.revision.era && !record_.orders.empty();
+    if (is_earlier)
+        record_.revision = it.revision;
+    else
         record_ = it;
 }
 
--- a/src/runlink/duties/usage_reporter.cpp
+++ b/src/runlink/duties/usage_reporter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
 #include <utility>
 
 namespace runlink::duties
@@ -12,6 +13,30 @@
 /// Interval of the checks while nothing is due.
 constexpr milliseconds check_interval{250};
 
+/// The reports of both records, oldest first. For a window that is in both, the known report counts.
+std::vector<window_counts> merge(const std::vector<window_counts>& known,
+                                 const std::vector<window_counts>& stored, std::size_t max)
+{
+    std::map<window_number, window_counts> all;
+    for (const auto& it : known)
+        all.try_emplace(it.window, it);
+    for (const auto& it : stored)
+        all.try_emplace(it.window, it);
+    std::vector<window_counts> out;
+    for (auto& [window, it] : all)
+        out.push_back(std::move(it));
+    if (out.size() > max)
+        out.erase(out.begin(), out.end() - static_cast<std::ptrdiff_t>(max));
+    return out;
+}
+
+bool contains_all(const std::vector<window_counts>& all, const std::vector<window_counts>& some)
+{
+    const auto has = [&](const window_counts& it)
+    { return std::any_of(all.begin(), all.end(), [&](const auto& e) { return e.window == it.window; }); };
+    return std::all_of(some.begin(), some.end(), has);
+}
+
 std::string_view to_string(write_result::outcome it)
 {
     switch (it)
@@ -43,10 +68,30 @@
 {
 }
 
-void usage_reporter::on_record(const usage_record& it)
+void usage_reporter::on_record(time_point now, const usage_record& it)
 {
-    if (it.revision > record_.revision)
-        record_ = it;
+    if (it.revision <= record_.revision)
+        return;
+    record_.revision = it.revision;
+    record_.reports = merge(record_.reports, it.reports, options_.max_stored);
+    restore_at_.reset();
+    if (!contains_all(it.reports, record_.reports))
+        restore_at_ = now + restore_delay_;
+}
+
+void usage_reporter::on_record_lost(time_point now)
+{
+    record_.revision = {};
+    if (!record_.reports.empty())
+        restore_at_ = now + restore_delay_;
+}
+
+void usage_reporter::restore(time_point now)
+{
+    restore_at_ = now + options_.retry_delay;
+    is_busy_ = true;
+    hooks_.log(now, "usage_restored", record_.reports.back(), "sent");
+    hooks_.write(record_, [this, next = record_](write_result result) { on_fixed(next, result); });
 }
 
 void usage_reporter::tick(time_point now, wall_time wall)
@@ -56,9 +101,15 @@
     if (is_busy_ || (next_step_ && now < *next_step_))
         return;
     next_step_ = now + check_interval;
+    if (restore_at_)
+    {
+        if (now >= *restore_at_)
+            restore(now);
+        return; // nothing is sent or fixed before the store has the reports
+    }
     if (!is_listed_ || !hooks_.may_act(now))
         return;
-    if (const auto* report = report_to_send(wall))
+    if (const auto* report = report_to_send(now, wall))
         return send(*report);
     if (now < fix_from_)
         return;
@@ -101,12 +152,15 @@
     }
     auto stored = next;
     stored.revision = result.revision;
-    on_record(stored);
-    next_step_ = now;
+    on_record(now, stored);
+    send_from_ = now + options_.spread_time;
+    next_step_ = send_from_;
 }
 
-const window_counts* usage_reporter::report_to_send(wall_time wall) const
+const window_counts* usage_reporter::report_to_send(time_point now, wall_time wall) const
 {
+    if (now < send_from_)
+        return nullptr;
     for (const auto& it : record_.reports)
         if (!settled_.contains(it.window) &&
             options_.windows.end_of(it.window) > options_.windows.expired_end(wall))
--- a/src/runlink/gateway/duty_runner.cpp
+++ b/src/runlink/gateway/duty_runner.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "runlink/core/hash.hpp"
+
 namespace runlink::gateway
 {
 namespace
@@ -15,6 +17,10 @@
 constexpr std::size_t senders_per_interval = 250;
 /// A call without an answer within this time may be carried out later.
 constexpr core::milliseconds call_timeout{1500};
+/// Instances write lost reports again at different times within this range, so that usually one does.
+constexpr std::uint64_t restore_spread_ms = 500;
+/// Additional delay of instances that don't follow the store directly.
+constexpr core::milliseconds follower_delay{1000};
 
 core::incarnation_id make_process_id(const core::instance_id& self, core::time_point now,
                                      duties::wall_time wall)
@@ -27,7 +33,7 @@
 {
     using outcome = duties::write_result::outcome;
     if (const auto* done = std::get_if<control::kv_committed>(&it))
-        return {outcome::committed, done->revision.number};
+        return {outcome::committed, done->revision};
     if (std::holds_alternative<control::kv_conflict>(it))
         return {outcome::conflict, 0};
     return {std::get<control::kv_error>(it) == control::kv_error::refused ? outcome::refused
@@ -86,6 +92,14 @@
     orders_.on_listed();
 }
 
+void duty_runner::set_candidate(bool it)
+{
+    lease_.set_candidate(it && !is_stopping_);
+    const auto spread =
+        static_cast<core::milliseconds::rep>(core::stable_hash(self_.str()) % restore_spread_ms);
+    reporter_.set_restore_delay(core::milliseconds{spread} + (it ? core::milliseconds{0} : follower_delay));
+}
+
 void duty_runner::begin_stop()
 {
     is_stopping_ = true;
@@ -111,8 +125,9 @@
     if (!is_enabled())
         return std::nullopt;
     auto out = next_counts_;
-    if (const auto it = lease_.next_due())
-        out = std::min(out, *it);
+    for (const auto& it : {lease_.next_due(), reporter_.restore_due()})
+        if (it)
+            out = std::min(out, *it);
     if (!acquired_at_)
         return out;
     for (const auto& it : {reporter_.next_due(), orders_.next_due()})
@@ -151,7 +166,7 @@
 {
     duties::lease_hooks out;
     out.now = hooks_.now;
-    out.write = [this](const duties::lease_record& next, std::uint64_t expected,
+    out.write = [this](const duties::lease_record& next, const core::store_revision& expected,
                        std::function<void(duties::write_result)> done)
     { write(documents_.write_lease(next), expected, std::move(done)); };
     out.changed = [this](core::time_point now, bool is_held)
@@ -253,11 +268,13 @@
     }
 }
 
-void duty_runner::write(control::kv_item item, std::uint64_t expected_revision,
+void duty_runner::write(control::kv_item item, const core::store_revision& expected,
                         std::function<void(duties::write_result)> done)
 {
+    if (!expected.is_none() && expected.era != lease_.era())
+        return done({duties::write_result::outcome::refused, {}}); // the revision means nothing in this era
     control::kv_transaction it;
-    it.conditions.push_back({item.key, expected_revision});
+    it.conditions.push_back({item.key, expected.number});
     it.writes.push_back(std::move(item));
     hooks_.commit(it,
                   [this, done = std::move(done)](const control::kv_commit_result& result)
@@ -273,13 +290,15 @@
     const auto now = hooks_.now();
     for (const auto& item : it.items)
     {
+        if (item.revision.is_none())
+            continue; // there is no such item
         const auto read = documents_.read(item);
         if (!read)
             continue; // logged when the change arrives through the store's watch
         if (const auto* lease = std::get_if<duties::lease_record>(&read.value()))
             on_record(now, *lease);
         else if (const auto* usage = std::get_if<duties::usage_record>(&read.value()))
-            on_record(*usage);
+            on_record(now, *usage);
         else if (const auto* orders = std::get_if<duties::order_record>(&read.value()))
             on_record(*orders);
     }
--- a/src/runlink/gateway/gateway_daemon_duties.cpp
+++ b/src/runlink/gateway/gateway_daemon_duties.cpp
@@ -64,7 +64,7 @@
     if (const auto* lease = std::get_if<duties::lease_record>(&it))
         duties_.on_record(now, *lease);
     else if (const auto* usage = std::get_if<duties::usage_record>(&it))
-        duties_.on_record(*usage);
+        duties_.on_record(now, *usage);
     else if (const auto* orders = std::get_if<duties::order_record>(&it))
         duties_.on_record(*orders);
 }
--- a/src/runlink/gateway/gateway_daemon_store.cpp
+++ b/src/runlink/gateway/gateway_daemon_store.cpp
@@ -55,18 +55,26 @@
                   std::to_string(std::chrono::floor<core::milliseconds>(away).count()) + " ms");
     };
     out.era_began = [this](core::time_point now, core::store_era previous, core::store_era era)
-    {
-        forwarder_.endpoints().store_returned(now);
-        log_.write(now,
-                   observe::log_line{"store_era_began"}
-                       .number("previous", static_cast<std::int64_t>(previous.value()))
-                       .number("era", static_cast<std::int64_t>(era.value()))
-                       .number("known_revision", static_cast<std::int64_t>(follower_.revision().number)),
-                   observe::log_rank::vital);
-    };
+    { on_era_began(now, previous, era); };
     return out;
 }
 
+void gateway_daemon::on_era_began(core::time_point now, core::store_era previous, core::store_era era)
+{
+    forwarder_.endpoints().store_returned(now);
+    duties_.on_era(now, era);
+    // Entries that were acknowledged but never seen may be lost without a trace.
+    for (const auto& id : registry_.listed_ids())
+        if (!relay_.history().has_item(binding_.documents.write_peer({id, {}, {}, 0, 0}).key))
+            registry_.unlisted(id);
+    log_.write(now,
+               observe::log_line{"store_era_began"}
+                   .number("previous", static_cast<std::int64_t>(previous.value()))
+                   .number("era", static_cast<std::int64_t>(era.value()))
+                   .number("known_revision", static_cast<std::int64_t>(follower_.revision().number)),
+               observe::log_rank::vital);
+}
+
 void gateway_daemon::note_proof(core::time_point sent_at)
 {
     configuration_proven_at_ = std::max(configuration_proven_at_.value_or(sent_at), sent_at);
@@ -115,6 +123,7 @@
             remove_harmful(now, it);
     forwarder_.on_evacuations(now, evacuated);
     forwarder_.rollouts().on_listed(now, ordered, recorded);
+    duties_.on_era(now, follower_.era());
     duties_.on_listed(now, has_lease);
     relay_.remember_all(now, items, follower_.revision());
     join_.on_listed(now);
@@ -155,6 +164,10 @@
 {
     if (const auto* record = std::get_if<control::record_key>(&name))
         forwarder_.rollouts().on_record_lost(now, record->service);
+    if (std::holds_alternative<control::usage_key>(name))
+        duties_.on_usage_lost(now);
+    if (std::holds_alternative<control::scale_orders_key>(name))
+        duties_.on_orders_lost();
 }
 
 void gateway_daemon::apply_item(core::time_point now, const control::kv_item& item,
@@ -316,7 +329,7 @@
 void gateway_daemon::apply_conflict(core::time_point now, const core::service_id& service,
                                     const control::kv_conflict& it)
 {
-    if (it.items.empty())
+    if (it.items.empty() || it.items.front().revision.is_none())
         return remove_record(now, service);
     for (const auto& e : it.items)
         apply_item(now, e, now);
@@ -324,6 +337,8 @@
 
 void gateway_daemon::write_record(const routing::rollout_record& it)
 {
+    if (!it.revision.is_none() && it.revision.era != follower_.era())
+        return forwarder_.rollouts().on_write_failed(clock_(), it.service); // the list of this era is due
     auto item = binding_.documents.write_record(it);
     control::kv_transaction write;
     write.conditions.push_back({item.key, it.revision.number});
