--- a/src/runlink/duties/usage_reporter.cpp
+++ b/src/runlink/duties/usage_reporter.cpp
@@ -22,11 +22,12 @@
         all.try_emplace(it.window, it);
     for (const auto& it : stored)
         all.try_emplace(it.window, it);
+    while (all.size() > max)
+        all.erase(all.begin());
     std::vector<window_counts> out;
+    out.reserve(all.size());
     for (auto& [window, it] : all)
         out.push_back(std::move(it));
-    if (out.size() > max)
-        out.erase(out.begin(), out.end() - static_cast<std::ptrdiff_t>(max));
     return out;
 }
 
