Log: lines of requests name the shared parts of their prompts

Between a part that ends endpoints and another cause the logs could not tell: no line named the parts of a request's prompt. dispatched, attempt_lost and ended now have `parts`, fingerprints of the first eight parts; joined by endpoint and time they show what the requests under which endpoints ended have in common. Nothing is decided by it.

--- a/include/runlink/crashes/request_fingerprint.hpp
+++ b/include/runlink/crashes/request_fingerprint.hpp
@@ -26,6 +26,9 @@
 /// records.
 request_fingerprint fingerprint_of(content_hash content, const core::account_id& account);
 
+/// Identifies a part of a prompt, which requests of several client accounts may share.
+request_fingerprint fingerprint_of_part(std::string_view part_id);
+
 /// The upper 16 bits of a fingerprint, which identify the client account.
 std::uint64_t account_part(request_fingerprint it);
 
--- a/include/runlink/routing/forwarder_hooks.hpp
+++ b/include/runlink/routing/forwarder_hooks.hpp
@@ -26,6 +26,7 @@
     std::string_view request;
     std::string_view reason;
     std::string content; ///< fingerprint of the request's content, equal for all retries by the caller
+    std::string parts;   ///< fingerprints of the first shared parts of the prompt, separated by commas
     std::string route;
     std::string account;
     std::string session;
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -167,6 +167,8 @@
         flow_id id{};
         inbound_request request;
         crashes::request_fingerprint fingerprint;
+        /// The parts of the prompt that other requests may have too.
+        std::vector<crashes::request_fingerprint> parts;
         routing_table_ptr table;
         const route* matched_route = nullptr;
         service_id service;
@@ -420,6 +422,8 @@
     void replace_earlier_life(time_point now, const endpoint_entry& it);
 
     decision describe(time_point now, const flow& it, std::string_view event) const;
+    /// The first shared parts of the prompt, for the log.
+    static std::string text_of_parts(const flow& it);
 
     forwarder_options options_;
     forwarder_hooks hooks_;
--- a/src/runlink/crashes/request_fingerprint.cpp
+++ b/src/runlink/crashes/request_fingerprint.cpp
@@ -30,6 +30,12 @@
     return request_fingerprint{owner | (content.value() & content_mask)};
 }
 
+request_fingerprint fingerprint_of_part(std::string_view part_id)
+{
+    const auto owner = core::stable_hash("prompt part") << account_shift;
+    return request_fingerprint{owner | (core::stable_hash(part_id) & content_mask)};
+}
+
 std::uint64_t account_part(request_fingerprint it)
 {
     return it.value() >> account_shift;
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -357,6 +357,7 @@
     text("request", decision.request);
     text("reason", decision.reason);
     text("content", decision.content);
+    text("parts", decision.parts);
     text("route", decision.route);
     text("account", decision.account);
     text("session", decision.session);
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -201,6 +201,7 @@
     line.via = sent.via.str();
     line.session = it.request.session.str();
     line.content = to_hex(it.fingerprint);
+    line.parts = text_of_parts(it);
     line.reason = sent.is_trial ? "trial" : "";
     line.attempt = sent.number;
     line.time_left_ms = order.time_left.count();
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -258,6 +258,7 @@
     line.via = from->via.str();
     line.reason = to_string(loss);
     line.content = to_hex(it.fingerprint);
+    line.parts = text_of_parts(it);
     line.attempt = from->number;
     hooks_.log(line);
     if (loss != attempt_loss::broken)
@@ -323,6 +324,7 @@
     auto line = describe(now, it, "ended");
     line.reason = outcome;
     line.content = to_hex(it.fingerprint);
+    line.parts = text_of_parts(it);
     line.status = status;
     line.attempt = it.sends;
     if (outcome != "answered")
@@ -337,6 +339,15 @@
     flows_.erase(it.id);
 }
 
+std::string request_forwarder::text_of_parts(const flow& it)
+{
+    constexpr std::size_t max_logged_parts = 8;
+    std::string out;
+    for (std::size_t n = 0; n < std::min(it.parts.size(), max_logged_parts); ++n)
+        out.append(n == 0 ? "" : ",").append(to_hex(it.parts[n]));
+    return out;
+}
+
 decision request_forwarder::describe(time_point now, const flow& it, std::string_view event) const
 {
     decision out;
--- a/src/runlink/routing/request_forwarder_arrival.cpp
+++ b/src/runlink/routing/request_forwarder_arrival.cpp
@@ -16,6 +16,19 @@
 constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
+/// Parts of a prompt that are examined for crashes; bounds the cost of a request and of reports.
+constexpr std::size_t max_examined_parts = 64;
+
+std::vector<crashes::request_fingerprint> shared_parts_of(const inbound_request& it)
+{
+    std::vector<crashes::request_fingerprint> out;
+    const auto shared = it.prompt.empty() ? 0 : it.prompt.size() - 1;
+    const auto n = std::min(shared, max_examined_parts);
+    out.reserve(n);
+    for (std::size_t i = 0; i < n; ++i)
+        out.push_back(crashes::fingerprint_of_part(it.prompt[i].id));
+    return out;
+}
 
 } // namespace
 
@@ -109,6 +122,7 @@
     if (stop_ && now >= stop_->closed_from && request_flow.deadline > stop_->end)
         return unavailable(core::errc::stopping, "instance");
     request_flow.fingerprint = crashes::fingerprint_of(request_flow.request.content, request_flow.account);
+    request_flow.parts = shared_parts_of(request_flow.request);
     if (attribution_.judge(now, request_flow.fingerprint) == crashes::permission::refused)
     {
         ++counters_.harmful_refused;
