BUDGET: failing test, a part of a prompt ends endpoint after endpoint

harmful_part_test: seven instances, 18 endpoints, 110 harmless requests a second and 8 with a part that ends each endpoint that begins to answer them; no two alike, their other parts are those of the others.

--- a/tests/support/crash_fleet.cpp
+++ b/tests/support/crash_fleet.cpp
@@ -21,6 +21,10 @@
 /// Time within which every connected instance learns of the third end.
 constexpr milliseconds propagation_time{3000};
 constexpr std::size_t ends_before_late = 3;
+/// The same for a part of a prompt, whose fifth end counts.
+constexpr std::size_t part_ends_before_late = 5;
+constexpr int first_parts = 3;
+constexpr int middle_parts = 12;
 constexpr milliseconds event_interval{70};
 constexpr std::uint64_t short_events = 6;
 constexpr std::uint64_t long_events = 60;
@@ -186,10 +190,73 @@
     caller_request it;
     it.is_popular = uniform() < case_.popular_share;
     it.content = it.is_popular ? "popular" : "r" + std::to_string(next_id_++);
+    if (case_.has_prompts)
+        it.prompt = random_prompt(it.content, {"m" + std::to_string(between(1, middle_parts).count())});
     ++outcome_.asked;
     request(it);
 }
 
+std::vector<prompt_part> crash_fleet::random_prompt(const std::string& of,
+                                                    const std::vector<std::string>& with)
+{
+    constexpr std::uint32_t tokens = 100;
+    std::vector<prompt_part> out{{"f" + std::to_string(between(1, first_parts).count()), tokens}};
+    for (const auto& it : with)
+        out.push_back({it, tokens});
+    out.push_back({"own " + of, tokens});
+    return out;
+}
+
+void crash_fleet::send_harmful_part()
+{
+    if (now_ - started_at_ > case_.harmful_until)
+        return;
+    caller_request it;
+    it.harmful_part = between(0, case_.harmful_parts - 1).count();
+    it.content = "h" + std::to_string(next_id_++);
+    std::vector<std::string> with{"m" + std::to_string(between(1, middle_parts).count())};
+    with.insert(with.begin() + (uniform() < 0.5 ? 0 : 1), it.cause());
+    if (case_.companion_per_s > 0)
+        with.emplace_back("companion");
+    it.prompt = random_prompt(it.content, with);
+    request(it);
+}
+
+void crash_fleet::send_companion()
+{
+    caller_request it;
+    it.content = "c" + std::to_string(next_id_++);
+    it.prompt = random_prompt(it.content, {"companion"});
+    ++outcome_.asked;
+    request(it);
+}
+
+std::optional<time_point> crash_fleet::fifth_end() const
+{
+    std::optional<time_point> out;
+    for (const auto& [cause, at] : ends_)
+        if (at.size() >= part_ends_before_late)
+            out = std::max(out.value_or(time_point{}), at[part_ends_before_late - 1]);
+    return out;
+}
+
+void crash_fleet::count_first_attempt(const caller_request& it, bool is_served)
+{
+    if (it.is_harmful() || it.repeats > 0)
+        return;
+    const auto fifth = fifth_end();
+    if (it.sent_at < started_at_ + case_.harmful_from)
+    {
+        ++outcome_.asked_before;
+        outcome_.served_before += is_served ? 1 : 0;
+    }
+    else if (fifth && it.sent_at > *fifth + 2 * propagation_time)
+    {
+        ++outcome_.asked_after;
+        outcome_.served_after += is_served ? 1 : 0;
+    }
+}
+
 void crash_fleet::send_harmful(int caller)
 {
     if (now_ - started_at_ > case_.harmful_until)
@@ -200,8 +267,10 @@
     request(it);
 }
 
-void crash_fleet::request(const caller_request& it)
+void crash_fleet::request(const caller_request& from)
 {
+    auto it = from;
+    it.sent_at = now_;
     auto& by = instances_[random_() % instances_.size()];
     const flow_id flow{next_id_++};
     inbound_request in;
@@ -211,6 +280,9 @@
     in.content = crashes::hash_of("POST", in.host, in.path, it.content);
     in.time_left = milliseconds{20000};
     in.model = core::model_id{"m"};
+    in.prompt = it.prompt;
+    for (const auto& e : it.prompt)
+        in.prompt_tokens += e.tokens;
     by.flows.emplace(flow, it);
     by.forwarder->on_request(now_, flow, in);
 }
@@ -222,6 +294,13 @@
     if (found.empty())
         return;
     auto it = found.mapped();
+    count_first_attempt(it, is_served);
+    if (it.harmful_part >= 0)
+    {
+        if (it.repeats++ == 0)
+            later(between(20, 120), [this, it] { request(it); });
+        return;
+    }
     if (it.is_harmful())
         return later(between(20, 120), [this, caller = it.caller] { send_harmful(caller); });
     if (is_served)
@@ -277,10 +356,11 @@
     if (it->of.is_harmful())
     {
         ++outcome_.sends;
-        const auto& ends = ends_[it->of.content];
-        const bool is_late =
-            ends.size() >= ends_before_late && now_ - ends[ends_before_late - 1] > propagation_time;
-        outcome_.late += is_late ? 1 : 0;
+        const auto& ends = ends_[it->of.cause()];
+        const bool is_part = it->of.harmful_part >= 0;
+        const auto counted = is_part ? part_ends_before_late : ends_before_late;
+        const bool is_late = ends.size() >= counted && now_ - ends[counted - 1] > propagation_time;
+        (is_part ? outcome_.part_late : outcome_.late) += is_late ? 1 : 0;
     }
     to.running.insert(it);
     instances_[static_cast<std::size_t>(it->instance)].forwarder->on_sent(now_, it->order.id);
@@ -299,7 +379,7 @@
                   auto& victim = at(it->order.endpoint);
                   if (!victim.running.contains(it))
                       return;
-                  ends_[it->of.content].push_back(now_);
+                  ends_[it->of.cause()].push_back(now_);
                   ++outcome_.ended;
                   end_endpoint(victim);
               });
@@ -412,6 +492,8 @@
     const auto pick = [this]() -> endpoint&
     { return std::next(endpoints_.begin(), static_cast<long>(random_() % endpoints_.size()))->second; };
     repeat(case_.ends_per_s, [this, pick] { end_endpoint(pick()); });
+    later(case_.harmful_from, [this] { repeat(case_.harmful_parts_per_s, [this] { send_harmful_part(); }); });
+    repeat(case_.companion_per_s, [this] { send_companion(); });
     repeat(case_.resets_per_s,
            [this, pick]
            {
--- a/tests/support/crash_fleet.hpp
+++ b/tests/support/crash_fleet.hpp
@@ -39,6 +39,14 @@
     /// Time from when an endpoint starts to run a harmful request until its process ends.
     milliseconds survives{115};
 
+    /// Rate of requests with a part in their prompts that ends every endpoint that runs it. All of them
+    /// differ, and their other parts are those of harmless requests.
+    double harmful_parts_per_s = 0;
+    int harmful_parts = 1;    ///< number of distinct harmful parts
+    bool has_prompts = false; ///< harmless requests have prompts with shared parts
+    /// Part of a prompt that all requests with a harmful part have, and harmless ones at this rate.
+    double companion_per_s = 0;
+
     double popular_share = 0;   ///< share of the requests that have identical content and one client account
     double ends_per_s = 0;      ///< rate of endpoint crashes that no request causes
     milliseconds all_end_at{0}; ///< when half of the endpoints end at once; 0: never
@@ -59,6 +67,13 @@
     std::uint64_t unserved = 0;          ///< of these, still unanswered after one retry
     std::uint64_t condemned = 0;         ///< harmless requests refused as harmful
     std::uint64_t popular_condemned = 0; ///< of these, requests of `popular_share`
+    std::uint64_t part_late = 0; ///< sends of a harmful part later than the contact time after its fifth end
+    /// Harmless requests before the first request with a harmful part, and later than twice the contact time
+    /// after the fifth end; of these, those that were served at the first attempt.
+    std::uint64_t asked_before = 0;
+    std::uint64_t served_before = 0;
+    std::uint64_t asked_after = 0;
+    std::uint64_t served_after = 0;
 };
 
 class crash_fleet
@@ -77,7 +92,15 @@
         int caller = -1;     ///< index of the sender of a harmful request; -1: harmless request
         int repeats = 0;
         bool is_popular = false;
-        bool is_harmful() const { return caller >= 0; }
+        std::vector<routing::prompt_part> prompt;
+        int harmful_part = -1; ///< index of the harmful part in its prompt; -1: none
+        time_point sent_at{};
+        bool is_harmful() const { return caller >= 0 || harmful_part >= 0; }
+        /// Requests that end endpoints for the same reason have the same name.
+        std::string cause() const
+        {
+            return harmful_part >= 0 ? "part" + std::to_string(harmful_part) : content;
+        }
     };
     struct send
     {
@@ -122,7 +145,14 @@
 
     void arrive();
     void send_harmful(int caller);
-    void request(const caller_request& it);
+    void send_harmful_part();
+    void send_companion();
+    std::vector<routing::prompt_part> random_prompt(const std::string& of,
+                                                    const std::vector<std::string>& with);
+    /// Counts the first attempt of a harmless request by the time at which it was sent.
+    void count_first_attempt(const caller_request& it, bool is_served);
+    std::optional<time_point> fifth_end() const;
+    void request(const caller_request& from);
     void on_request_end(int n, routing::flow_id flow, bool is_served, const routing::refusal* why);
     void on_start(int n, const routing::attempt_order& order);
     void reach(const send_ptr& it);
@@ -147,9 +177,8 @@
     std::multimap<time_point, std::function<void()>> events_;
     std::map<core::endpoint_name, endpoint> endpoints_;
     std::vector<instance> instances_;
-    std::map<std::string, std::vector<time_point>>
-        ends_;                                        ///< times at which endpoints ended, by harmful content
-    std::set<crashes::request_fingerprint> recorded_; ///< harmful fingerprints in the store
+    std::map<std::string, std::vector<time_point>> ends_; ///< times at which endpoints ended, by cause
+    std::set<crashes::request_fingerprint> recorded_;     ///< harmful fingerprints in the store
     std::uint64_t next_id_ = 1;
     std::uint64_t sends_ = 0; ///< number of attempts sent so far
     crash_outcome outcome_;
