--- a/include/runlink/control/documents.hpp
+++ b/include/runlink/control/documents.hpp
@@ -11,7 +11,7 @@
 #include "runlink/control/kv_store.hpp"
 #include "runlink/control/peer_entry.hpp"
 #include "runlink/core/failure.hpp"
-#include "runlink/crashes/request_fingerprint.hpp"
+#include "runlink/crashes/element_fingerprint.hpp"
 #include "runlink/duties/duty_lease.hpp"
 #include "runlink/duties/scale_orders.hpp"
 #include "runlink/duties/usage_reporter.hpp"
@@ -23,10 +23,12 @@
 namespace runlink::control
 {
 
-/// Marks requests with this fingerprint as harmful: they crash endpoints.
+/// Marks requests with this element as harmful: they crash endpoints. With companions, only requests that
+/// have these elements too.
 struct harmful_entry
 {
-    crashes::request_fingerprint request;
+    crashes::element_fingerprint element;
+    std::vector<crashes::element_fingerprint> companions{};
 };
 
 /// A decoded store item. Items that this process doesn't use are `std::monostate`.
@@ -58,7 +60,7 @@
 };
 struct harmful_key
 {
-    crashes::request_fingerprint request;
+    crashes::element_fingerprint element;
 };
 struct lease_key
 {
--- a/include/runlink/control/finding_registry.hpp
+++ b/include/runlink/control/finding_registry.hpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "runlink/core/units.hpp"
-#include "runlink/crashes/request_fingerprint.hpp"
+#include "runlink/crashes/element_fingerprint.hpp"
 
 namespace runlink::control
 {
@@ -25,8 +25,8 @@
 /// Findings to write and remove in one store call.
 struct finding_batch
 {
-    std::vector<crashes::request_fingerprint> put;
-    std::vector<crashes::request_fingerprint> removed;
+    std::vector<crashes::element_fingerprint> put;
+    std::vector<crashes::element_fingerprint> removed;
 };
 
 /// Writes the findings of this instance to the store, with retries, and removes expired ones.
@@ -44,14 +44,14 @@
     finding_registry& operator=(const finding_registry&) = delete;
 
     /// Schedules a write of a new finding. Returns false if the store holds `max_listed` findings already.
-    bool found(core::time_point now, crashes::request_fingerprint it);
+    bool found(core::time_point now, crashes::element_fingerprint it);
     /// Schedules the removal of an expired finding.
-    void expired(core::time_point now, crashes::request_fingerprint it);
+    void expired(core::time_point now, crashes::element_fingerprint it);
     /// The store holds the finding (`listed`), or no longer holds it (`unlisted`).
-    void listed(crashes::request_fingerprint it);
-    void unlisted(crashes::request_fingerprint it) { listed_.erase(it); }
+    void listed(crashes::element_fingerprint it);
+    void unlisted(crashes::element_fingerprint it) { listed_.erase(it); }
     /// All findings in the store.
-    const std::set<crashes::request_fingerprint>& all() const { return listed_; }
+    const std::set<crashes::element_fingerprint>& all() const { return listed_; }
 
     void tick(core::time_point now);
     std::optional<core::time_point> next_due() const { return next_call_; }
@@ -63,9 +63,9 @@
 
     finding_options options_;
     writer write_;
-    std::set<crashes::request_fingerprint> listed_;
-    std::set<crashes::request_fingerprint> to_put_;
-    std::set<crashes::request_fingerprint> to_remove_;
+    std::set<crashes::element_fingerprint> listed_;
+    std::set<crashes::element_fingerprint> to_put_;
+    std::set<crashes::element_fingerprint> to_remove_;
     std::optional<core::time_point> next_call_;
     bool is_writing_ = false;
 };
--- a/include/runlink/crashes/crash_attribution.hpp
+++ b/include/runlink/crashes/crash_attribution.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// Finds the request that crashes endpoints among all requests that were running on them when they ended.
+/// Finds the element of requests, their content or a part of their prompts, that crashes endpoints.
 #pragma once
 
 #include <chrono>
@@ -27,9 +27,16 @@
 /// Parameters for attributing endpoint crashes to the requests that caused them.
 struct attribution_options
 {
-    /// Number of endpoints that have to end while they run a request before it is suspected. A suspected
-    /// request runs only as a trial: on an endpoint of its own, one copy at a time across all instances.
+    /// Number of endpoints that have to end while they run requests with an element before it is suspected. A
+    /// request with a suspected element runs only as a trial: on an endpoint of its own, one at a time across
+    /// all instances.
     std::size_t suspect_threshold = 2;
+    /// A part of a prompt is suspected only after this time without a complete answer at any instance,
+    /// because many requests may share it.
+    milliseconds clearance_time{80};
+    /// Upper bound of the delay before an instance announces that it answered a part under which an endpoint
+    /// ended. Each instance derives its delay from its id, so that few of many instances announce it.
+    milliseconds max_clearance_delay{40};
     /// Upper bound of the delay before a trial. Each instance derives its delay from its id, so that one
     /// instance at a time tries a suspected request.
     milliseconds max_trial_delay{300};
@@ -40,7 +47,7 @@
     /// Time between the end of a trial's endpoint and the verdict. Reports of other instances may arrive
     /// meanwhile and show that another suspect ran on that endpoint.
     milliseconds verdict_delay{120};
-    /// Number of inconclusive trials after which a request counts as harmful, because each trial may have
+    /// Number of inconclusive trials after which an element counts as harmful, because each trial may have
     /// cost an endpoint.
     std::uint32_t max_trials = 4;
     /// Minimum expected time between false positives (harmless requests marked as harmful) of one instance,
@@ -65,10 +72,10 @@
     /// Delays after which a finding, and the reports of ends that it explains, are sent again, because
     /// datagrams may be lost.
     std::vector<milliseconds> resend_delays{milliseconds{200}, milliseconds{1000}};
-    /// A complete answer at this instance clears a request that becomes suspected within this time after it.
+    /// A complete answer at this instance clears elements that become suspected within this time after it.
     milliseconds answer_validity{2000};
-    std::size_t max_tracked_requests = 1024;
-    std::size_t max_answered_requests = 1024;
+    std::size_t max_tracked_elements = 1024;
+    std::size_t max_answered_elements = 4096;
     std::size_t max_tracked_endpoints =
         512; ///< ended endpoints to remember, and separately those ended by a harmful request
 };
@@ -92,16 +99,21 @@
 
 /// Combines the reports of all instances on which requests ran on endpoints that ended.
 ///
-/// Protects against a request that crashes every endpoint that runs it and that its caller repeats at any
-/// instance. The bound on the attempts of one request does not stop it, because each repetition is a new
-/// request. Dozens of other requests are interrupted together with it, so counting alone would also blame
-/// those. A request that was running on two endpoints when they ended is suspected. It then runs as a trial,
-/// one copy at a time across all instances, where few other requests can be interrupted: a complete answer
-/// clears it, and another end proves it harmful. An end that is attributed to a harmful request does not
-/// count against any other request.
+/// Protects against requests that crash every endpoint that runs them: a request that its caller repeats at
+/// any instance, or different requests with one part in their prompts. The bound on the attempts of one
+/// request does not stop them, because each is a new request. Dozens of other requests are interrupted
+/// together with them, so counting alone would also blame those. Evidence is therefore kept for each element
+/// of requests: a complete answer clears all elements of its request, so parts that many requests share are
+/// not blamed for long. An element with which requests were running on two endpoints when they ended is
+/// suspected. Requests with it then run as trials, one at a time across all instances, where few other
+/// requests can be interrupted: a complete answer clears it, and another end proves it harmful. An end that
+/// is attributed to a harmful element does not count against any other element.
+///
+/// Elements that were in all of the same requests cannot be told apart. They are found harmful together, and
+/// only requests with all of them are refused.
 ///
 /// A broken connection alone does not show that an endpoint ended: its address must refuse connections, or a
-/// restarted endpoint with a new id must have taken its place. A request that was answered completely after
+/// restarted endpoint with a new id must have taken its place. An element that was answered completely after
 /// an attempt began did not end that attempt's endpoint.
 class crash_attribution
 {
@@ -112,10 +124,12 @@
         std::function<void(const crash_message&)> broadcast = [](const auto&) {};
         /// This instance or another one saw that an endpoint ended.
         std::function<void(time_point, endpoint_id_hash)> ended = [](auto, auto) {};
-        /// The request is now suspected. Attempts of it that have not begun have to be withdrawn and wait.
-        std::function<void(time_point, request_fingerprint)> suspected = [](auto, auto) {};
-        /// The request is harmful: all its attempts have to be cancelled. `is_own`: found by this instance.
-        std::function<void(time_point, request_fingerprint, bool is_own)> marked_harmful = [](auto, auto,
+        /// The element is now suspected. Attempts of requests with it that have not begun have to be
+        /// withdrawn and wait.
+        std::function<void(time_point, element_fingerprint)> suspected = [](auto, auto) {};
+        /// The element is harmful: attempts of requests that `judge` refuses have to be cancelled. `is_own`:
+        /// found by this instance.
+        std::function<void(time_point, element_fingerprint, bool is_own)> marked_harmful = [](auto, auto,
                                                                                               bool) {};
     };
 
@@ -125,40 +139,44 @@
 
     const attribution_options& options() const { return options_; }
     /// Whether the request may be sent now, and how.
-    permission judge(time_point now, request_fingerprint it) const;
-    suspicion suspicion_of(time_point now, request_fingerprint it) const;
+    permission judge(time_point now, const request_elements& of) const;
+    suspicion suspicion_of(time_point now, element_fingerprint it) const;
     /// Time left until a harmful request may get another trial; zero for any other request.
-    duration refusal_time_left(time_point now, request_fingerprint it) const;
-    /// Endpoints that run a suspected request; no other request should be sent to them.
+    duration refusal_time_left(time_point now, const request_elements& of) const;
+    /// Endpoints that run a request with a suspected element; no other request should be sent to them.
     std::set<endpoint_id_hash> endpoints_on_trial(time_point now) const;
+    /// Elements without which a harmful element is not known to be harmful.
+    std::vector<element_fingerprint> companions_of(element_fingerprint it) const;
 
-    /// This instance sends a suspected request to an endpoint as a trial.
-    void begin_trial(time_point now, request_fingerprint it, endpoint_id_hash at);
+    /// This instance sends a request with suspected elements to an endpoint as a trial.
+    void begin_trial(time_point now, const request_elements& of, endpoint_id_hash at);
     /// The trial of this instance ended without a result. `has_reached`: its endpoint may have run the
     /// request; if false, the trial does not count towards `max_trials`.
-    void end_trial(time_point now, request_fingerprint it, endpoint_id_hash at, bool has_reached);
+    void end_trial(time_point now, const request_elements& of, endpoint_id_hash at, bool has_reached);
     /// Whether this instance may repeat its trial on another endpoint: nothing suggests that the current
     /// endpoint has ended, and the number of trials is below `max_trials`.
-    bool may_repeat_trial(request_fingerprint it) const;
+    bool may_repeat_trial(const request_elements& of) const;
     /// The connection broke on which a request ran that was sent at `sent_at`. Returns whether the caller
     /// should check if the endpoint still accepts connections.
-    bool on_connection_broken(time_point now, request_fingerprint it, endpoint_id_hash at,
+    bool on_connection_broken(time_point now, const request_elements& of, endpoint_id_hash at,
                               time_point sent_at);
     /// An endpoint whose connections broke is alive or cannot be reached, so nothing shows that it ended.
     void on_end_not_confirmed(time_point now, endpoint_id_hash at);
     /// The endpoint has certainly ended.
     void on_ended(time_point now, endpoint_id_hash at);
     /// A request got a complete answer at this instance.
-    void on_answered(time_point now, request_fingerprint it);
+    void on_answered(time_point now, const request_elements& of);
     /// Handles a message of another instance.
     void on_message(time_point now, const crash_message& it);
 
-    /// The store lists the request as harmful.
-    void on_recorded(time_point now, request_fingerprint it);
-    /// The store no longer lists the request as harmful.
-    void on_unrecorded(time_point now, request_fingerprint it);
-    /// Requests that the store still lists as harmful after `refusal_time`; returns each of them once.
-    std::vector<request_fingerprint> take_expired(time_point now);
+    /// The store lists the element as harmful, or as harmful together with its companions.
+    void on_recorded(time_point now, element_fingerprint it,
+                     const std::vector<element_fingerprint>& companions = {});
+    /// The store no longer lists the element as harmful.
+    void on_unrecorded(time_point now, element_fingerprint it);
+    /// Elements that the store still lists as harmful after `refusal_time`, or although they were cleared;
+    /// returns each of them once.
+    std::vector<element_fingerprint> take_expired(time_point now);
 
     /// Sends and decides what is due.
     void tick(time_point now);
@@ -182,20 +200,24 @@
     struct record
     {
         std::map<endpoint_id_hash, duration>
-            ends;                            ///< ended endpoints, and how long the request had run there
-        std::set<endpoint_id_hash> own_ends; ///< those of `ends` where it ran for this instance
+            ends; ///< ended endpoints, and how long the earliest request with the element had run there
+        std::set<endpoint_id_hash> own_ends; ///< those of `ends` where a request of this instance ran
         time_point latest_end_at{};
+        /// When the element counts as suspected, unless it is cleared before; set from the second end on.
+        std::optional<time_point> suspect_from;
+        bool is_suspect = false;
         std::optional<time_point> next_trial_at; ///< at this instance; set while suspected
         std::optional<trial> active_trial;
         std::uint32_t trials = 0;
         std::optional<endpoint_id_hash> trial_end; ///< the latest endpoint that ended during a trial
         std::optional<time_point> harmful_until;
-        bool is_recorded = false;  ///< whether the store lists it as harmful
+        std::vector<element_fingerprint> companions; ///< see `element_finding::companions`
+        bool is_recorded = false;                    ///< whether the store lists it as harmful
         bool on_probation = false; ///< refused for `refusal_time`; has to pass another trial
     };
     struct interrupted_attempt
     {
-        request_fingerprint request;
+        request_elements elements;
         time_point sent_at{};
     };
     struct unconfirmed_loss
@@ -210,47 +232,72 @@
         crash_message what;
     };
 
-    record* find(request_fingerprint it);
-    const record* find(request_fingerprint it) const;
-    record& at(time_point now, request_fingerprint it);
-    bool is_suspect(const record& it) const;
+    record* find(element_fingerprint it);
+    const record* find(element_fingerprint it) const;
+    record& at(time_point now, element_fingerprint it);
+    static bool is_suspect(const record& it) { return it.on_probation || it.is_suspect; }
+    /// Whether `among` contains a harmful element together with its companions.
+    bool is_refused(time_point now, const std::vector<element_fingerprint>& among) const;
+    permission judge_element(time_point now, element_fingerprint it) const;
     bool has_active_trial(time_point now, const record& it) const;
-    std::size_t count_unconfirmed_losses(request_fingerprint it) const;
+    std::size_t count_unconfirmed_losses(element_fingerprint it) const;
     /// Reports and counts the ends of the current batch.
     void flush_ends(time_point now);
     crash_report report_of(time_point now, endpoint_id_hash ended, const unconfirmed_loss& it) const;
-    bool answered_since(request_fingerprint it, time_point when) const;
-    duration trial_delay(request_fingerprint it) const;
-    void record_end(time_point now, endpoint_id_hash ended, const std::vector<interrupted_request>& running);
-    void record_end_under(time_point now, endpoint_id_hash ended, const interrupted_request& of);
-    void conclude_trial(time_point now, request_fingerprint it, bool has_reached);
-    bool is_beyond_chance(time_point now, request_fingerprint it) const;
+    bool answered_since(element_fingerprint it, time_point when) const;
+    /// A delay below `max` that differs between instances.
+    duration own_delay(element_fingerprint it, milliseconds max) const;
+    void record_end(time_point now, endpoint_id_hash ended, const std::vector<interrupted_element>& running);
+    void record_end_under(time_point now, endpoint_id_hash ended, const interrupted_element& of);
+    /// The element has reached `suspect_threshold`: suspects it, now or later, or clears it.
+    void consider_suspicion(time_point now, element_fingerprint it);
+    void suspect(time_point now, element_fingerprint it);
+    /// Announces a part as harmless after a delay, unless another instance does so before.
+    void clear_and_announce(time_point now, element_fingerprint part);
+    void announce_clearances(time_point now);
+    /// Decides on the outcome of a trial, for all elements that it tries.
+    void conclude_trial(time_point now, const std::vector<element_fingerprint>& tried, endpoint_id_hash where,
+                        bool has_reached);
+    /// Those of the tried elements that ended most endpoints; they cannot be told apart.
+    std::vector<element_fingerprint> most_ends_of(const std::vector<element_fingerprint>& tried) const;
+    bool is_beyond_chance(time_point now, element_fingerprint it) const;
     /// Ends probably caused by other suspects, namely by those with an endpoint that ended during a trial.
-    std::set<endpoint_id_hash> ends_by_others(request_fingerprint than) const;
-    bool other_suspect_was_at(request_fingerprint it, endpoint_id_hash where) const;
-    void schedule_trial(time_point now, request_fingerprint it, record& of);
-    void remove_trial(request_fingerprint it, record& of);
+    std::set<endpoint_id_hash> ends_by_others(element_fingerprint than) const;
+    bool other_suspect_was_at(const std::vector<element_fingerprint>& than, endpoint_id_hash where) const;
+    void schedule_trial(time_point now, element_fingerprint it, record& of);
+    void remove_trial(element_fingerprint it, record& of);
     void on_trial_notice(time_point now, const trial_notice& it);
-    void mark_harmful(time_point now, request_fingerprint it, bool is_own);
+    void mark_harmful(time_point now, element_fingerprint it,
+                      const std::vector<element_fingerprint>& companions, bool is_own);
     void attribute_to_harmful(endpoint_id_hash by_harmful);
-    void clear(request_fingerprint it);
-    /// Reports of the ends under a request that this instance saw itself.
-    static std::vector<crash_report> own_reports(request_fingerprint it, const record& of);
-    void broadcast_finding(time_point now, const request_finding& it);
-    /// Schedules repeated reports of ends that this instance saw under a harmful request, so that other
-    /// instances do not count them against any other request.
+    /// Removes the element's record, unless it is known to be harmful by itself.
+    void clear(element_fingerprint it);
+    void remove_companion(element_fingerprint it);
+    /// Clears the elements that were found harmful only together with this one, which is harmful by itself.
+    void clear_companions_of(element_fingerprint it);
+    void announce_trials(time_point now);
+    void conclude_due_trials(time_point now);
+    /// Reports of the ends under requests with the element that this instance saw itself.
+    static std::vector<crash_report> own_reports(element_fingerprint it, const record& of);
+    void broadcast_finding(time_point now, const element_finding& it);
+    /// Schedules repeated reports of ends that this instance saw under a harmful element, so that other
+    /// instances do not count them against any other element.
     void schedule_report_resends(time_point now, const std::vector<crash_report>& all);
     void evict_record();
 
     attribution_options options_;
     std::uint64_t own_hash_;
     hooks hooks_;
-    std::map<request_fingerprint, record> records_;
+    std::map<element_fingerprint, record> records_;
     std::map<endpoint_id_hash, unconfirmed_loss> unconfirmed_losses_;
     std::optional<time_point> flush_at_;
-    std::set<request_fingerprint> requests_on_trial_;    ///< requests whose record has an `active_trial`
-    std::map<request_fingerprint, time_point> answered_; ///< time of the latest complete answer
-    std::deque<request_fingerprint> answered_order_;
+    std::set<element_fingerprint> on_trial_;   ///< elements whose record has an `active_trial`
+    std::set<element_fingerprint> pending_;    ///< elements whose record has a `suspect_from`
+    std::set<element_fingerprint> clearances_; ///< answered elements to be announced as harmless
+    std::optional<time_point> announce_at_;
+    std::vector<element_fingerprint> released_;          ///< listed by the store, but cleared
+    std::map<element_fingerprint, time_point> answered_; ///< time of the latest complete answer
+    std::deque<element_fingerprint> answered_order_;
     recent_set<endpoint_id_hash> ended_;
     end_rate rate_;
     recent_set<endpoint_id_hash> ends_by_harmful_; ///< endpoints whose end is attributed to a harmful request
--- a/include/runlink/crashes/crash_messages.hpp
+++ b/include/runlink/crashes/crash_messages.hpp
@@ -8,7 +8,7 @@
 
 #include "runlink/core/ids.hpp"
 #include "runlink/core/units.hpp"
-#include "runlink/crashes/request_fingerprint.hpp"
+#include "runlink/crashes/element_fingerprint.hpp"
 
 namespace runlink::crashes
 {
@@ -18,40 +18,44 @@
 
 endpoint_id_hash hash_of_endpoint_id(const core::endpoint_id& id);
 
-/// A request that was running on an endpoint when the endpoint ended.
-struct interrupted_request
+/// An element of requests that were running on an endpoint when the endpoint ended.
+struct interrupted_element
 {
-    request_fingerprint request;
-    core::milliseconds run_duration{}; ///< time since it was sent to the endpoint
+    element_fingerprint element;
+    core::milliseconds run_duration{}; ///< time since the first of them was sent to the endpoint
 };
 
-/// An endpoint ended while it ran these requests of the reporting instance.
+/// An endpoint ended while it ran requests of the reporting instance with these elements. Leaves out elements
+/// that were answered completely since.
 struct crash_report
 {
     endpoint_id_hash endpoint;
-    std::vector<interrupted_request> running;
+    std::vector<interrupted_element> running;
 };
 
-/// Announces that the sender runs a suspected request as a trial, or that the trial is over.
+/// Announces that the sender runs a request with a suspected element as a trial, or that the trial is over.
 struct trial_notice
 {
-    request_fingerprint request;
+    element_fingerprint element;
     endpoint_id_hash endpoint;
     bool is_over = false;    ///< it ended without a result
     bool has_reached = true; ///< its endpoint may have run the request
 };
 
-/// Whether a request makes endpoints end.
-enum class request_effect
+/// Whether requests with an element make endpoints end.
+enum class element_effect
 {
-    harmless, ///< it got a complete answer
-    harmful,  ///< it makes endpoints end
+    harmless, ///< one of them got a complete answer
+    harmful,  ///< they make endpoints end
 };
 
-struct request_finding
+struct element_finding
 {
-    request_fingerprint request;
-    request_effect what = request_effect::harmless;
+    element_fingerprint element;
+    element_effect what = element_effect::harmless;
+    /// Elements that were in all requests that showed the harm: only requests with all of them are known to
+    /// be harmful.
+    std::vector<element_fingerprint> companions{};
 };
 
 /// The content of one datagram.
@@ -59,7 +63,7 @@
 {
     std::vector<crash_report> reports;
     std::vector<trial_notice> trials;
-    std::vector<request_finding> findings;
+    std::vector<element_finding> findings;
 
     bool empty() const { return reports.empty() && trials.empty() && findings.empty(); }
 };
--- a/include/runlink/gateway/gateway.hpp
+++ b/include/runlink/gateway/gateway.hpp
@@ -73,7 +73,7 @@
     std::function<void(const core::account_id&)> on_run_began = [](const auto&) {};
     /// Called when a request is found to be harmful. The finding must be stored beyond this process's
     /// lifetime.
-    std::function<void(crashes::request_fingerprint)> on_harmful_found = [](auto) {};
+    std::function<void(crashes::element_fingerprint)> on_harmful_found = [](auto) {};
 
     /// Called with questions to other instances.
     std::function<void(const std::vector<core::instance_id>&, const paths::reach_query&)> on_reach_query =
--- a/include/runlink/gateway/gateway_daemon.hpp
+++ b/include/runlink/gateway/gateway_daemon.hpp
@@ -115,8 +115,8 @@
     void apply_duty_records(core::time_point now, const control::document& it);
     static std::int64_t wall_ms();
     void write_findings(const control::finding_batch& it, control::finding_registry::done_handler done);
-    void apply_harmful(core::time_point now, crashes::request_fingerprint it);
-    void remove_harmful(core::time_point now, crashes::request_fingerprint it);
+    void apply_harmful(core::time_point now, const control::harmful_entry& it);
+    void remove_harmful(core::time_point now, crashes::element_fingerprint it);
     /// Applies the removal of a key from the store.
     void remove_item(core::time_point now, const std::string& key);
     /// Sends the load of this failure domain to the relays of the others, and the load of the others to the
--- a/include/runlink/routing/forwarder_hooks.hpp
+++ b/include/runlink/routing/forwarder_hooks.hpp
@@ -107,7 +107,7 @@
     std::function<void(const leaving_notices&)> announce_leaving = [](const auto&) {};
     /// This instance found a request to crash endpoints. The finding is to be stored so that it survives this
     /// instance.
-    std::function<void(crashes::request_fingerprint)> found_harmful = [](auto) {};
+    std::function<void(crashes::element_fingerprint)> found_harmful = [](auto) {};
     /// A request of the account began to run at an endpoint; called once for each request.
     std::function<void(const core::account_id&)> run_began = [](const auto&) {};
     std::function<void(const decision&)> log;
--- a/include/runlink/routing/messages.hpp
+++ b/include/runlink/routing/messages.hpp
@@ -10,7 +10,7 @@
 #include "runlink/core/contact.hpp"
 #include "runlink/core/failure.hpp"
 #include "runlink/core/ids.hpp"
-#include "runlink/crashes/request_fingerprint.hpp"
+#include "runlink/crashes/element_fingerprint.hpp"
 #include "runlink/routing/endpoint_directory.hpp"
 
 namespace runlink::routing
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -166,9 +166,7 @@
     {
         flow_id id{};
         inbound_request request;
-        crashes::request_fingerprint fingerprint;
-        /// The parts of the prompt that other requests may have too.
-        std::vector<crashes::request_fingerprint> parts;
+        crashes::request_elements elements;
         routing_table_ptr table;
         const route* matched_route = nullptr;
         service_id service;
@@ -318,14 +316,14 @@
     void hold(time_point now, flow& it);
     /// Checks whether a held request may be sent, waits on or is refused.
     void recheck_held(time_point now, flow& it);
-    std::vector<flow_id> flows_of(crashes::request_fingerprint it) const;
+    std::vector<flow_id> flows_of(crashes::element_fingerprint it) const;
     /// Acts on requests that became suspected or were found harmful. Must not be called from the callbacks of
     /// the attribution, because this may end the attempt or flow that is being processed.
     void apply_verdicts(time_point now);
     /// Cancels attempts of a suspected request that were sent before the suspicion, and holds their flows.
-    void withdraw_copies(time_point now, crashes::request_fingerprint it);
+    void withdraw_copies(time_point now, crashes::element_fingerprint it);
     /// Ends the flows of a request that was found harmful.
-    void end_copies(time_point now, crashes::request_fingerprint it);
+    void end_copies(time_point now, crashes::element_fingerprint it);
     /// Whether the request's answer has begun, or it may run only once and may have begun to run.
     bool is_exempt_from_verdict(const flow& it) const;
     /// Narrows `need` so that an isolated run goes to an endpoint with the fewest other requests, and other
@@ -337,7 +335,7 @@
     void report_broken(time_point now, const flow& it, const attempt& from, bool probes_endpoint);
     void on_endpoint_ended(time_point now, crashes::endpoint_id_hash it);
     void report_endpoint_ended(time_point now, const endpoint_id& id, std::string_view how);
-    void log_attribution(time_point now, std::string_view event, crashes::request_fingerprint it,
+    void log_attribution(time_point now, std::string_view event, crashes::element_fingerprint it,
                          std::string_view reason);
 
     // Attempts
@@ -444,8 +442,8 @@
     places::evacuations evacuations_;
     paths::path_control paths_;
     crashes::crash_attribution attribution_;
-    std::vector<crashes::request_fingerprint> suspected_; ///< requests whose copies are to be withdrawn
-    std::vector<crashes::request_fingerprint> condemned_; ///< requests whose copies are to be ended
+    std::vector<crashes::element_fingerprint> suspected_; ///< requests whose copies are to be withdrawn
+    std::vector<crashes::element_fingerprint> condemned_; ///< requests whose copies are to be ended
     rollout_control rollouts_;
     session_pins pins_;
     cascade_policy cascade_;
--- a/src/runlink/control/finding_registry.cpp
+++ b/src/runlink/control/finding_registry.cpp
@@ -16,7 +16,7 @@
     next_call_ = std::min(next_call_.value_or(at), at);
 }
 
-bool finding_registry::found(core::time_point now, crashes::request_fingerprint it)
+bool finding_registry::found(core::time_point now, crashes::element_fingerprint it)
 {
     if (listed_.contains(it))
         return true;
@@ -28,7 +28,7 @@
     return true;
 }
 
-void finding_registry::expired(core::time_point now, crashes::request_fingerprint it)
+void finding_registry::expired(core::time_point now, crashes::element_fingerprint it)
 {
     to_put_.erase(it);
     if (!listed_.contains(it))
@@ -37,7 +37,7 @@
     schedule(now);
 }
 
-void finding_registry::listed(crashes::request_fingerprint it)
+void finding_registry::listed(crashes::element_fingerprint it)
 {
     listed_.insert(it);
     to_put_.erase(it);
--- a/src/runlink/crashes/request_fingerprint.cpp
+++ b/src/runlink/crashes/element_fingerprint.cpp
@@ -1,4 +1,4 @@
-#include "runlink/crashes/request_fingerprint.hpp"
+#include "runlink/crashes/element_fingerprint.hpp"
 
 #include <charconv>
 #include <cstdio>
@@ -13,8 +13,21 @@
 constexpr unsigned account_shift = 48;
 constexpr std::uint64_t content_mask = (std::uint64_t{1} << account_shift) - 1;
 
+/// The upper bits of all parts, which belong to no client account.
+std::uint64_t part_owner()
+{
+    return core::stable_hash("prompt part") << account_shift;
+}
+
 } // namespace
 
+std::vector<element_fingerprint> request_elements::all() const
+{
+    std::vector<element_fingerprint> out{content};
+    out.insert(out.end(), parts.begin(), parts.end());
+    return out;
+}
+
 content_hash hash_of(std::string_view method, std::string_view host, std::string_view target,
                      std::string_view body)
 {
@@ -24,31 +37,35 @@
     return content_hash{out};
 }
 
-request_fingerprint fingerprint_of(content_hash content, const core::account_id& account)
+element_fingerprint fingerprint_of(content_hash content, const core::account_id& account)
 {
     const auto owner = core::stable_hash(account.str()) << account_shift;
-    return request_fingerprint{owner | (content.value() & content_mask)};
+    return element_fingerprint{owner | (content.value() & content_mask)};
+}
+
+element_fingerprint fingerprint_of_part(std::string_view part_id)
+{
+    return element_fingerprint{part_owner() | (core::stable_hash(part_id) & content_mask)};
 }
 
-request_fingerprint fingerprint_of_part(std::string_view part_id)
+bool is_part(element_fingerprint it)
 {
-    const auto owner = core::stable_hash("prompt part") << account_shift;
-    return request_fingerprint{owner | (core::stable_hash(part_id) & content_mask)};
+    return account_part(it) == part_owner() >> account_shift;
 }
 
-std::uint64_t account_part(request_fingerprint it)
+std::uint64_t account_part(element_fingerprint it)
 {
     return it.value() >> account_shift;
 }
 
-std::string to_hex(request_fingerprint it)
+std::string to_hex(element_fingerprint it)
 {
     char out[17];
     std::snprintf(out, sizeof out, "%016llx", static_cast<unsigned long long>(it.value()));
     return out;
 }
 
-std::optional<request_fingerprint> from_hex(std::string_view text)
+std::optional<element_fingerprint> from_hex(std::string_view text)
 {
     constexpr std::size_t digits = 16;
     constexpr int base = 16;
@@ -56,7 +73,7 @@
     const auto [last, ec] = std::from_chars(text.data(), text.data() + text.size(), n, base);
     if (text.size() != digits || ec != std::errc{} || last != text.data() + text.size())
         return std::nullopt;
-    return request_fingerprint{n};
+    return element_fingerprint{n};
 }
 
 } // namespace runlink::crashes
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -79,7 +79,7 @@
     out.announce_limits = [this](const std::vector<core::instance_id>& to,
                                  const std::vector<places::limit_report>& it) { on_limits_told(to, it); };
     out.announce_leaving = [this](const routing::leaving_notices& it) { on_leaving_told(it); };
-    out.found_harmful = [this](crashes::request_fingerprint it) { on_harmful_found(it); };
+    out.found_harmful = [this](crashes::element_fingerprint it) { on_harmful_found(it); };
     out.run_began = [this](const core::account_id& it) { on_run_began(it); };
     out.log = [this](const routing::decision& it) { log(it); };
     out.ended = [this](const routing::decision& it, core::duration after) { on_ended(it, after); };
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -82,7 +82,7 @@
     };
     gateway_.on_leaving_told = [this](const routing::leaving_notices& it) { gossip_.broadcast(it); };
     gateway_.on_run_began = [this](const core::account_id& it) { duties_.on_run_began(it); };
-    gateway_.on_harmful_found = [this](crashes::request_fingerprint it)
+    gateway_.on_harmful_found = [this](crashes::element_fingerprint it)
     {
         if (!findings_.found(clock_(), it))
             log_state("finding_not_recorded", to_hex(it));
--- a/src/runlink/gateway/gateway_daemon_store.cpp
+++ b/src/runlink/gateway/gateway_daemon_store.cpp
@@ -90,7 +90,7 @@
     std::vector<routing::endpoint_entry> endpoints;
     std::vector<core::endpoint_name> unreadable;
     std::set<core::failure_domain_id> evacuated;
-    std::set<crashes::request_fingerprint> harmful;
+    std::set<crashes::element_fingerprint> harmful;
     std::set<core::service_id> ordered;
     std::set<core::service_id> recorded;
     bool has_lease = false;
@@ -109,7 +109,7 @@
         if (const auto* evacuation = std::get_if<control::evacuation_key>(&name))
             evacuated.insert(evacuation->domain);
         if (const auto* finding = std::get_if<control::harmful_key>(&name))
-            harmful.insert(finding->request);
+            harmful.insert(finding->element);
         if (const auto* order = std::get_if<control::order_key>(&name))
             ordered.insert(order->service);
         if (const auto* record = std::get_if<control::record_key>(&name))
@@ -154,9 +154,9 @@
         registry_.unlisted(peer->id);
     if (const auto* harmful = std::get_if<control::harmful_key>(&name); harmful != nullptr && it.is_deleted)
     {
-        findings_.unlisted(harmful->request);
+        findings_.unlisted(harmful->element);
         if (relay_.is_direct())
-            findings_.found(now, harmful->request);
+            findings_.found(now, harmful->element);
     }
 }
 
@@ -194,7 +194,7 @@
         log_.write(now, rollout_order_line(*order), observe::log_rank::vital);
     }
     else if (const auto* harmful = std::get_if<control::harmful_entry>(&document))
-        apply_harmful(now, harmful->request);
+        apply_harmful(now, *harmful);
     else if (const auto* peer = std::get_if<control::peer_entry>(&document))
         apply_peer(now, *peer);
     else if (const auto* evacuation = std::get_if<places::evacuation>(&document))
@@ -271,7 +271,7 @@
         drop_peer(peer->id);
     }
     if (const auto* harmful = std::get_if<control::harmful_key>(&name))
-        remove_harmful(now, harmful->request);
+        remove_harmful(now, harmful->element);
     if (const auto* evacuation = std::get_if<control::evacuation_key>(&name))
         forwarder_.on_readmitted(now, evacuation->domain);
     if (const auto* order = std::get_if<control::order_key>(&name))
@@ -284,13 +284,13 @@
         remove_record(now, record->service);
 }
 
-void gateway_daemon::apply_harmful(core::time_point now, crashes::request_fingerprint it)
+void gateway_daemon::apply_harmful(core::time_point now, const control::harmful_entry& it)
 {
-    findings_.listed(it);
-    forwarder_.attribution().on_recorded(now, it);
+    findings_.listed(it.element);
+    forwarder_.attribution().on_recorded(now, it.element, it.companions);
 }
 
-void gateway_daemon::remove_harmful(core::time_point now, crashes::request_fingerprint it)
+void gateway_daemon::remove_harmful(core::time_point now, crashes::element_fingerprint it)
 {
     findings_.unlisted(it);
     forwarder_.attribution().on_unrecorded(now, it);
@@ -301,7 +301,8 @@
 {
     control::kv_transaction write;
     for (const auto e : it.put)
-        write.writes.push_back(binding_.documents.write_harmful({e}));
+        write.writes.push_back(
+            binding_.documents.write_harmful({e, forwarder_.attribution().companions_of(e)}));
     for (const auto e : it.removed)
         write.removals.push_back(binding_.documents.write_harmful({e}).key);
     log_state("findings_written",
--- a/src/runlink/proto/gossip_codec.cpp
+++ b/src/runlink/proto/gossip_codec.cpp
@@ -130,14 +130,14 @@
         report->set_endpoint(e.endpoint.value());
         for (const auto& run : e.running)
         {
-            report->add_requests(run.request.value());
+            report->add_requests(run.element.value());
             report->add_ran_ms(static_cast<std::uint32_t>(run.run_duration.count()));
         }
     }
     for (const auto& e : it.trials)
     {
         auto* trial = out.add_trials();
-        trial->set_request(e.request.value());
+        trial->set_request(e.element.value());
         trial->set_endpoint(e.endpoint.value());
         trial->set_over(e.is_over);
         trial->set_reached(e.has_reached);
@@ -145,8 +145,10 @@
     for (const auto& e : it.findings)
     {
         auto* finding = out.add_findings();
-        finding->set_request(e.request.value());
-        finding->set_harmful(e.what == crashes::request_effect::harmful);
+        finding->set_request(e.element.value());
+        finding->set_harmful(e.what == crashes::element_effect::harmful);
+        for (const auto companion : e.companions)
+            finding->add_companions(companion.value());
     }
 }
 
@@ -318,16 +320,21 @@
         const auto n = std::min(e.requests_size(), e.ran_ms_size());
         for (int i = 0; i < n; ++i)
             report.running.push_back(
-                {crashes::request_fingerprint{e.requests(i)}, core::milliseconds{e.ran_ms(i)}});
+                {crashes::element_fingerprint{e.requests(i)}, core::milliseconds{e.ran_ms(i)}});
         out.reports.push_back(std::move(report));
     }
     for (const auto& e : in.trials())
-        out.trials.push_back({crashes::request_fingerprint{e.request()},
+        out.trials.push_back({crashes::element_fingerprint{e.request()},
                               crashes::endpoint_id_hash{e.endpoint()}, e.over(), e.reached()});
     for (const auto& e : in.findings())
-        out.findings.push_back(
-            {crashes::request_fingerprint{e.request()},
-             e.harmful() ? crashes::request_effect::harmful : crashes::request_effect::harmless});
+    {
+        crashes::element_finding finding{crashes::element_fingerprint{e.request()},
+                                         e.harmful() ? crashes::element_effect::harmful
+                                                     : crashes::element_effect::harmless};
+        for (const auto companion : e.companions())
+            finding.companions.emplace_back(companion);
+        out.findings.push_back(std::move(finding));
+    }
     return out;
 }
 
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -184,7 +184,7 @@
     if (to.is_trial)
     {
         ++counters_.trials;
-        attribution_.begin_trial(now, request_flow.fingerprint, crashes::hash_of_endpoint_id(endpoint.id));
+        attribution_.begin_trial(now, request_flow.elements, crashes::hash_of_endpoint_id(endpoint.id));
     }
     log_dispatched(now, request_flow, order, record);
     attempts_.emplace(order.id, std::move(record));
@@ -200,7 +200,7 @@
     line.model = sent.model.str();
     line.via = sent.via.str();
     line.session = it.request.session.str();
-    line.content = to_hex(it.fingerprint);
+    line.content = to_hex(it.elements.content);
     line.parts = text_of_parts(it);
     line.reason = sent.is_trial ? "trial" : "";
     line.attempt = sent.number;
@@ -279,7 +279,7 @@
     if (!out.via.empty())
         paths_.finished(out.via);
     if (out.is_trial)
-        attribution_.end_trial(now, it.fingerprint, crashes::hash_of_endpoint_id(out.endpoint),
+        attribution_.end_trial(now, it.elements, crashes::hash_of_endpoint_id(out.endpoint),
                                out.may_have_run);
     return out;
 }
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -50,7 +50,7 @@
     // An endpoint may fail at once without running the request, so an error does not clear a suspected
     // request.
     if (!refused && !is_bad)
-        attribution_.on_answered(now, request_flow->fingerprint);
+        attribution_.on_answered(now, request_flow->elements);
     auto from = take_attempt(now, id);
     liveness_.heard(now, from->endpoint);
     auto line = describe(now, *request_flow, refused ? "endpoint_refused" : "endpoint_answered");
@@ -219,7 +219,7 @@
         return;
     // A resumed stream without further events shows nothing about the effect of the request on an endpoint.
     if (attempts_.at(id).events > 0)
-        attribution_.on_answered(now, it->fingerprint);
+        attribution_.on_answered(now, it->elements);
     auto from = take_attempt(now, id);
     sample_end(now, *it, *from, false);
     pin(now, *it, from->version);
@@ -257,7 +257,7 @@
     line.endpoint = from->endpoint.str();
     line.via = from->via.str();
     line.reason = to_string(loss);
-    line.content = to_hex(it.fingerprint);
+    line.content = to_hex(it.elements.content);
     line.parts = text_of_parts(it);
     line.attempt = from->number;
     hooks_.log(line);
@@ -292,7 +292,7 @@
 void request_forwarder::end_without_answer(time_point now, flow& it, core::errc why)
 {
     cancel_attempts(now, it);
-    if (attribution_.judge(now, it.fingerprint) == crashes::permission::refused)
+    if (attribution_.judge(now, it.elements) == crashes::permission::refused)
     {
         why = core::errc::request_harmful;
         ++counters_.harmful_refused;
@@ -323,7 +323,7 @@
 {
     auto line = describe(now, it, "ended");
     line.reason = outcome;
-    line.content = to_hex(it.fingerprint);
+    line.content = to_hex(it.elements.content);
     line.parts = text_of_parts(it);
     line.status = status;
     line.attempt = it.sends;
@@ -343,8 +343,8 @@
 {
     constexpr std::size_t max_logged_parts = 8;
     std::string out;
-    for (std::size_t n = 0; n < std::min(it.parts.size(), max_logged_parts); ++n)
-        out.append(n == 0 ? "" : ",").append(to_hex(it.parts[n]));
+    for (std::size_t n = 0; n < std::min(it.elements.parts.size(), max_logged_parts); ++n)
+        out.append(n == 0 ? "" : ",").append(to_hex(it.elements.parts[n]));
     return out;
 }
 
--- a/src/runlink/routing/request_forwarder_arrival.cpp
+++ b/src/runlink/routing/request_forwarder_arrival.cpp
@@ -19,9 +19,9 @@
 /// Parts of a prompt that are examined for crashes; bounds the cost of a request and of reports.
 constexpr std::size_t max_examined_parts = 64;
 
-std::vector<crashes::request_fingerprint> shared_parts_of(const inbound_request& it)
+std::vector<crashes::element_fingerprint> shared_parts_of(const inbound_request& it)
 {
-    std::vector<crashes::request_fingerprint> out;
+    std::vector<crashes::element_fingerprint> out;
     const auto shared = it.prompt.empty() ? 0 : it.prompt.size() - 1;
     const auto n = std::min(shared, max_examined_parts);
     out.reserve(n);
@@ -72,7 +72,7 @@
         ++counters_.refused;
         auto line = describe(now, it, "refused");
         line.reason = to_string(why->why.code);
-        line.content = to_hex(it.fingerprint);
+        line.content = to_hex(it.elements.content);
         line.status = why->status;
         line.outcome = core::run_outcome::not_run;
         hooks_.log(line);
@@ -121,9 +121,9 @@
         return unavailable(core::errc::deadline_exceeded, "arrival");
     if (stop_ && now >= stop_->closed_from && request_flow.deadline > stop_->end)
         return unavailable(core::errc::stopping, "instance");
-    request_flow.fingerprint = crashes::fingerprint_of(request_flow.request.content, request_flow.account);
-    request_flow.parts = shared_parts_of(request_flow.request);
-    if (attribution_.judge(now, request_flow.fingerprint) == crashes::permission::refused)
+    request_flow.elements = {crashes::fingerprint_of(request_flow.request.content, request_flow.account),
+                             shared_parts_of(request_flow.request)};
+    if (attribution_.judge(now, request_flow.elements) == crashes::permission::refused)
     {
         ++counters_.harmful_refused;
         return unavailable(core::errc::request_harmful, "content");
@@ -153,7 +153,7 @@
 milliseconds request_forwarder::retry_after(time_point now, const flow& it) const
 {
     // A retry before this time would be refused again.
-    if (const auto left = attribution_.refusal_time_left(now, it.fingerprint); left > duration{})
+    if (const auto left = attribution_.refusal_time_left(now, it.elements); left > duration{})
         return std::chrono::ceil<milliseconds>(left);
     const auto expected = expected_prompt(now, it);
     const auto wait = expected ? expected->wait : it.service.empty() ? duration{} : time_to_slot(now, it);
--- a/src/runlink/routing/request_forwarder_crashes.cpp
+++ b/src/runlink/routing/request_forwarder_crashes.cpp
@@ -15,13 +15,13 @@
     crashes::crash_attribution::hooks out;
     out.broadcast = [this](const crashes::crash_message& it) { hooks_.announce_crashes(it); };
     out.ended = [this](time_point now, crashes::endpoint_id_hash it) { on_endpoint_ended(now, it); };
-    out.suspected = [this](time_point now, crashes::request_fingerprint it)
+    out.suspected = [this](time_point now, crashes::element_fingerprint it)
     {
         ++counters_.suspected;
         log_attribution(now, "request_suspected", it, "");
         suspected_.push_back(it);
     };
-    out.marked_harmful = [this](time_point now, crashes::request_fingerprint it, bool is_own)
+    out.marked_harmful = [this](time_point now, crashes::element_fingerprint it, bool is_own)
     {
         ++counters_.found_harmful;
         log_attribution(now, "request_harmful", it, is_own ? "found" : "told");
@@ -47,7 +47,7 @@
     if (!from.may_have_run || endpoints_.is_leaving(from.endpoint))
         return;
     const bool is_first = attribution_.on_connection_broken(
-        now, it.fingerprint, crashes::hash_of_endpoint_id(from.endpoint), from.started);
+        now, it.elements, crashes::hash_of_endpoint_id(from.endpoint), from.started);
     if (is_first && probes_endpoint && endpoint != nullptr &&
         !evacuations_.contains(endpoint->failure_domain))
         ask(*endpoint);
@@ -141,11 +141,11 @@
                                       : core::errc::overloaded);
 }
 
-std::vector<flow_id> request_forwarder::flows_of(crashes::request_fingerprint it) const
+std::vector<flow_id> request_forwarder::flows_of(crashes::element_fingerprint it) const
 {
     std::vector<flow_id> out;
     for (const auto& [id, e] : flows_)
-        if (e.fingerprint == it)
+        if (e.elements.contains(it))
             out.push_back(id);
     return out;
 }
@@ -158,12 +158,13 @@
         end_copies(now, it);
 }
 
-void request_forwarder::withdraw_copies(time_point now, crashes::request_fingerprint it)
+void request_forwarder::withdraw_copies(time_point now, crashes::element_fingerprint it)
 {
     // An answer, or a finding of another instance, may have cleared the request in the meantime.
     if (attribution_.judge(now, it) == crashes::permission::free)
         return;
-    // Each copy that is queued at an endpoint could crash that endpoint. A copy in an isolated run is kept.
+    // Each request that is queued at an endpoint could crash that endpoint. A copy in an isolated run is
+    // kept.
     for (const auto id : flows_of(it))
     {
         auto& e = flows_.at(id);
@@ -189,10 +190,11 @@
     }
 }
 
-void request_forwarder::end_copies(time_point now, crashes::request_fingerprint it)
+void request_forwarder::end_copies(time_point now, crashes::element_fingerprint it)
 {
     for (const auto id : flows_of(it))
-        if (auto& e = flows_.at(id); !is_exempt_from_verdict(e))
+        if (auto& e = flows_.at(id);
+            !is_exempt_from_verdict(e) && attribution_.judge(now, e.elements) == crashes::permission::refused)
             end_without_answer(now, e, core::errc::request_harmful);
 }
 
@@ -208,13 +210,13 @@
 }
 
 void request_forwarder::log_attribution(time_point now, std::string_view event,
-                                        crashes::request_fingerprint it, std::string_view reason)
+                                        crashes::element_fingerprint it, std::string_view reason)
 {
     const auto standing = attribution_.suspicion_of(now, it);
     decision line;
     line.event = event;
     line.reason = reason;
-    line.content = to_hex(it);
+    (is_part(it) ? line.parts : line.content) = to_hex(it);
     line.ends = static_cast<std::int64_t>(standing.ends);
     line.trials = standing.trials;
     line.evidence_age_ms = std::chrono::floor<milliseconds>(standing.age).count();
--- a/src/runlink/routing/request_forwarder_succession.cpp
+++ b/src/runlink/routing/request_forwarder_succession.cpp
@@ -14,9 +14,9 @@
     // of the request wait for it.
     const bool is_trial = std::any_of(it.attempts.begin(), it.attempts.end(),
                                       [this](attempt_id id) { return attempts_.at(id).is_trial; });
-    if (is_trial && attribution_.may_repeat_trial(it.fingerprint))
+    if (is_trial && attribution_.may_repeat_trial(it.elements))
         return crashes::permission::alone;
-    return attribution_.judge(now, it.fingerprint);
+    return attribution_.judge(now, it.elements);
 }
 
 succession_input request_forwarder::input_of(time_point now, const flow& it, bool costs_allowance)
@@ -154,7 +154,7 @@
     it.denied = why;
     ++counters_.successors_denied;
     auto line = describe(now, it, event);
-    line.content = to_hex(it.fingerprint);
+    line.content = to_hex(it.elements.content);
     line.attempt = it.sends;
     line.time_left_ms = std::chrono::floor<milliseconds>(it.deadline - now).count();
     describe_denial(now, it, line);
