BUDGET: an answer that ended with its connection clears nothing until its endpoint is heard from

Callers saw: where answers have neither length nor chunks, an endpoint that crashed and closed its connections gave a complete answer, and the request that had crashed it was cleared at every instance. A stream that ended so before its first event came as 200 with nothing in it.

Cause: complete by its framing was taken for proof that the endpoint had survived.

Change: such an answer is forwarded at once and kept as unproven. Bytes of the endpoint 50 ms later or a connection that comes up prove it; an end of the endpoint counts under its elements. A probe is sent only where it may decide something: an element under which an endpoint ended, a content that was answered so before, a part without an answer for 10 s. A trial waits for the proof as it does after a broken connection. A stream that ends so without an event is broken off and sent again, a resumed one too. Resets were never an end, and a carried connection passes the difference on (both unchanged).

Why it holds: the two things that the end of a connection may mean are told apart by the endpoint's next sign of life, which a crash cannot give.

--- a/include/runlink/crashes/crash_attribution.hpp
+++ b/include/runlink/crashes/crash_attribution.hpp
@@ -16,6 +16,7 @@
 #include "runlink/crashes/crash_messages.hpp"
 #include "runlink/crashes/end_rate.hpp"
 #include "runlink/crashes/recent_set.hpp"
+#include "runlink/crashes/unproven_answers.hpp"
 
 namespace runlink::crashes
 {
@@ -74,6 +75,14 @@
     std::vector<milliseconds> resend_delays{milliseconds{200}, milliseconds{1000}};
     /// A complete answer at this instance clears elements that become suspected within this time after it.
     milliseconds answer_validity{2000};
+    /// An endpoint whose bytes arrive this long after an answer ended with its connection did not crash under
+    /// that answer. Longer than the time for which such bytes may be on their way.
+    milliseconds heard_margin{50};
+    /// A part that was answered within this time needs no probe after an answer that ended with its
+    /// connection.
+    milliseconds proof_interval{10000};
+    /// Such an answer is kept for this long, in which the store drops the entry of an endpoint that crashed.
+    milliseconds unproven_retention{5000};
     std::size_t max_tracked_elements = 1024;
     std::size_t max_answered_elements = 4096;
     std::size_t max_tracked_endpoints =
@@ -166,6 +175,15 @@
     void on_ended(time_point now, endpoint_id_hash at);
     /// A request got a complete answer at this instance.
     void on_answered(time_point now, const request_elements& of);
+    /// A request got an answer that ended with its connection, as the crash of an endpoint ends it too.
+    /// Counts as complete only once the endpoint has been heard from after it. Returns whether the caller
+    /// should check if the endpoint still accepts connections.
+    bool on_answered_until_close(time_point now, const request_elements& of, endpoint_id_hash at,
+                                 time_point sent_at);
+    /// Bytes of the endpoint have arrived.
+    void on_heard(time_point now, endpoint_id_hash from);
+    /// The endpoint has accepted a connection that was opened after the latest answer.
+    void on_reached(time_point now, endpoint_id_hash what);
     /// Handles a message of another instance.
     void on_message(time_point now, const crash_message& it);
 
@@ -270,6 +288,9 @@
     void mark_harmful(time_point now, element_fingerprint it,
                       const std::vector<element_fingerprint>& companions, bool is_own);
     void attribute_to_harmful(endpoint_id_hash by_harmful);
+    /// Answers of the endpoint that ended by `until` are complete.
+    void prove_answers(time_point now, endpoint_id_hash from, time_point until);
+    bool needs_probe(time_point now, const request_elements& of) const;
     /// Removes the element's record, unless it is known to be harmful by itself.
     void clear(element_fingerprint it);
     void remove_companion(element_fingerprint it);
@@ -290,6 +311,7 @@
     hooks hooks_;
     std::map<element_fingerprint, record> records_;
     std::map<endpoint_id_hash, unconfirmed_loss> unconfirmed_losses_;
+    unproven_answers unproven_;
     std::optional<time_point> flush_at_;
     std::set<element_fingerprint> on_trial_;   ///< elements whose record has an `active_trial`
     std::set<element_fingerprint> pending_;    ///< elements whose record has a `suspect_from`
--- a/include/runlink/routing/messages.hpp
+++ b/include/runlink/routing/messages.hpp
@@ -76,6 +76,8 @@
     bool is_sealed = false; ///< carries the endpoint's digest
     bool is_event_stream = false;
     std::optional<int> confidence; ///< 0 to 100, the model's confidence in its answer
+    /// Neither a length nor chunks: only the end of the connection tells that the answer is complete.
+    bool ends_with_connection = false;
 };
 
 /// What an endpoint states about itself in the head of an answer.
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -216,6 +216,7 @@
         time_point started{};
         duration expected{}; ///< estimated time to the first byte, from backlog and prompt; 0: unknown
         bool has_head = false;
+        bool ends_with_connection = false; ///< see `attempt_head`
         std::optional<time_point> first_event;
         std::uint32_t events = 0;
         answer_counts counted;   ///< what was already counted in the version statistics
@@ -333,6 +334,11 @@
     /// once to find out whether it has ended: then all its requests are cut, and one of them may be the
     /// cause.
     void report_broken(time_point now, const flow& it, const attempt& from, bool probes_endpoint);
+    /// Tells the crash attribution that an attempt was answered, and probes the endpoint if only the end of
+    /// the connection shows that the answer is complete.
+    void report_answered(time_point now, const flow& it, const attempt& from, bool ends_with_connection);
+    /// Bytes of the endpoint have arrived.
+    void on_heard(time_point now, const endpoint_id& id);
     void on_endpoint_ended(time_point now, crashes::endpoint_id_hash it);
     void report_endpoint_ended(time_point now, const endpoint_id& id, std::string_view how);
     void log_attribution(time_point now, std::string_view event, crashes::element_fingerprint it,
--- a/src/runlink/crashes/crash_attribution.cpp
+++ b/src/runlink/crashes/crash_attribution.cpp
@@ -179,6 +179,7 @@
     if (const auto found = unconfirmed_losses_.find(where);
         found != unconfirmed_losses_.end() && !found->second.has_ended)
         unconfirmed_losses_.erase(found);
+    unproven_.take(where, now);
     for (const auto it : on_trial_)
         if (auto& trial = records_.at(it).active_trial;
             trial->is_own && trial->endpoint == where && trial->verdict_at)
@@ -192,6 +193,11 @@
         rate_.ended(now, where);
         hooks_.ended(now, where);
     }
+    for (auto& it : unproven_.take(where, now))
+    {
+        auto& loss = unconfirmed_losses_.try_emplace(where).first->second;
+        loss.attempts.push_back({std::move(it.elements), it.sent_at});
+    }
     const auto found = unconfirmed_losses_.find(where);
     if (found == unconfirmed_losses_.end())
         return;
@@ -355,6 +361,7 @@
                   [&](const auto& it) {
                       return !it.second.has_ended && now - it.second.at >= options_.end_confirmation_timeout;
                   });
+    unproven_.expire(now - options_.unproven_retention);
     for (auto& [request, it] : records_)
     {
         if (!it.harmful_until || now < *it.harmful_until || it.is_recorded)
--- a/src/runlink/crashes/crash_attribution_trials.cpp
+++ b/src/runlink/crashes/crash_attribution_trials.cpp
@@ -44,17 +44,18 @@
                 tried.push_back(it);
     if (tried.empty())
         return;
+    const bool is_unclear = unconfirmed_losses_.contains(where) || unproven_.contains(where);
     for (const auto it : tried)
     {
         auto& record = records_.at(it);
-        // The connection broke, and it is not yet known whether the endpoint has ended.
-        if (unconfirmed_losses_.contains(where))
+        // The connection ended, and it is not yet known whether the endpoint has ended.
+        if (is_unclear)
             record.active_trial->verdict_at =
                 now + options_.end_confirmation_timeout + options_.verdict_delay;
         else
             record.trials -= has_reached ? 0 : 1;
     }
-    if (!unconfirmed_losses_.contains(where))
+    if (!is_unclear)
         conclude_trial(now, tried, where, has_reached);
 }
 
@@ -267,6 +268,42 @@
     }
 }
 
+bool crash_attribution::needs_probe(time_point now, const request_elements& of) const
+{
+    // The content of most requests is new, and a probe after each of them would double the connections.
+    if (find(of.content) != nullptr || unproven_.has_content(of.content))
+        return true;
+    return std::any_of(of.parts.begin(), of.parts.end(),
+                       [&](element_fingerprint it)
+                       { return find(it) != nullptr || !answered_since(it, now - options_.proof_interval); });
+}
+
+bool crash_attribution::on_answered_until_close(time_point now, const request_elements& of,
+                                                endpoint_id_hash where, time_point sent_at)
+{
+    if (ended_.contains(where))
+        return on_connection_broken(now, of, where, sent_at);
+    const bool out = needs_probe(now, of);
+    unproven_.add(where, {of, sent_at, now});
+    return out;
+}
+
+void crash_attribution::on_heard(time_point now, endpoint_id_hash from)
+{
+    prove_answers(now, from, now - options_.heard_margin);
+}
+
+void crash_attribution::on_reached(time_point now, endpoint_id_hash what)
+{
+    prove_answers(now, what, now);
+}
+
+void crash_attribution::prove_answers(time_point now, endpoint_id_hash from, time_point until)
+{
+    for (const auto& it : unproven_.take(from, until))
+        on_answered(now, it.elements);
+}
+
 void crash_attribution::clear(element_fingerprint it)
 {
     const auto* record = find(it);
--- a/src/runlink/crashes/crash_parts_test.cpp
+++ b/src/runlink/crashes/crash_parts_test.cpp
@@ -188,3 +188,53 @@
     CHECK(instance.attribution.size() <= options.max_tracked_elements);
     CHECK(instance.attribution.suspicion_of(instance.now, harmful_part).ends == 2);
 }
+
+// Guards against clearing a harmful element by the end of a connection that its crash closed.
+TEST_CASE("an answer that ended with its connection proves nothing until its endpoint is heard from")
+{
+    observer instance;
+    const endpoint_id_hash endpoint{1};
+    const auto sent_at = instance.now;
+    instance.end(2, {request_with({harmful_part})});
+    CHECK(instance.attribution.on_answered_until_close(instance.now, request_with({harmful_part}), endpoint,
+                                                       sent_at));
+    CHECK(instance.attribution.suspicion_of(instance.now, harmful_part).ends == 1);
+
+    SECTION("a crash that follows counts")
+    {
+        instance.attribution.on_ended(instance.now, endpoint);
+        instance.pass(instance.attribution.options().report_batch_window + milliseconds{10});
+        CHECK(instance.attribution.suspicion_of(instance.now, harmful_part).ends == 2);
+    }
+    SECTION("bytes that may have been on their way prove nothing, later ones do")
+    {
+        instance.attribution.on_heard(instance.now + milliseconds{1}, endpoint);
+        CHECK(instance.attribution.suspicion_of(instance.now, harmful_part).ends == 1);
+        instance.attribution.on_heard(instance.now + instance.attribution.options().heard_margin, endpoint);
+        CHECK(instance.attribution.suspicion_of(instance.now, harmful_part).ends == 0);
+    }
+    SECTION("a new connection proves it")
+    {
+        instance.attribution.on_reached(instance.now, endpoint);
+        CHECK(instance.attribution.suspicion_of(instance.now, harmful_part).ends == 0);
+    }
+    SECTION("an endpoint that cannot be reached proves nothing")
+    {
+        instance.attribution.on_end_not_confirmed(instance.now, endpoint);
+        instance.attribution.on_reached(instance.now, endpoint);
+        CHECK(instance.attribution.suspicion_of(instance.now, harmful_part).ends == 1);
+    }
+}
+
+TEST_CASE("few answers that end with their connection are probed")
+{
+    observer instance;
+    const endpoint_id_hash endpoint{1};
+    CHECK_FALSE(
+        instance.attribution.on_answered_until_close(instance.now, request_with({}), endpoint, instance.now));
+    CHECK(instance.attribution.on_answered_until_close(instance.now, request_with({common_part}), endpoint,
+                                                       instance.now));
+    instance.attribution.on_reached(instance.now, endpoint);
+    CHECK_FALSE(instance.attribution.on_answered_until_close(instance.now, request_with({common_part}),
+                                                             endpoint, instance.now));
+}
--- a/src/runlink/gateway/translation.cpp
+++ b/src/runlink/gateway/translation.cpp
@@ -165,6 +165,7 @@
     int n = 0;
     if (const auto* it = head.fields.find(names.confidence); it != nullptr && parse_number(*it, n))
         out.confidence = n;
+    out.ends_with_connection = head.framing == net::body_framing::until_close;
     return out;
 }
 
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -50,9 +50,9 @@
     // An endpoint may fail at once without running the request, so an error does not clear a suspected
     // request.
     if (!refused && !is_bad)
-        attribution_.on_answered(now, request_flow->elements);
+        report_answered(now, *request_flow, attempts_.at(id), head.ends_with_connection);
     auto from = take_attempt(now, id);
-    liveness_.heard(now, from->endpoint);
+    on_heard(now, from->endpoint);
     auto line = describe(now, *request_flow, refused ? "endpoint_refused" : "endpoint_answered");
     line.endpoint = from->endpoint.str();
     line.version = from->version.str();
@@ -114,7 +114,8 @@
         return;
     auto& from = attempts_.at(id);
     from.has_ended = false;
-    liveness_.heard(now, from.endpoint);
+    from.ends_with_connection = head.ends_with_connection;
+    on_heard(now, from.endpoint);
     bounds_.rests().on_accepted(from.endpoint, from.started);
     it->probe_at = now + liveness_.options().probe_after;
     note_run(*it);
@@ -201,7 +202,7 @@
     ++from.events;
     from.has_ended = false;
     from.is_stalled = false;
-    liveness_.heard(now, from.endpoint);
+    on_heard(now, from.endpoint);
     it->last_progress = now;
     it->probe_at = now + liveness_.options().probe_after;
     cancel_others(now, *it, id);
@@ -217,9 +218,13 @@
     auto* it = find(id);
     if (it == nullptr)
         return;
+    const auto& ended = attempts_.at(id);
+    // An endpoint that crashes before the first event ends the connection too.
+    if (ended.ends_with_connection && ended.events == 0)
+        return on_lost(now, id, attempt_loss::broken);
     // A resumed stream without further events shows nothing about the effect of the request on an endpoint.
-    if (attempts_.at(id).events > 0)
-        attribution_.on_answered(now, it->elements);
+    if (ended.events > 0)
+        report_answered(now, *it, ended, ended.ends_with_connection);
     auto from = take_attempt(now, id);
     sample_end(now, *it, *from, false);
     pin(now, *it, from->version);
--- a/src/runlink/routing/request_forwarder_crashes.cpp
+++ b/src/runlink/routing/request_forwarder_crashes.cpp
@@ -53,6 +53,24 @@
         ask(*endpoint);
 }
 
+void request_forwarder::report_answered(time_point now, const flow& it, const attempt& from,
+                                        bool ends_with_connection)
+{
+    if (!ends_with_connection)
+        return attribution_.on_answered(now, it.elements);
+    const auto* endpoint = endpoints_.find(from.endpoint);
+    const bool is_unclear = attribution_.on_answered_until_close(
+        now, it.elements, crashes::hash_of_endpoint_id(from.endpoint), from.started);
+    if (is_unclear && endpoint != nullptr && !evacuations_.contains(endpoint->failure_domain))
+        ask(*endpoint);
+}
+
+void request_forwarder::on_heard(time_point now, const endpoint_id& id)
+{
+    liveness_.heard(now, id);
+    attribution_.on_heard(now, crashes::hash_of_endpoint_id(id));
+}
+
 void request_forwarder::report_endpoint_ended(time_point now, const endpoint_id& id, std::string_view how)
 {
     ++counters_.endpoints_ended;
--- a/src/runlink/routing/request_forwarder_paths.cpp
+++ b/src/runlink/routing/request_forwarder_paths.cpp
@@ -119,6 +119,7 @@
     on_path_probed(now, id, what);
     if (what == core::contact::answered)
     {
+        attribution_.on_reached(now, crashes::hash_of_endpoint_id(id));
         attribution_.on_end_not_confirmed(now, crashes::hash_of_endpoint_id(id));
         return liveness_.heard(now, id);
     }
@@ -134,6 +135,7 @@
     paths_.on_carried(now, via, what != core::contact::silent);
     if (what != core::contact::answered)
         return on_unreachable(now, id, via, what);
+    attribution_.on_reached(now, crashes::hash_of_endpoint_id(id));
     attribution_.on_end_not_confirmed(now, crashes::hash_of_endpoint_id(id));
     liveness_.heard(now, id);
 }
--- a/tests/harmful_part_test.cpp
+++ b/tests/harmful_part_test.cpp
@@ -92,6 +92,18 @@
     check_bounded(scenario);
 }
 
+TEST_CASE("an answer that ended with its crashed endpoint's connection clears no harmful part")
+{
+    auto scenario = part_case();
+    scenario.answers_end_with_connection = true;
+    SECTION("8 a second") {}
+    SECTION("3 a second")
+    {
+        scenario.harmful_parts_per_s = 3;
+    }
+    check_bounded(scenario);
+}
+
 TEST_CASE("two harmful parts at the same time are both stopped")
 {
     auto scenario = part_case();
--- a/tests/support/crash_fleet.cpp
+++ b/tests/support/crash_fleet.cpp
@@ -388,7 +388,8 @@
     if (!is_current(*it))
         return;
     auto& by = *instances_[static_cast<std::size_t>(it->instance)].forwarder;
-    by.on_stream_head(now_, it->order.id, {200, false, true, true, {}});
+    it->has_head = true;
+    by.on_stream_head(now_, it->order.id, {200, false, true, true, {}, case_.answers_end_with_connection});
     const bool is_long = core::stable_hash(it->of.content) % long_one_in == 0;
     send_event(it, it->order.last_event.value_or(0) + 1, is_long ? long_events : short_events);
 }
@@ -422,13 +423,29 @@
     by.forwarder->on_lost(now_, it->order.id, how);
 }
 
+void crash_fleet::close(const send_ptr& it)
+{
+    if (!is_current(*it))
+        return;
+    auto& by = instances_[static_cast<std::size_t>(it->instance)];
+    by.sends.erase(it->order.id);
+    by.forwarder->on_stream_end(now_, it->order.id);
+}
+
 void crash_fleet::end_endpoint(endpoint& it)
 {
     if (!it.is_up)
         return;
     it.is_up = false;
     for (const auto& e : std::exchange(it.running, {}))
-        later(network_delay, [this, e] { lose(e, attempt_loss::broken); });
+        later(network_delay,
+              [this, e]
+              {
+                  if (e->has_head && case_.answers_end_with_connection)
+                      close(e);
+                  else
+                      lose(e, attempt_loss::broken);
+              });
     later(between(2000, 3000), [this, &it] { restart_endpoint(it); });
 }
 
--- a/tests/support/crash_fleet.hpp
+++ b/tests/support/crash_fleet.hpp
@@ -47,6 +47,9 @@
     /// Part of a prompt that all requests with a harmful part have, and harmless ones at this rate.
     double companion_per_s = 0;
 
+    /// Answers have neither length nor chunks, and endpoints that crash close their connections.
+    bool answers_end_with_connection = false;
+
     double popular_share = 0;   ///< share of the requests that have identical content and one client account
     double ends_per_s = 0;      ///< rate of endpoint crashes that no request causes
     milliseconds all_end_at{0}; ///< when half of the endpoints end at once; 0: never
@@ -111,6 +114,7 @@
         int instance = 0;
         int generation = 0;
         bool is_cancelled = false;
+        bool has_head = false;
     };
     using send_ptr = std::shared_ptr<send>;
     /// Orders connections that break at the same time. Ordering by pointer would depend on earlier
@@ -161,6 +165,8 @@
     void begin(const send_ptr& it);
     void send_event(const send_ptr& it, std::uint64_t event, std::uint64_t events);
     void lose(const send_ptr& it, routing::attempt_loss how);
+    /// The endpoint closed the connection without a reset.
+    void close(const send_ptr& it);
     void remove_send(const send_ptr& it);
     void end_endpoint(endpoint& it);
     void restart_endpoint(endpoint& it);
