Soak: callers of requests with a part that ends each endpoint (--harmful-parts)

Real processes; with odd seeds streams end with their connections. Checked: sends later than 3 s after the fifth end, no harmless request refused as harmful, streams served from 6 s after it as before.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -20,6 +20,8 @@
     head.fields.add(names.request_id, it.id);
     head.fields.add(names.key, it.key);
     head.fields.add(names.deadline_ms, std::to_string(it.deadline.count()));
+    if (!it.prompt.empty())
+        head.fields.add(names.prompt, it.prompt);
     if (it.picks_model)
         head.fields.add(names.model, names.any_model);
     return net::write_request(head, it.body.empty() ? "question of " + it.id : it.body);
--- a/soak/caller.hpp
+++ b/soak/caller.hpp
@@ -24,6 +24,7 @@
     std::string path;
     std::string key;
     std::string body;         ///< if empty, the caller sends a default body derived from `id`
+    std::string prompt;       ///< the parts of its prompt; empty without
     bool picks_model = false; ///< the router may choose the model
     milliseconds deadline{3000};
     /// Time after which the caller closes its connection; 0 means that it waits until its deadline.
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -121,6 +121,7 @@
 void fleet::add_endpoint(const std::string& service, const std::string& version)
 {
     auto it = std::make_unique<proxied_endpoint>("e" + std::to_string(next_endpoint_++), service, version);
+    it->server.ends_with_connection = options_.answers_end_with_connection;
     it->server.on_run = [this](const auto& by, const auto& run) { checker_.ran(now(), by, run); };
     it->server.on_arrived = [this](const auto& by, const auto& request)
     { checker_.arrived(now(), by.id(), request, by.says.requests_per_s); };
--- a/soak/fleet.hpp
+++ b/soak/fleet.hpp
@@ -33,7 +33,8 @@
     int instances = 5;
     int engines = 4;
     int services = 3;
-    milliseconds stop_grace{8000}; ///< longer than callers wait, else a planned stop cuts streams
+    bool answers_end_with_connection = false; ///< see `served_endpoint::ends_with_connection`
+    milliseconds stop_grace{8000};            ///< longer than callers wait, else a planned stop cuts streams
     milliseconds stream_timeout = standins::stream_timeout; ///< stream timeout of the route
     /// Delay, in each direction, between the store and every second instance. Proofs of the keys are old and
     /// changes late when they arrive there.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -42,7 +42,9 @@
     QTemporaryDir directory;
     directory.setAutoRemove(!keep_logs);
     deployment.directory = directory.path().toStdString();
-    soak::promise_checker checker{{}};
+    soak::promise_bounds bounds;
+    bounds.streams_end_with_connection = deployment.answers_end_with_connection;
+    soak::promise_checker checker{bounds};
     soak::fleet fleet{deployment, checker};
     soak::scenario run{options, fleet, checker};
     run.run();
@@ -83,6 +85,10 @@
     cli.add_flag("--quiet", options.is_quiet, "No faults but those of the version");
     cli.add_option("--harmful", options.harmful_callers,
                    "Callers of a request that ends each endpoint that runs it");
+    cli.add_option(
+        "--harmful-parts", options.harmful_part_callers,
+        "Callers of requests with a part in their prompts that ends each endpoint that runs them; with "
+        "odd seeds, streams end with their connections");
     cli.add_option("--suspend", deployment.shim,
                    "Also suspend instances; this library, loaded into them, stops their steady clock")
         ->check(CLI::ExistingFile);
@@ -105,6 +111,7 @@
     for (int n = 0; n < seeds; ++n)
     {
         options.seed = first + static_cast<std::uint64_t>(n);
+        deployment.answers_end_with_connection = options.harmful_part_callers > 0 && options.seed % 2 == 1;
         failed += run_seed(options, deployment, keep_logs) ? 0 : 1;
     }
     std::cout << seeds - failed << " passed, " << failed << " failed\n";
--- a/soak/promise_checker.cpp
+++ b/soak/promise_checker.cpp
@@ -132,6 +132,7 @@
     auto& of = requests_.at(id);
     if (it.caller_closed)
         return;
+    count_beside_harmful(of, it);
     if (!of.is_harmful && it.body.find("request_harmful") != std::string::npos)
         fail("condemned: " + id + " was refused as harmful");
     if (promises_not_run(it.status))
@@ -160,18 +161,19 @@
     if (!it.has_digest)
         fail("answer: " + id + " has a success status without a digest");
     if (of.kind == request_kind::stream)
-        return check_stream(id, it);
+        return check_stream(id, of, it);
     if (it.is_whole && it.body != standins::served_endpoint::body_of(id))
         fail("answer: " + id + " got another answer: " + it.body);
 }
 
-void promise_checker::check_stream(const std::string& id, const caller_outcome& it)
+void promise_checker::check_stream(const std::string& id, const request& of, const caller_outcome& it)
 {
     for (std::size_t n = 0; n < it.events.size(); ++n)
         if (it.events[n] != n + 1)
             return fail("order: " + id + " got event " + std::to_string(it.events[n]) + " in place " +
                         std::to_string(n + 1));
-    if (it.is_whole && it.events.size() != standins::served_endpoint::event_count(id))
+    const bool may_end_early = bounds_.streams_end_with_connection && crashed_.contains(of.last_endpoint);
+    if (it.is_whole && !may_end_early && it.events.size() != standins::served_endpoint::event_count(id))
         fail("order: " + id + " ended as complete after " + std::to_string(it.events.size()) + " events");
     for (std::uint64_t n = 1; n <= it.events.size(); ++n)
         if (it.body.find("data: " + standins::served_endpoint::event_data(id, n) + "\n") == std::string::npos)
@@ -218,6 +220,7 @@
 void promise_checker::ended_under(time_point now, const std::string& id)
 {
     count_check("ended endpoints");
+    crashed_.insert(requests_.at(id).last_endpoint);
     if (requests_.at(id).is_harmful)
         harmful_ends_.push_back(now);
 }
@@ -225,12 +228,40 @@
 void promise_checker::check_harmful(time_point now, int instance)
 {
     count_check("harmful sends");
-    constexpr std::size_t third = 2;
-    if (harmful_ends_.size() > third && now - harmful_ends_[third] > bounds_.settle_time &&
+    const auto counted = counted_harmful_ends();
+    if (harmful_ends_.size() >= counted && now - harmful_ends_[counted - 1] > bounds_.settle_time &&
         is_undisturbed(now, instance))
         ++late_harmful_sends_;
 }
 
+void promise_checker::count_beside_harmful(const request& of, const caller_outcome& it)
+{
+    if (!is_harmful_by_part_ || of.is_harmful || of.kind != request_kind::stream ||
+        !is_undisturbed(of.sent, of.instance))
+        return;
+    const auto counted = counted_harmful_ends();
+    const bool is_before = harmful_ends_.empty() || of.sent < harmful_ends_.front();
+    const bool is_after =
+        harmful_ends_.size() >= counted && of.sent > harmful_ends_[counted - 1] + 2 * bounds_.settle_time;
+    if (!is_before && !is_after)
+        return;
+    auto& to = is_before ? before_harmful_ : after_harmful_;
+    ++to.all;
+    to.served += it.is_whole && is_success(it.status) ? 1 : 0;
+}
+
+void promise_checker::check_beside_harmful()
+{
+    count_check("streams before harmful ones", before_harmful_.all);
+    count_check("streams long after the fifth end", after_harmful_.all);
+    if (std::min(before_harmful_.all, after_harmful_.all) < bounds_.min_compared)
+        return;
+    if (after_harmful_.share() < bounds_.min_served_share * before_harmful_.share())
+        fail("lost: beside harmful requests " + std::to_string(after_harmful_.served) + " of " +
+             std::to_string(after_harmful_.all) + " streams were served, before " +
+             std::to_string(before_harmful_.served) + " of " + std::to_string(before_harmful_.all));
+}
+
 void promise_checker::check_cut_rates(time_point now)
 {
     for (const auto& it : cuts_.find_violations(now))
@@ -258,10 +289,12 @@
     count_check("sends to endpoints that named a limit", statements_.limited());
     count_check("rests asked for", statements_.rests());
     count_check("leaving told in answers", statements_.leaving());
+    if (is_harmful_by_part_)
+        check_beside_harmful();
     if (late_harmful_sends_ > bounds_.max_harmful_sends)
-        fail("harmful: a request that had ended three endpoints was sent " +
-             std::to_string(late_harmful_sends_) + " times more; " + std::to_string(harmful_ends_.size()) +
-             " ended in all");
+        fail("harmful: requests that had ended " + std::to_string(counted_harmful_ends()) +
+             " endpoints were sent " + std::to_string(late_harmful_sends_) + " times more; " +
+             std::to_string(harmful_ends_.size()) + " ended in all");
     if (!bad_)
         return;
     count_check("bad versions");
--- a/soak/promise_checker.hpp
+++ b/soak/promise_checker.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,16 @@
     /// Maximum number of sends of a request that has ended three endpoints, counted at instances that must
     /// have been informed of this.
     std::uint64_t max_harmful_sends = 3;
+    /// Number of ends after which these sends count, and the same for requests that have only a part in
+    /// common.
+    std::size_t harmful_ends = 3;
+    std::size_t harmful_part_ends = 5;
+    /// Streams at undisturbed instances are served at least this fraction as often later than twice
+    /// `settle_time` after the last of these ends as before the first one.
+    double min_served_share = 0.5;
+    std::uint64_t min_compared = 20;
+    /// Endpoints that crash close their connections, which ends an answer without length or chunks.
+    bool streams_end_with_connection = false;
 };
 
 /// Collects observations and reports which promises they violate.
@@ -99,6 +110,8 @@
     void bad_version(time_point now, time_point until, const std::string& version);
     /// Marks a request that ends each endpoint that runs it, as does every request with the same content.
     void harmful(const std::string& id) { requests_.at(id).is_harmful = true; }
+    /// Harmful requests have only a part of their prompts in common.
+    void harmful_by_part() { is_harmful_by_part_ = true; }
     /// Records that an endpoint's process ended while it ran the request.
     void ended_under(time_point now, const std::string& id);
     std::uint64_t ended_endpoints() const { return harmful_ends_.size(); }
@@ -137,8 +150,15 @@
     void check_exposure(time_point now, const std::string& version, int instance);
     /// Counts a harmful request that reached an endpoint.
     void check_harmful(time_point now, int instance);
+    std::size_t counted_harmful_ends() const
+    {
+        return is_harmful_by_part_ ? bounds_.harmful_part_ends : bounds_.harmful_ends;
+    }
+    /// Counts the outcome of a harmless stream before and after the ends under harmful requests.
+    void count_beside_harmful(const request& of, const caller_outcome& it);
+    void check_beside_harmful();
     void check_answer(const std::string& id, const request& of, const caller_outcome& it);
-    void check_stream(const std::string& id, const caller_outcome& it);
+    void check_stream(const std::string& id, const request& of, const caller_outcome& it);
     void check_cut_rates(time_point now);
     void count_check(const std::string& check, std::uint64_t n = 1) { check_counts_[check] += n; }
 
@@ -165,8 +185,18 @@
         std::uint64_t late = 0; ///< requests that it received after `removal_deadline`
     };
     std::optional<roll_out> bad_;
+    std::set<std::string> crashed_;        ///< endpoints whose process ended
     std::vector<time_point> harmful_ends_; ///< when endpoints ended while running a harmful request
     std::uint64_t late_harmful_sends_ = 0;
+    bool is_harmful_by_part_ = false;
+    struct served_streams
+    {
+        std::uint64_t all = 0;
+        std::uint64_t served = 0;
+        double share() const { return static_cast<double>(served) / static_cast<double>(all); }
+    };
+    served_streams before_harmful_;
+    served_streams after_harmful_;
     std::uint64_t served_ = 0;
     std::vector<std::string> faults_;
     std::map<std::string, std::uint64_t> check_counts_;
--- a/soak/scenario.cpp
+++ b/soak/scenario.cpp
@@ -6,6 +6,8 @@
 #include <QEventLoop>
 #include <QTimer>
 
+#include "runlink/core/hash.hpp"
+
 namespace runlink::soak
 {
 namespace
@@ -17,6 +19,10 @@
 constexpr milliseconds harmful_pause{40};
 constexpr milliseconds harmful_deadline{2500};
 constexpr milliseconds harmful_begin{2000};
+/// Leaves time to see how streams are served before.
+constexpr milliseconds harmful_parts_begin{5000};
+constexpr int first_parts = 3;
+constexpr int middle_parts = 10;
 constexpr milliseconds probe_interval{100};  ///< between readiness requests
 constexpr milliseconds start_patience{8000}; ///< a busy machine starts processes slowly
 /// An instance is taken to have read a request if it was sent more than this before the connection closed.
@@ -147,9 +153,13 @@
                 start_long_call(long_callers_.size() - 1);
             }
     }
-    harmful_callers_.resize(static_cast<std::size_t>(options_.harmful_callers));
-    for (int n = 0; n < options_.harmful_callers; ++n)
-        schedule(harmful_begin, [this, n] { start_harmful_call(n); });
+    const auto harmful = options_.harmful_callers + options_.harmful_part_callers;
+    harmful_callers_.resize(static_cast<std::size_t>(harmful));
+    if (options_.harmful_part_callers > 0)
+        checker_.harmful_by_part();
+    for (int n = 0; n < harmful; ++n)
+        schedule(n < options_.harmful_callers ? harmful_begin : harmful_parts_begin,
+                 [this, n] { start_harmful_call(n); });
 }
 
 void scenario::start_call(std::size_t n)
@@ -166,6 +176,8 @@
               it.id;
     it.key = pick(2) == 0 ? "key-a" : "key-b";
     it.picks_model = kind == request_kind::stream;
+    if (options_.harmful_part_callers > 0 && it.picks_model)
+        it.prompt = prompt_of(it.id, "c" + std::to_string(pick(middle_parts)));
     it.deadline = pick_time(600, 3000);
     if (pick(12) == 0)
         it.close_after = pick_time(5, 60);
@@ -198,6 +210,12 @@
              });
 }
 
+std::string scenario::prompt_of(const std::string& id, const std::string& middle)
+{
+    const auto own = std::to_string(core::stable_hash(id));
+    return "f" + std::to_string(pick(first_parts)) + ":40," + middle + ":30," + own + ":10";
+}
+
 void scenario::start_harmful_call(int n)
 {
     if (!is_loading_)
@@ -207,9 +225,12 @@
     to = std::make_unique<caller>(fleet_.instances().at(static_cast<std::size_t>(instance)).caller_port);
     call it;
     it.id = "h" + std::to_string(next_request_++);
-    it.path = std::string{"/llm/"} + standins::served_endpoint::harmful_text;
+    const bool is_by_part = n >= options_.harmful_callers;
+    it.path = "/llm/" + (is_by_part ? it.id : standins::served_endpoint::harmful_text);
     it.key = "key-a";
-    it.body = "the same each time";
+    it.body = is_by_part ? "" : "the same each time";
+    if (is_by_part)
+        it.prompt = prompt_of(it.id, standins::served_endpoint::harmful_part);
     it.picks_model = true;
     it.deadline = harmful_deadline;
     checker_.sent(now(), it.id, request_kind::stream, it.key, instance);
--- a/soak/scenario.hpp
+++ b/soak/scenario.hpp
@@ -38,6 +38,9 @@
     /// Number of callers that repeatedly send, to random instances, a request that ends each endpoint that
     /// runs it.
     int harmful_callers = 0;
+    /// Number of callers that send requests with a part in their prompts that ends each endpoint that runs
+    /// them. No two of these requests are alike, and other streams have their other parts.
+    int harmful_part_callers = 0;
     /// Endpoints state limits, rest periods or their departure in responses.
     bool has_statements = false;
     /// Instances are cut off from all endpoints for some seconds.
@@ -79,6 +82,7 @@
     void start_long_call(std::size_t caller);
     void send(caller& by, const call& it, int instance, request_kind kind, std::function<void()> then);
     void start_harmful_call(int n);
+    std::string prompt_of(const std::string& id, const std::string& middle);
     void on_outcome(const call& of, int instance, time_point sent_at, const caller_outcome& it);
     std::vector<fault> make_faults();
     void inject_fault();
--- a/standins/served_endpoint.cpp
+++ b/standins/served_endpoint.cpp
@@ -128,14 +128,19 @@
     const auto short_pace = core::stable_hash(it->request, 2) % slow_one_in == 0 ? slow_pace : pace;
     const auto own_pace = is_long(it->request) ? long_pace : short_pace;
     it->pace = how == mode::slow ? scaled(own_pace, slow_times) : own_pace;
-    it->is_harmful = it->path.find(harmful_text) != std::string::npos;
+    const auto* prompt = head.fields.find("X-Runlink-Prompt-Prefix");
+    it->is_harmful = it->path.find(harmful_text) != std::string::npos ||
+                     (prompt != nullptr && prompt->find(harmful_part) != std::string::npos);
     on_run(*this, it);
     if (it->is_harmful)
         QTimer::singleShot(survives, &context_,
-                           [this, it, generation = process_generation_]
+                           [this, from, it, generation = process_generation_]
                            {
-                               if (!it->is_over && generation == process_generation_)
-                                   on_ended(it);
+                               if (it->is_over || generation != process_generation_)
+                                   return;
+                               if (ends_with_connection)
+                                   from->finish(true);
+                               on_ended(it);
                            });
     serve(from, head, it, how);
 }
@@ -177,7 +182,8 @@
     auto fields = fields_for(it->request);
     fields.add("X-Runlink-Confidence", std::to_string(core::stable_hash(it->request, 1) % whole_percent));
     fields.add("Content-Type", "text/event-stream");
-    fields.add("Transfer-Encoding", "chunked");
+    if (!ends_with_connection)
+        fields.add("Transfer-Encoding", "chunked");
     to->write(net::write_response_head(status_ok, "OK", fields));
     step(to, it, it->first_event);
 }
@@ -191,13 +197,16 @@
         if (it->is_harmful)
             return;
         it->is_over = true;
-        to->write(net::write_chunk({}));
-        return to->finish(false);
+        if (!ends_with_connection)
+            to->write(net::write_chunk({}));
+        return to->finish(ends_with_connection);
     }
     const auto event = "id: " + std::to_string(n) + "\ndata: " + event_data(it->request, n) + "\n\n";
     // Writes each event in two chunks, so that a connection can break in the middle of an event.
-    to->write(net::write_chunk(event.substr(0, event.size() / 2)));
-    to->write(net::write_chunk(event.substr(event.size() / 2)));
+    const auto first = event.substr(0, event.size() / 2);
+    const auto second = event.substr(event.size() / 2);
+    to->write(ends_with_connection ? first : net::write_chunk(first));
+    to->write(ends_with_connection ? second : net::write_chunk(second));
     const auto wait = std::max(it->pace, pause_after(it->request, n));
     QTimer::singleShot(wait, &context_, [this, to, it, n] { step(to, it, n + 1); });
 }
--- a/standins/served_endpoint.hpp
+++ b/standins/served_endpoint.hpp
@@ -93,6 +93,10 @@
     /// Requests whose path contains this text crash the endpoint `survives` after their execution starts.
     static constexpr const char* harmful_text = "harmful";
     core::milliseconds survives{60};
+    /// Requests with this part in their prompts crash the endpoint too.
+    static constexpr const char* harmful_part = "bad0";
+    /// Streams have neither length nor chunks and end with their connection, which a crash closes too.
+    bool ends_with_connection = false;
     std::function<void(const run_ptr&)> on_ended = [](const auto&) {};
     /// Marks that a new process listens at the address and that the requests in progress are lost. A nonzero
     /// `born` distinguishes a restart under the same id.
