BUDGET: the end of an endpoint where a trial began before leads to a verdict

Now a trial knows all endpoints at which it began.

crashes_test "the end of an endpoint where a trial began before convicts as well". crash_test and harmful_part_test pass. The test of stops under load prints what its calls got; its check is unchanged.

--- a/include/runlink/crashes/crash_attribution.hpp
+++ b/include/runlink/crashes/crash_attribution.hpp
@@ -211,9 +211,13 @@
     {
         endpoint_id_hash endpoint;
         bool is_own = false;
-        time_point last_notice_at{};          ///< when its owner announced it last
-        bool has_ended = false;               ///< whether its endpoint has ended
-        std::optional<time_point> verdict_at; ///< when to decide on its outcome
+        time_point last_notice_at{}; ///< when its owner announced it last
+        /// Endpoints at which its owner began it before; the request may still run there.
+        std::set<endpoint_id_hash> earlier{};
+        bool has_ended = false;                 ///< whether one of its endpoints has ended
+        std::optional<time_point> verdict_at{}; ///< when to decide on its outcome
+
+        bool ran_at(endpoint_id_hash it) const { return endpoint == it || earlier.contains(it); }
     };
     struct record
     {
--- a/src/runlink/crashes/crash_attribution.cpp
+++ b/src/runlink/crashes/crash_attribution.cpp
@@ -291,9 +291,9 @@
     record.ends.emplace(ended, of.run_duration);
     record.latest_end_at = now;
     auto& tried = record.active_trial;
-    if (tried && tried->endpoint == ended)
+    if (tried && tried->ran_at(ended))
         record.trial_end = ended;
-    if (tried && tried->is_own && tried->endpoint == ended)
+    if (tried && tried->is_own && tried->ran_at(ended))
     {
         tried->has_ended = true;
         tried->verdict_at = now + options_.verdict_delay;
--- a/src/runlink/crashes/crash_attribution_trials.cpp
+++ b/src/runlink/crashes/crash_attribution_trials.cpp
@@ -26,7 +26,13 @@
     {
         auto& record = at(now, it);
         ++record.trials;
-        record.active_trial = trial{where, true, now, false, std::nullopt};
+        trial next{where, true, now};
+        if (record.active_trial && record.active_trial->is_own)
+        {
+            next.earlier = std::move(record.active_trial->earlier);
+            next.earlier.insert(record.active_trial->endpoint);
+        }
+        record.active_trial = std::move(next);
         on_trial_.insert(it);
         notice.trials.push_back({it, where});
     }
@@ -145,6 +151,17 @@
     const bool is_tried_out =
         std::all_of(likeliest.begin(), likeliest.end(),
                     [&](auto it) { return records_.at(it).trials >= options_.max_trials; });
+    const bool still_runs = records_.at(likeliest.front()).active_trial->has_ended && !ended_.contains(where);
+    if (still_runs && !is_certain && !is_tried_out)
+    {
+        // An endpoint ended where the trial had begun before; it goes on at the present one.
+        for (const auto it : tried)
+        {
+            records_.at(it).active_trial->has_ended = false;
+            records_.at(it).active_trial->verdict_at.reset();
+        }
+        return;
+    }
     crash_message over;
     for (const auto it : tried)
     {
@@ -379,7 +396,7 @@
         return;
     }
     record.trials += is_new ? 1 : 0;
-    record.active_trial = trial{it.endpoint, false, now, false, std::nullopt};
+    record.active_trial = trial{it.endpoint, false, now};
     on_trial_.insert(it.element);
 }
 
--- a/src/runlink/crashes/crashes_test.cpp
+++ b/src/runlink/crashes/crashes_test.cpp
@@ -43,6 +43,22 @@
           permission::alone); // the instance that ran the trial is lost
 }
 
+// Guards against a trial that is repeated elsewhere while its first endpoint is crashing: that end led to no
+// verdict.
+TEST_CASE("the end of an endpoint where a trial began before convicts as well")
+{
+    observer instance;
+    instance.end(1, {harmful_request});
+    instance.end(2, {harmful_request});
+    instance.pass(instance.attribution.options().max_trial_delay);
+    instance.attribution.begin_trial(instance.now, harmful_request, endpoint_id_hash{3});
+    REQUIRE(instance.attribution.may_repeat_trial(harmful_request));
+    instance.attribution.begin_trial(instance.now, harmful_request, endpoint_id_hash{4});
+    instance.end(3, {harmful_request});
+    instance.pass(instance.attribution.options().verdict_delay + milliseconds{10});
+    CHECK(instance.marked_harmful == std::vector{harmful_request});
+}
+
 TEST_CASE("a whole answer clears a suspect at every instance")
 {
     observer instance;
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -248,8 +248,13 @@
         group.wait_until_ready();
     }
     REQUIRE(run_until([&] { return all_done(calls); }));
-    for (const auto& it : calls)
-        CHECK((it->is_whole() || it->outcome() == "not_run" || !it->result.body_sent));
+    for (std::size_t n = 0; n < calls.size(); ++n)
+    {
+        const auto& it = *calls[n];
+        INFO("call " << n << ": status " << it.result.status << ", complete " << it.result.complete
+                     << ", outcome " << it.outcome() << ", body: " << it.body);
+        CHECK((it.is_whole() || it.outcome() == "not_run" || !it.result.body_sent));
+    }
     check_bills(group, calls);
 }
 
