Soak: streams whose key was removed are not compared beside harmful requests

Served streams stay at some 110 in 3 s before, during and after. The check counts streams with keys that hold.

--- a/soak/promise_checker.cpp
+++ b/soak/promise_checker.cpp
@@ -239,6 +239,8 @@
     if (!is_harmful_by_part_ || of.is_harmful || of.kind != request_kind::stream ||
         !is_undisturbed(of.sent, of.instance))
         return;
+    if (removed_keys_.contains(of.key))
+        return; // refused, as it has to be
     const auto counted = counted_harmful_ends();
     const bool is_before = harmful_ends_.empty() || of.sent < harmful_ends_.front();
     const bool is_after =
