A stopping instance waits until the ends of its responses have been sent

Callers saw: a stream that was complete but for its last event and its last chunk, at a planned stop, beside load.

Not the listener's queue, as was suspected: 0 of 120 calls that came around the end of the wait for the balancer were lost, nor those of three stops in which the process was held.

Cause: an instance was stopped as soon as it had no open request. The end of a response was then still in the socket's buffer in the process, which a busy machine had not written yet.

Change: it waits until no connection has unsent bytes, 2 s at most. http_test "a server knows that response bytes have not been sent yet".

--- a/include/runlink/app/daemon.hpp
+++ b/include/runlink/app/daemon.hpp
@@ -53,6 +53,7 @@
     net::http_server server_;
     QTimer tick_timer_;
     QTimer platform_timer_;
+    std::optional<core::time_point> idle_since_; ///< when a stopping instance had ended all its requests
     bool stopped_ = false;
 };
 
--- a/include/runlink/net/guarded_socket.hpp
+++ b/include/runlink/net/guarded_socket.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 
 #include <QTcpServer>
 #include <QTcpSocket>
@@ -44,15 +45,17 @@
 public:
     explicit guarded_listener(http_bounds bounds);
 
-    std::size_t connection_count() const { return connections_; }
+    std::size_t connection_count() const { return connections_.size(); }
     std::uint64_t refused_count() const { return refused_; }
+    /// Whether response bytes of any connection have not been handed to the kernel yet.
+    bool has_unsent_bytes() const;
 
 protected:
     void incomingConnection(qintptr descriptor) override;
 
 private:
     http_bounds bounds_;
-    std::size_t connections_ = 0;
+    std::set<const guarded_socket*> connections_;
     std::uint64_t refused_ = 0;
 };
 
--- a/include/runlink/net/http_server.hpp
+++ b/include/runlink/net/http_server.hpp
@@ -83,6 +83,8 @@
     /// Returns the port. Fails with `settings_invalid` if the address cannot be used.
     core::result<std::uint16_t> listen(const std::string& host, std::uint16_t port);
     std::size_t connection_count() const { return listener_.connection_count(); }
+    /// See `guarded_listener::has_unsent_bytes`.
+    bool has_unsent_bytes() const { return listener_.has_unsent_bytes(); }
     /// Number of requests refused because of framing, size or a timeout.
     std::uint64_t refused_count() const { return listener_.refused_count(); }
 
--- a/src/runlink/app/daemon.cpp
+++ b/src/runlink/app/daemon.cpp
@@ -13,6 +13,8 @@
 {
 
 constexpr int platform_poll_ms = 1000;
+/// How long a stopping instance waits for callers to read the ends of their responses.
+constexpr core::milliseconds max_flush_time{2000};
 
 core::wall_time wall_now()
 {
@@ -124,6 +126,11 @@
     metrics_.record_tick(clock_() - begin);
     if (stopped_ || !instance_->is_stopped(clock_()) || caller_api_.open_count() > 0)
         return;
+    // A process that ends loses the response bytes that it has not handed to the kernel. A caller that does
+    // not read delays the end for a limited time.
+    idle_since_ = idle_since_.value_or(begin);
+    if (server_.has_unsent_bytes() && begin - *idle_since_ < max_flush_time)
+        return;
     stopped_ = true;
     log_info("stopped");
     if (on_stopped)
--- a/src/runlink/net/guarded_socket.cpp
+++ b/src/runlink/net/guarded_socket.cpp
@@ -1,5 +1,6 @@
 #include "runlink/net/guarded_socket.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace runlink::net
@@ -94,6 +95,12 @@
 
 guarded_listener::guarded_listener(http_bounds bounds) : bounds_{bounds} {}
 
+bool guarded_listener::has_unsent_bytes() const
+{
+    return std::any_of(connections_.begin(), connections_.end(),
+                       [](const guarded_socket* it) { return it->bytesToWrite() > 0; });
+}
+
 void guarded_listener::incomingConnection(qintptr descriptor)
 {
     auto* socket = new guarded_socket{bounds_, [this] { ++refused_; }}; // owned by the HTTP server
@@ -103,7 +110,7 @@
         delete socket;
         return;
     }
-    if (connections_ >= static_cast<std::size_t>(bounds_.max_connections))
+    if (connections_.size() >= static_cast<std::size_t>(bounds_.max_connections))
     {
         ++refused_;
         socket->write(refusal_response({unavailable_status, "too many connections"}));
@@ -111,8 +118,8 @@
         connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
         return;
     }
-    ++connections_;
-    connect(socket, &QObject::destroyed, this, [this] { --connections_; });
+    connections_.insert(socket);
+    connect(socket, &QObject::destroyed, this, [this, socket] { connections_.erase(socket); });
     socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
     addPendingConnection(socket);
 }
--- a/src/runlink/net/http_test.cpp
+++ b/src/runlink/net/http_test.cpp
@@ -289,3 +289,31 @@
     REQUIRE(run_until([&] { return server.connection_count() == 1; }));
     CHECK(exchange_raw(port, "").find(" 503 ") != std::string::npos);
 }
+
+// Guards against a process that ends while the end of a response is still in its own buffer, which cuts the
+// response.
+TEST_CASE("a server knows that response bytes have not been sent yet")
+{
+    constexpr std::size_t more_than_kernel_buffers = 32 * 1024 * 1024;
+    http_bounds bounds;
+    bounds.max_unsent_bytes = 2 * more_than_kernel_buffers;
+    http_server server{bounds, [](const std::shared_ptr<http_exchange>& it)
+                       { it->send(200, {}, std::string(more_than_kernel_buffers, 'x')); }};
+    const auto port = server.listen(local, 0);
+    REQUIRE(port);
+    CHECK_FALSE(server.has_unsent_bytes());
+    QTcpSocket caller;
+    caller.setReadBufferSize(1024);
+    caller.connectToHost(local, port.value());
+    REQUIRE(run_until([&] { return caller.state() == QTcpSocket::ConnectedState; }));
+    caller.write("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(run_until([&] { return caller.bytesAvailable() > 0; }));
+    CHECK(server.has_unsent_bytes());
+    std::size_t read = 0;
+    caller.setReadBufferSize(0);
+    const auto drain = [&] { read += static_cast<std::size_t>(caller.readAll().size()); };
+    QObject::connect(&caller, &QTcpSocket::readyRead, &caller, drain);
+    drain();
+    CHECK(run_until([&] { return read > more_than_kernel_buffers; }));
+    CHECK(run_until([&] { return !server.has_unsent_bytes(); }));
+}
