Load: estimates of endpoint load move to a library of their own

The reading backlog, load digests, prompt speed and admission move from routing to the new library load, which routing uses. Settings get a block 'load', off by default and checked strictly; the configuration's engine block (slots, memory, tokens per event), the caller's guess of the length and the load header of endpoints get names. Messages between instances gain the fields for streams and requests in flight; nothing sets them yet, so no datagram changes.

--- a/include/runlink/gateway/gateway_daemon.hpp
+++ b/include/runlink/gateway/gateway_daemon.hpp
@@ -122,7 +122,7 @@
     /// Sends the load of this failure domain to the relays of the others, and the load of the others to the
     /// instances of this one.
     void exchange_loads(core::time_point now);
-    void on_load_digest(core::time_point now, const routing::load_digest& it);
+    void on_load_digest(core::time_point now, const load::load_digest& it);
     /// A call to the store sent at `sent_at` proved that the configuration was the newest.
     void note_proof(core::time_point sent_at);
     void write_record(const routing::rollout_record& it);
@@ -174,7 +174,7 @@
     std::map<core::instance_id, net::carrier_address> carriers_; ///< as told by their replies
     /// Queries for endpoints that are being connected to.
     std::map<core::endpoint_id, std::vector<paths::reach_query>> reach_queries_;
-    routing::load_exchange remote_loads_;
+    load::load_exchange remote_loads_;
     std::optional<core::time_point> next_digest_; ///< set while this relay exchanges loads with other relays
     std::optional<core::time_point> configuration_proven_at_;
     core::store_revision table_revision_;
--- a/include/runlink/gateway/gateway_settings.hpp
+++ b/include/runlink/gateway/gateway_settings.hpp
@@ -79,6 +79,7 @@
     duty_settings duties;
     std::uint32_t log_lines_per_second = 400;
     forwarding_tuning tuning;
+    load::load_options load;
 
     friend bool operator==(const gateway_settings&, const gateway_settings&) = default;
 };
--- a/include/runlink/gateway/header_names.hpp
+++ b/include/runlink/gateway/header_names.hpp
@@ -19,6 +19,7 @@
     std::string model = "Runlink-Model";
     std::string tokens = "Runlink-Tokens"; ///< prompt tokens and maximum new tokens, separated by a comma
     std::string prompt = "Runlink-Prompt"; ///< parts of the prompt as ID:TOKENS, separated by commas
+    std::string length_hint = "Runlink-Length-Hint"; ///< the caller's guess of the generated tokens
     std::string last_event = "Last-Event-Id";
     // To endpoints
     std::string account = "Runlink-Account";
@@ -31,6 +32,7 @@
     std::string limit = "Runlink-Limit";     ///< requests per second, over all instances
     std::string leaving = "Runlink-Leaving"; ///< 1: the endpoint is shutting down
     std::string brittle = "Runlink-Brittle"; ///< refusals in a second that the endpoint bears
+    std::string load = "Runlink-Load";       ///< requests running and waiting, slots, pace in hundredths
     std::string rest = "Retry-After";        ///< in seconds; read from a 503 only
     /// Fields that only the router may set. They are removed from callers' requests, in any letter case and
     /// with underscores for dashes.
--- a/include/runlink/routing/admission.hpp
+++ b/include/runlink/load/admission.hpp
@@ -7,7 +7,7 @@
 
 #include "runlink/core/units.hpp"
 
-namespace runlink::routing
+namespace runlink::load
 {
 
 /// Parameters of admission.
@@ -47,4 +47,4 @@
     admission_options options_;
 };
 
-} // namespace runlink::routing
+} // namespace runlink::load
--- a/include/runlink/routing/endpoint_backlog.hpp
+++ b/include/runlink/load/endpoint_backlog.hpp
@@ -6,14 +6,18 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <vector>
 
-#include "runlink/routing/endpoint_directory.hpp"
-#include "runlink/routing/gossip_messages.hpp"
-#include "runlink/routing/load_digest.hpp"
+#include "runlink/load/load_digest.hpp"
+#include "runlink/load/load_messages.hpp"
 
-namespace runlink::routing
+namespace runlink::load
 {
 
+using core::duration;
+using core::milliseconds;
+using core::time_point;
+
 /// Parameters of the estimate.
 struct backlog_options
 {
@@ -77,4 +81,4 @@
     std::map<endpoint_hash, time_point> remote_busy_until_;
 };
 
-} // namespace runlink::routing
+} // namespace runlink::load
--- a/include/runlink/routing/prompt_speed.hpp
+++ b/include/runlink/load/prompt_speed.hpp
@@ -10,7 +10,7 @@
 #include "runlink/core/ids.hpp"
 #include "runlink/core/units.hpp"
 
-namespace runlink::routing
+namespace runlink::load
 {
 
 /// Parameters of the estimate.
@@ -60,4 +60,4 @@
     std::map<core::model_id, samples> models_;
 };
 
-} // namespace runlink::routing
+} // namespace runlink::load
--- a/include/runlink/routing/forwarder_options.hpp
+++ b/include/runlink/routing/forwarder_options.hpp
@@ -6,10 +6,11 @@
 #include <optional>
 
 #include "runlink/crashes/crash_attribution.hpp"
+#include "runlink/load/admission.hpp"
+#include "runlink/load/load_options.hpp"
 #include "runlink/paths/path_control.hpp"
 #include "runlink/places/endpoint_bounds.hpp"
 #include "runlink/places/region_map.hpp"
-#include "runlink/routing/admission.hpp"
 #include "runlink/routing/cascade_policy.hpp"
 #include "runlink/routing/endpoint_chooser.hpp"
 #include "runlink/routing/liveness.hpp"
@@ -20,6 +21,9 @@
 namespace runlink::routing
 {
 
+using load::admission;
+using load::admission_options;
+
 /// Parameters of the forwarder.
 struct forwarder_options
 {
@@ -62,6 +66,7 @@
     /// Interval between two checks whether attempts at ended endpoints may be replaced.
     milliseconds replace_interval{100};
     places::region_map regions;
+    load::load_options load;
 };
 
 } // namespace runlink::routing
--- a/include/runlink/routing/gossip_messages.hpp
+++ b/include/runlink/routing/gossip_messages.hpp
@@ -9,6 +9,7 @@
 #include "runlink/core/ids.hpp"
 #include "runlink/core/store_revision.hpp"
 #include "runlink/core/units.hpp"
+#include "runlink/load/load_messages.hpp"
 #include "runlink/routing/answer_counts.hpp"
 
 namespace runlink::routing
@@ -17,30 +18,11 @@
 /// Hash of a session's name; identical at every instance.
 using session_hash = core::strong_number<struct session_hash_tag>;
 
-/// The lower 32 bits of the hash of an endpoint's id. It is short on the wire, and a collision only blurs
-/// an estimate.
-using endpoint_hash = core::strong_number<struct endpoint_hash_tag>;
-/// The lower 32 bits of the hash of the shared parts of a prompt and the model that reads them.
-using prompt_hash = core::strong_number<struct prompt_hash_tag>;
-
-endpoint_hash hash_of(const core::endpoint_id& id);
-/// `parts` is the hash of the shared parts of the prompt.
-prompt_hash hash_of(std::uint64_t parts, const core::model_id& model);
-
-/// A prompt was sent to an endpoint.
-struct prompt_sent
-{
-    endpoint_hash endpoint;
-    prompt_hash prompt;
-    core::milliseconds work{}; ///< expected time to read the tokens that the endpoint has not cached
-};
-
-/// An endpoint began its answer to a request, so it has read all prompts sent before that request.
-struct prompt_answered
-{
-    endpoint_hash endpoint;
-    core::milliseconds age{}; ///< time since the request was sent
-};
+using load::endpoint_hash;
+using load::hash_of;
+using load::prompt_answered;
+using load::prompt_hash;
+using load::prompt_sent;
 
 /// A session ran on a version now, or shortly before a roll-out order that has just arrived.
 struct session_run
@@ -83,6 +65,8 @@
     std::vector<version_evidence> evidence;
     std::vector<prompt_sent> prompts;
     std::vector<prompt_answered> answers;
+    std::vector<load::stream_ended> ended;
+    std::vector<load::request_counts> counts; ///< replaces what the sender announced before
 };
 
 } // namespace runlink::routing
--- a/include/runlink/routing/messages.hpp
+++ b/include/runlink/routing/messages.hpp
@@ -42,6 +42,8 @@
     model_id model;                 ///< empty if the router chooses the model
     std::uint32_t prompt_tokens = 0;
     std::uint32_t max_new_tokens = 0;
+    /// The caller's guess of the number of generated tokens: right in the median, often far off.
+    std::optional<std::uint32_t> length_hint;
     std::uint32_t body_bytes = 0;
     std::vector<prompt_part> prompt;         ///< in order; the last segment is not shared
     std::optional<std::uint64_t> last_event; ///< ID of the last stream event that the caller has
--- a/include/runlink/routing/prompt_placement.hpp
+++ b/include/runlink/routing/prompt_placement.hpp
@@ -5,15 +5,24 @@
 #include <cstdint>
 #include <vector>
 
-#include "runlink/routing/endpoint_backlog.hpp"
+#include "runlink/load/endpoint_backlog.hpp"
+#include "runlink/load/prompt_speed.hpp"
 #include "runlink/routing/endpoint_directory.hpp"
 #include "runlink/routing/gossip_messages.hpp"
 #include "runlink/routing/kept_prompts.hpp"
-#include "runlink/routing/prompt_speed.hpp"
 
 namespace runlink::routing
 {
 
+using load::backlog_options;
+using load::endpoint_backlog;
+using load::endpoint_load;
+using load::load_digest;
+using load::load_exchange;
+using load::load_exchange_options;
+using load::prompt_speed;
+using load::prompt_speed_options;
+
 /// Parameters of the placement.
 struct placement_options
 {
--- a/include/runlink/routing/routing_table.hpp
+++ b/include/runlink/routing/routing_table.hpp
@@ -13,6 +13,7 @@
 #include "runlink/core/ids.hpp"
 #include "runlink/core/units.hpp"
 #include "runlink/duties/scale_planner.hpp"
+#include "runlink/load/load_options.hpp"
 #include "runlink/places/region_map.hpp"
 #include "runlink/places/warm_up.hpp"
 
@@ -77,6 +78,7 @@
     bool runs_models = false;
     std::vector<model_price> models;
     places::cold_limit cold;
+    load::engine_limits engine{}; ///< of each endpoint, if the service runs models
     /// Set if the number of endpoints is ordered from the platform.
     std::optional<duties::scaling_limits> scaling = std::nullopt;
 };
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -130,6 +130,7 @@
     out.bounds.warm_up.senders = tuning.cold_senders;
     out.directory.last_resort_time = std::max(settings_.drain - drain_margin, core::milliseconds{0});
     out.regions = settings_.regions;
+    out.load = settings_.load;
     out.hedge_after = tuning.hedge_after;
     out.move_after = tuning.move_after;
     out.stall_after = tuning.stall_after;
--- a/src/runlink/gateway/gateway_daemon_peers.cpp
+++ b/src/runlink/gateway/gateway_daemon_peers.cpp
@@ -154,7 +154,7 @@
         on_gossip(now, *gossip);
     else if (const auto* request = std::get_if<control::sync_request>(&it))
         on_sync_request(now, *request);
-    else if (const auto* load = std::get_if<routing::load_digest>(&it))
+    else if (const auto* load = std::get_if<load::load_digest>(&it))
         on_load_digest(now, *load);
     else if (const auto* crashes = std::get_if<crashes::crash_message>(&it))
         forwarder_.on_crash_news(now, *crashes);
@@ -242,7 +242,7 @@
     forwarder_.on_remote_loads(now, far);
 }
 
-void gateway_daemon::on_load_digest(core::time_point now, const routing::load_digest& it)
+void gateway_daemon::on_load_digest(core::time_point now, const load::load_digest& it)
 {
     if (!it.domain.empty())
         remote_loads_.on_digest(now, it); // from another relay
--- a/src/runlink/gateway/gateway_settings.cpp
+++ b/src/runlink/gateway/gateway_settings.cpp
@@ -136,6 +136,36 @@
     out.stall_after = in.optional_number("stall_after", out.stall_after, 0, max_factor);
 }
 
+load::load_switch read_switch(json_object_reader& in, const std::string& name)
+{
+    const auto text = in.optional_string(name, "off");
+    if (text == "on")
+        return load::load_switch::on;
+    if (text == "scarce")
+        return load::load_switch::scarce;
+    if (text != "off")
+        in.fault(name, "must be off, on or scarce");
+    return load::load_switch::off;
+}
+
+void read_load(json_object_reader& in, load::load_options& out)
+{
+    out.engine_load = read_switch(in, "engine_load");
+    out.model_choice = read_switch(in, "model_choice");
+    out.plain_load = read_switch(in, "plain_load");
+    constexpr std::int64_t max_tokens = 1'000'000;
+    out.scarce_tokens_per_slot =
+        static_cast<std::uint32_t>(in.optional_integer("scarce_tokens_per_slot", 0, 0, max_tokens));
+    const auto forecast = in.optional_string("forecast", "ends");
+    if (forecast == "counts")
+        out.forecast = load::forecast_kind::counts;
+    else if (forecast != "ends")
+        in.fault("forecast", "must be counts or ends");
+    // The choice of a model is based on forecasts of the load of engines.
+    if (out.model_choice != load::load_switch::off && out.engine_load != out.model_choice)
+        in.fault("model_choice", "must be off or equal to engine_load");
+}
+
 void read_all(json_object_reader& in, gateway_settings& out)
 {
     const auto required = [&](const char* name, const std::function<void(json_object_reader&)>& read)
@@ -165,6 +195,7 @@
     in.object("bounds", [&](auto& e) { read_bounds(e, out); });
     in.object("duties", [&](auto& e) { read_duties(e, out.duties); });
     in.object("tuning", [&](auto& e) { read_tuning(e, out.tuning); });
+    in.object("load", [&](auto& e) { read_load(e, out.load); });
     out.log_lines_per_second = static_cast<std::uint32_t>(
         in.optional_integer("log_lines_per_second", out.log_lines_per_second, 1, max_lines_per_second));
 }
--- a/src/runlink/gateway/gateway_test.cpp
+++ b/src/runlink/gateway/gateway_test.cpp
@@ -211,6 +211,31 @@
         CHECK(bad.error().detail.find(path) != std::string::npos);
 }
 
+TEST_CASE("load tracking is off unless the settings switch it on")
+{
+    REQUIRE(parse_gateway_settings(settings_text));
+    CHECK(parse_gateway_settings(settings_text).value().load == load::load_options{});
+    const auto with = [](const std::string& block)
+    {
+        auto text = std::string{settings_text};
+        text.insert(text.find('{') + 1, "\"load\": " + block + ", ");
+        return parse_gateway_settings(text);
+    };
+    const auto on = with(R"({"engine_load": "scarce", "model_choice": "scarce", "plain_load": "on",
+                             "scarce_tokens_per_slot": 6000, "forecast": "counts"})");
+    REQUIRE(on);
+    CHECK(on.value().load.engine_load == load::load_switch::scarce);
+    CHECK(on.value().load.plain_load == load::load_switch::on);
+    CHECK(on.value().load.scarce_tokens_per_slot == 6000);
+    CHECK(on.value().load.forecast == load::forecast_kind::counts);
+    const auto wrong = with(R"({"engine_load": "yes", "forecast": "guess", "scarce_tokens_per_slot": -1,
+                                "model_choice": "on", "other": 1})");
+    REQUIRE_FALSE(wrong);
+    for (const auto* path : {"$.load.engine_load", "$.load.forecast", "$.load.scarce_tokens_per_slot",
+                             "$.load.model_choice", "$.load.other"})
+        CHECK(wrong.error().detail.find(path) != std::string::npos);
+}
+
 TEST_CASE("regions of failure domains are read, and invalid ones are reported")
 {
     auto text = std::string{settings_text};
@@ -309,12 +334,34 @@
     CHECK(back.events.at(0).is_deleted);
     CHECK(back.omitted == reply.omitted);
     CHECK(back.complete_since == 4);
-    const routing::load_digest load{core::failure_domain_id{"n"},
-                                    {{routing::endpoint_hash{7}, core::milliseconds{90}}}};
-    const auto told = std::get<routing::load_digest>(proto::decode_datagram(proto::encode(load)));
+    const load::load_digest load{core::failure_domain_id{"n"},
+                                 {{routing::endpoint_hash{7}, core::milliseconds{90}}}};
+    const auto told = std::get<load::load_digest>(proto::decode_datagram(proto::encode(load)));
     CHECK(told.domain == load.domain);
     CHECK(told.loads.at(0).endpoint.value() == 7);
     CHECK(told.loads.at(0).left == core::milliseconds{90});
+    CHECK(told.loads.at(0).running == 0);
+    auto tracked = load;
+    tracked.loads.push_back({routing::endpoint_hash{8}, core::milliseconds{0}, 5, 70'000, 900});
+    const auto streams = std::get<load::load_digest>(proto::decode_datagram(proto::encode(tracked)));
+    REQUIRE(streams.loads.size() == 2);
+    CHECK(streams.loads[1].running == 5);
+    CHECK(streams.loads[1].held_tokens == 70'000);
+    CHECK(streams.loads[1].tokens_left == 900);
+    routing::gossip_message streamed;
+    streamed.sender = core::instance_id{"a"};
+    streamed.prompts.push_back({routing::endpoint_hash{7}, routing::prompt_hash{9}, core::milliseconds{30},
+                              load::stream_hash{11}, 12'000, 380, core::milliseconds{5000}});
+    streamed.ended.push_back({routing::endpoint_hash{7}, load::stream_hash{11}});
+    streamed.counts.push_back({routing::endpoint_hash{7}, 4, true});
+    const auto changes = std::get<routing::gossip_message>(proto::decode_datagram(proto::encode(streamed)));
+    CHECK(changes.prompts.at(0).stream.value() == 11);
+    CHECK(changes.prompts.at(0).held_tokens == 12'000);
+    CHECK(changes.prompts.at(0).made_tokens == 380);
+    CHECK(changes.prompts.at(0).run_time == core::milliseconds{5000});
+    CHECK(changes.ended.at(0).stream.value() == 11);
+    CHECK(changes.counts.at(0).in_flight == 4);
+    CHECK(changes.counts.at(0).is_full);
     const auto leaving = std::get<routing::leaving_notices>(proto::decode_datagram(
         proto::encode(routing::leaving_notices{{{core::endpoint_id{"e1@5"}, core::milliseconds{70}}}})));
     REQUIRE(leaving.notices.size() == 1);
--- a/src/runlink/gateway/translation.cpp
+++ b/src/runlink/gateway/translation.cpp
@@ -118,6 +118,10 @@
         BOOST_OUTCOME_TRY(prompt, read_prompt(*it));
         out.prompt = std::move(prompt);
     }
+    std::uint32_t hint = 0;
+    if (const auto* it = head.fields.find(names.length_hint);
+        it != nullptr && parse_number(*it, hint) && hint > 0)
+        out.length_hint = hint;
     std::uint64_t last = 0;
     if (const auto* it = head.fields.find(names.last_event); it != nullptr && parse_number(*it, last))
         out.last_event = last;
--- a/src/runlink/routing/admission.cpp
+++ b/src/runlink/load/admission.cpp
@@ -1,9 +1,9 @@
-#include "runlink/routing/admission.hpp"
+#include "runlink/load/admission.hpp"
 
 #include <algorithm>
 #include <chrono>
 
-namespace runlink::routing
+namespace runlink::load
 {
 
 std::optional<core::milliseconds> admission::retry_after_if_overloaded(core::duration wait,
@@ -30,4 +30,4 @@
     return time + core::milliseconds{static_cast<core::milliseconds::rep>(more)};
 }
 
-} // namespace runlink::routing
+} // namespace runlink::load
--- a/src/runlink/routing/endpoint_backlog.cpp
+++ b/src/runlink/load/endpoint_backlog.cpp
@@ -1,9 +1,9 @@
-#include "runlink/routing/endpoint_backlog.hpp"
+#include "runlink/load/endpoint_backlog.hpp"
 
 #include <algorithm>
 #include <chrono>
 
-namespace runlink::routing
+namespace runlink::load
 {
 
 void endpoint_backlog::sent(time_point now, endpoint_hash to, duration work, bool is_own)
@@ -91,4 +91,4 @@
                   [&](const auto& it) { return it.second.entries.empty() && it.second.busy_until <= now; });
 }
 
-} // namespace runlink::routing
+} // namespace runlink::load
--- a/src/runlink/routing/load_digest.cpp
+++ b/src/runlink/load/load_digest.cpp
@@ -1,8 +1,8 @@
-#include "runlink/routing/load_digest.hpp"
+#include "runlink/load/load_digest.hpp"
 
 #include <chrono>
 
-namespace runlink::routing
+namespace runlink::load
 {
 
 void load_exchange::on_digest(core::time_point now, const load_digest& it)
@@ -27,4 +27,4 @@
     return out;
 }
 
-} // namespace runlink::routing
+} // namespace runlink::load
--- a/src/runlink/routing/gossip_messages.cpp
+++ b/src/runlink/load/load_messages.cpp
@@ -1,8 +1,8 @@
-#include "runlink/routing/gossip_messages.hpp"
+#include "runlink/load/load_messages.hpp"
 
 #include "runlink/core/hash.hpp"
 
-namespace runlink::routing
+namespace runlink::load
 {
 namespace
 {
@@ -21,4 +21,4 @@
     return prompt_hash{core::stable_hash(model.str(), parts) & low_bits};
 }
 
-} // namespace runlink::routing
+} // namespace runlink::load
--- /dev/null
+++ b/src/runlink/load/load_test.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- a/src/runlink/routing/prompt_speed.cpp
+++ b/src/runlink/load/prompt_speed.cpp
@@ -1,10 +1,10 @@
-#include "runlink/routing/prompt_speed.hpp"
+#include "runlink/load/prompt_speed.hpp"
 
 #include <algorithm>
 #include <cstddef>
 #include <vector>
 
-namespace runlink::routing
+namespace runlink::load
 {
 namespace
 {
@@ -60,4 +60,4 @@
     return per_1k * static_cast<std::int64_t>(tokens) / tokens_per_unit;
 }
 
-} // namespace runlink::routing
+} // namespace runlink::load
--- a/src/runlink/proto/gossip_codec.cpp
+++ b/src/runlink/proto/gossip_codec.cpp
@@ -60,6 +60,10 @@
         prompt->set_endpoint(static_cast<std::uint32_t>(e.endpoint.value()));
         prompt->set_prompt(static_cast<std::uint32_t>(e.prompt.value()));
         prompt->set_work_ms(static_cast<std::uint32_t>(e.work.count()));
+        prompt->set_stream(static_cast<std::uint32_t>(e.stream.value()));
+        prompt->set_held_tokens(e.held_tokens);
+        prompt->set_made_tokens(e.made_tokens);
+        prompt->set_run_ms(static_cast<std::uint32_t>(e.run_time.count()));
     }
     for (const auto& e : message.answers)
     {
@@ -67,6 +71,19 @@
         answer->set_endpoint(static_cast<std::uint32_t>(e.endpoint.value()));
         answer->set_age_ms(static_cast<std::uint32_t>(e.age.count()));
     }
+    for (const auto& e : message.ended)
+    {
+        auto* ended = out.add_ended();
+        ended->set_endpoint(static_cast<std::uint32_t>(e.endpoint.value()));
+        ended->set_stream(static_cast<std::uint32_t>(e.stream.value()));
+    }
+    for (const auto& e : message.counts)
+    {
+        auto* counts = out.add_counts();
+        counts->set_endpoint(static_cast<std::uint32_t>(e.endpoint.value()));
+        counts->set_in_flight(e.in_flight);
+        counts->set_full(e.is_full);
+    }
 }
 
 void to_wire(const control::sync_request& it, wire::Datagram& to)
@@ -110,7 +127,7 @@
         out.add_omitted(e);
 }
 
-void to_wire(const routing::load_digest& it, wire::Datagram& to)
+void to_wire(const load::load_digest& it, wire::Datagram& to)
 {
     auto& out = *to.mutable_load();
     out.set_failure_domain(it.domain.str());
@@ -119,6 +136,15 @@
         out.add_endpoints(static_cast<std::uint32_t>(e.endpoint.value()));
         out.add_left_ms(static_cast<std::uint32_t>(e.left.count()));
     }
+    const auto is_tracked = [](const load::endpoint_load& e) { return e.running > 0; };
+    if (std::none_of(it.loads.begin(), it.loads.end(), is_tracked))
+        return;
+    for (const auto& e : it.loads)
+    {
+        out.add_running(e.running);
+        out.add_held_tokens(e.held_tokens);
+        out.add_tokens_left(e.tokens_left);
+    }
 }
 
 void to_wire(const crashes::crash_message& it, wire::Datagram& to)
@@ -340,11 +366,20 @@
 
 datagram from_wire(const wire::LoadDigest& in)
 {
-    routing::load_digest out;
+    load::load_digest out;
     out.domain = core::failure_domain_id{in.failure_domain()};
     const auto n = std::min(in.endpoints_size(), in.left_ms_size());
     for (int i = 0; i < n; ++i)
-        out.loads.push_back({routing::endpoint_hash{in.endpoints(i)}, core::milliseconds{in.left_ms(i)}});
+    {
+        load::endpoint_load it{load::endpoint_hash{in.endpoints(i)}, core::milliseconds{in.left_ms(i)}};
+        if (i < in.running_size() && i < in.held_tokens_size() && i < in.tokens_left_size())
+        {
+            it.running = in.running(i);
+            it.held_tokens = in.held_tokens(i);
+            it.tokens_left = in.tokens_left(i);
+        }
+        out.loads.push_back(it);
+    }
     return out;
 }
 
@@ -381,9 +416,14 @@
         out.evidence.push_back(from_wire(e));
     for (const auto& e : in.prompts())
         out.prompts.push_back({routing::endpoint_hash{e.endpoint()}, routing::prompt_hash{e.prompt()},
-                               core::milliseconds{e.work_ms()}});
+                               core::milliseconds{e.work_ms()}, load::stream_hash{e.stream()},
+                               e.held_tokens(), e.made_tokens(), core::milliseconds{e.run_ms()}});
     for (const auto& e : in.answers())
         out.answers.push_back({routing::endpoint_hash{e.endpoint()}, core::milliseconds{e.age_ms()}});
+    for (const auto& e : in.ended())
+        out.ended.push_back({load::endpoint_hash{e.endpoint()}, load::stream_hash{e.stream()}});
+    for (const auto& e : in.counts())
+        out.counts.push_back({load::endpoint_hash{e.endpoint()}, e.in_flight(), e.full()});
     return out;
 }
 
--- a/src/runlink/routing/placement_test.cpp
+++ b/src/runlink/routing/placement_test.cpp
@@ -5,7 +5,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "runlink/routing/admission.hpp"
+#include "runlink/load/admission.hpp"
 #include "runlink/routing/endpoint_chooser.hpp"
 
 using namespace runlink;
@@ -313,7 +313,7 @@
 
 TEST_CASE("a request whose wait exceeds its deadline is refused at once, with a varying retry time")
 {
-    const admission it;
+    const load::admission it;
     CHECK_FALSE(it.retry_after_if_overloaded({}, milliseconds{20}, 1));
     CHECK_FALSE(it.retry_after_if_overloaded(milliseconds{1999}, milliseconds{2000}, 1));
     const auto first = it.retry_after_if_overloaded(milliseconds{2000}, milliseconds{2000}, 0);
