--- a/src/runlink/gateway/gateway_test.cpp
+++ b/src/runlink/gateway/gateway_test.cpp
@@ -351,7 +351,7 @@
     routing::gossip_message streamed;
     streamed.sender = core::instance_id{"a"};
     streamed.prompts.push_back({routing::endpoint_hash{7}, routing::prompt_hash{9}, core::milliseconds{30},
-                              load::stream_hash{11}, 12'000, 380, core::milliseconds{5000}});
+                                load::stream_hash{11}, 12'000, 380, core::milliseconds{5000}});
     streamed.ended.push_back({routing::endpoint_hash{7}, load::stream_hash{11}});
     streamed.counts.push_back({routing::endpoint_hash{7}, 4, true});
     const auto changes = std::get<routing::gossip_message>(proto::decode_datagram(proto::encode(streamed)));
