Load: the reading speed of prompts is learned by endpoint as well

Some endpoints read 1.3 times slower than others. The estimate without an endpoint is unchanged, and placement uses the factor only where it is told to.

Tested: load_test, routing_test, forwarding_test.

--- a/include/runlink/load/prompt_speed.hpp
+++ b/include/runlink/load/prompt_speed.hpp
@@ -9,6 +9,7 @@
 
 #include "runlink/core/ids.hpp"
 #include "runlink/core/units.hpp"
+#include "runlink/load/endpoint_factors.hpp"
 
 namespace runlink::load
 {
@@ -22,6 +23,7 @@
     std::size_t most_samples = 16;
     /// Shorter prompts are not sampled: the fixed time to the first token exceeds their reading time.
     std::uint32_t least_tokens = 1000;
+    endpoint_factor_options endpoints;
 };
 
 /// Estimates the time that a model takes to read a prompt at an idle endpoint.
@@ -31,13 +33,19 @@
 class prompt_speed
 {
 public:
-    explicit prompt_speed(prompt_speed_options options = {}) : options_{options} {}
+    explicit prompt_speed(prompt_speed_options options = {}) : options_{options}, factors_{options.endpoints}
+    {
+    }
 
     /// Adds a sample: a prompt with this many uncached tokens was read in `time`, excluding the expected
     /// wait.
     void observe(const core::model_id& model, std::uint32_t tokens, core::duration time);
     /// Expected time to read this many uncached tokens.
     core::duration time_to_read(const core::model_id& model, std::uint32_t tokens) const;
+    /// The same for an endpoint, whose factor over all models is learned as well. The estimate without an
+    /// endpoint does not depend on these factors.
+    void observe(const core::model_id& model, endpoint_hash at, std::uint32_t tokens, core::duration time);
+    core::duration time_to_read(const core::model_id& model, endpoint_hash at, std::uint32_t tokens) const;
 
 private:
     struct sample
@@ -58,6 +66,7 @@
 
     prompt_speed_options options_;
     std::map<core::model_id, samples> models_;
+    endpoint_factors factors_;
 };
 
 } // namespace runlink::load
--- a/include/runlink/routing/prompt_placement.hpp
+++ b/include/runlink/routing/prompt_placement.hpp
@@ -128,18 +128,22 @@
     }
     /// Whether a prompt is worth announcing to peers.
     bool should_announce(const placed_prompt& it) const { return it.work >= options_.least_told; }
+    /// Whether the reading speed is learned and used by endpoint, instead of by model alone.
+    void set_by_endpoint(bool it) { by_endpoint_ = it; }
     /// Drops outdated state; to be called about once a second.
     void expire(time_point now);
 
 private:
     duration cost(time_point now, const candidate& at, const prompt_need& need, bool is_home) const;
     std::uint32_t unread_tokens(time_point now, endpoint_hash at, const prompt_need& need) const;
+    duration time_to_read(const core::model_id& model, endpoint_hash at, std::uint32_t tokens) const;
 
     placement_options options_;
     core::failure_domain_id own_domain_;
     endpoint_backlog backlog_;
     kept_prompts kept_;
     prompt_speed speed_;
+    bool by_endpoint_ = false;
 };
 
 } // namespace runlink::routing
--- a/src/runlink/load/prompt_speed.cpp
+++ b/src/runlink/load/prompt_speed.cpp
@@ -1,6 +1,7 @@
 #include "runlink/load/prompt_speed.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <cstddef>
 #include <vector>
 
@@ -60,4 +61,21 @@
     return per_1k * static_cast<std::int64_t>(tokens) / tokens_per_unit;
 }
 
+void prompt_speed::observe(const core::model_id& model, endpoint_hash at, std::uint32_t tokens,
+                           core::duration time)
+{
+    if (tokens < options_.least_tokens)
+        return;
+    observe(model, tokens, time);
+    const auto expected = time_to_read(model, tokens);
+    factors_.observe(at, static_cast<double>(time.count()) / static_cast<double>(expected.count()));
+}
+
+core::duration prompt_speed::time_to_read(const core::model_id& model, endpoint_hash at,
+                                          std::uint32_t tokens) const
+{
+    const auto expected = static_cast<double>(time_to_read(model, tokens).count());
+    return core::duration{std::llround(expected * factors_.factor(at))};
+}
+
 } // namespace runlink::load
--- a/src/runlink/routing/prompt_placement.cpp
+++ b/src/runlink/routing/prompt_placement.cpp
@@ -30,6 +30,12 @@
     return need.own_tokens + (kept_.has(now, at, need.shared) ? 0 : need.shared_tokens);
 }
 
+duration prompt_placement::time_to_read(const core::model_id& model, endpoint_hash at,
+                                        std::uint32_t tokens) const
+{
+    return by_endpoint_ ? speed_.time_to_read(model, at, tokens) : speed_.time_to_read(model, tokens);
+}
+
 std::uint64_t prompt_placement::home_score(std::uint64_t id_hash, const prompt_need& need)
 {
     // A bit mixer: cheap enough to be computed for each endpoint, and each bit of both inputs counts.
@@ -59,13 +65,13 @@
 {
     const auto id = hash_of(at.endpoint->id);
     const auto wait = backlog_.time_left(now, id);
-    const auto first_token = wait + speed_.time_to_read(need.model, unread_tokens(now, id, need));
+    const auto first_token = wait + time_to_read(need.model, id, unread_tokens(now, id, need));
     auto out = wait + options_.per_request * at.in_flight;
     if (first_token > need.time_to_target)
         out += (first_token - need.time_to_target) * options_.late_weight;
-    out += speed_.time_to_read(need.model, need.own_tokens);
+    out += time_to_read(need.model, id, need.own_tokens);
     if (!is_home && !kept_.has(now, id, need.shared))
-        out += part_of(speed_.time_to_read(need.model, need.shared_tokens), options_.again_weight);
+        out += part_of(time_to_read(need.model, id, need.shared_tokens), options_.again_weight);
     if (at.endpoint->failure_domain != own_domain_)
         out += options_.far_per_kb * static_cast<std::int64_t>(need.request_bytes) / bytes_per_kb;
     return out;
@@ -96,7 +102,7 @@
     out.sent_at = now;
     out.unread_tokens = unread_tokens(now, out.endpoint, need);
     out.wait = backlog_.time_left(now, out.endpoint);
-    out.work = speed_.time_to_read(need.model, out.unread_tokens);
+    out.work = time_to_read(need.model, out.endpoint, out.unread_tokens);
     return out;
 }
 
@@ -113,9 +119,13 @@
 {
     backlog_.withdrawn(now, it.endpoint, it.sent_at);
     backlog_.answered(now, it.endpoint, it.sent_at);
-    if (it.wait < negligible_wait || it.wait * min_work_to_wait_ratio < it.work)
-        speed_.observe(it.model, it.unread_tokens,
-                       std::max<duration>(now - it.sent_at - it.wait, min_reading_time));
+    if (it.wait >= negligible_wait && it.wait * min_work_to_wait_ratio >= it.work)
+        return;
+    const auto time = std::max<duration>(now - it.sent_at - it.wait, min_reading_time);
+    if (by_endpoint_)
+        speed_.observe(it.model, it.endpoint, it.unread_tokens, time);
+    else
+        speed_.observe(it.model, it.unread_tokens, time);
 }
 
 void prompt_placement::withdrawn(time_point now, const placed_prompt& it)
