Routing: speeds and lengths are learned from streams while engine load is tracked

Every fourth event of an attempt gives a sample of the time per token, and each ended response one of the length of its route. The number of streams at an endpoint is the own one until the engine load is connected. Nothing is learned while load tracking is off.

--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -11,6 +11,8 @@
 #include <string_view>
 #include <vector>
 
+#include "runlink/load/answer_length.hpp"
+#include "runlink/load/token_speed.hpp"
 #include "runlink/paths/path_control.hpp"
 #include "runlink/places/evacuations.hpp"
 #include "runlink/routing/forwarder_hooks.hpp"
@@ -25,6 +27,13 @@
 namespace runlink::routing
 {
 
+/// What is learned from streams while the load of engines is tracked.
+struct learned_speeds
+{
+    load::token_speed tokens;
+    load::answer_length lengths;
+};
+
 /// Receives requests and the results of their attempts, and decides what is sent where and when.
 ///
 /// A refusal says `not_run` only if no attempt may have run. A request that is not idempotent has at most one
@@ -157,6 +166,7 @@
     /// Number of active requests whose API key is not in the current table.
     std::size_t count_without_key() const;
     const forwarder_counters& counters() const { return counters_; }
+    const learned_speeds& learned() const { return learned_; }
     /// Number of attempts under way at the endpoints of each service.
     std::map<service_id, std::uint32_t> running() const;
 
@@ -194,6 +204,7 @@
         /// Why no further attempt was allowed, since the latest one was sent.
         std::optional<succession_denial> denied;
         std::optional<std::uint64_t> last_event;
+        std::uint32_t events = 0; ///< forwarded to the caller, over all attempts
         time_point last_progress{};
         time_point move_denied_at{}; ///< when a move was last denied
         time_point check_at{};       ///< the time in `timers_`
@@ -219,6 +230,7 @@
         bool ends_with_connection = false; ///< see `attempt_head`
         std::optional<time_point> first_event;
         std::uint32_t events = 0;
+        time_point sampled_at{}; ///< start of the next sample of the time per token
         answer_counts counted;   ///< what was already counted in the version statistics
         bool is_trial = false;   ///< isolated run of a suspected request
         bool has_ended = false;  ///< the endpoint has ended, as far as is known
@@ -401,6 +413,17 @@
     /// Retries at the largest model if the confidence of the answer is too low. Returns whether it does.
     bool try_escalate(time_point now, flow& it, attempt_id from, int confidence);
 
+    // Speeds
+    /// Streams at the endpoint, this instance's included.
+    std::uint32_t running_at(time_point now, const endpoint_id& at) const;
+    /// Generated tokens in one event of the request's stream.
+    static std::uint32_t tokens_per_event(const flow& it);
+    static model_id asked_model(const flow& it, const attempt& from);
+    /// Learns the time per token from the events of an attempt, of which one was just counted.
+    void learn_token_speed(time_point now, const flow& it, attempt& from);
+    /// Learns the length of a response that ended, completely or not.
+    void learn_length(const flow& it, bool is_complete);
+
     // Endings
     void end_without_answer(time_point now, flow& it, core::errc why);
     void finish(time_point now, flow& it, std::string_view outcome, int status);
@@ -463,6 +486,8 @@
     std::set<std::pair<time_point, flow_id>> timers_;
     std::uint64_t next_attempt_ = 1;
     forwarder_counters counters_;
+    load::active_load load_active_; ///< by `table_`
+    learned_speeds learned_;
 };
 
 } // namespace runlink::routing
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -36,6 +36,11 @@
             it.key_last_valid_at = proven_at_;
     for (const auto& it : table->services())
         bounds_.warm_up().set_limit(it.id, it.cold);
+    std::vector<load::engine_limits> engines;
+    for (const auto& it : table->services())
+        engines.push_back(it.engine);
+    load_active_ = load::active_parts(options_.load, engines);
+    chooser_.placement().set_by_endpoint(load_active_.engine_load);
     table_ = std::move(table);
     is_start_queue_ready_ = true;
 }
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -200,6 +200,7 @@
     if (!from.first_event)
         from.first_event = now;
     ++from.events;
+    learn_token_speed(now, *it, from);
     from.has_ended = false;
     from.is_stalled = false;
     on_heard(now, from.endpoint);
@@ -210,6 +211,7 @@
         return; // the caller already has this event
     if (event_id)
         it->last_event = event_id;
+    ++it->events;
     hooks_.forward_bytes(it->id, event);
 }
 
@@ -339,6 +341,7 @@
                                          : core::run_outcome::unknown;
     hooks_.log(line);
     hooks_.ended(line, now - it.arrived);
+    learn_length(it, outcome == "answered");
     end_wait(it);
     timers_.erase({it.check_at, it.id});
     flows_.erase(it.id);
