Load: tests of model_choice for price and for uncertain lengths

Without them, a change that drops the price or the probability of the end in time passed all tests. Tested: load_test (19 cases); both changes made on a scratch copy now fail.

--- a/src/runlink/load/model_choice_test.cpp
+++ b/src/runlink/load/model_choice_test.cpp
@@ -332,3 +332,32 @@
     in.confidence = 80;
     CHECK(asked(in) == 0);
 }
+
+TEST_CASE("price decides only next to the threshold")
+{
+    auto in = make_input(chat, 0, {0, 0});
+    int by_price = 0;
+    for (in.confidence = 0; in.confidence <= 100; ++in.confidence)
+    {
+        if (model_choice{}.decide(in).reason != choice_reason::price)
+            continue;
+        ++by_price;
+        CHECK(std::abs(in.confidence - 50) <= 4);
+    }
+    CHECK(by_price > 0);
+}
+
+// Guards against a choice by the median alone: of answers whose length is uncertain, many end after the
+// deadline although the median is before it.
+TEST_CASE("same median end: an answer of uncertain length is asked again less often")
+{
+    const kind certain{2000, 15000, 830, {450, 460}};
+    const kind uncertain{2000, 15000, 830, {450, 950}};
+    const auto of_largest = [](const kind& of)
+    {
+        auto in = make_input(of, 0, {50, 0});
+        in.larger.erase(in.larger.begin()); // the middle model ends well before the deadline in both cases
+        return threshold(model_choice{}, in);
+    };
+    CHECK(of_largest(uncertain) < of_largest(certain) - 4);
+}
