Routing: the model that is asked again depends on when its answer ends

An unsure answer always went to the largest model, also if that could not end before the deadline: the most frequent reason for unserved requests. With load.model_choice in force and forecasts of the larger models, the forwarder asks the model of the highest expected value, which may be the middle one, or keeps the answer. Without forecasts, or with the switch off, the thresholds decide as before.

prompt_placement::forecast is a stub that knows nothing; forwarder_options::forecast replaces it in tests. The log lines escalated and not_escalated tell model, expected end and reason; three counters are new.

--- a/include/runlink/routing/forwarder_hooks.hpp
+++ b/include/runlink/routing/forwarder_hooks.hpp
@@ -47,6 +47,7 @@
     std::int64_t table_version = -1;
     std::int64_t expected_wait_ms = -1;  ///< time to read the prompts queued before this one
     std::int64_t expected_read_ms = -1;  ///< time to read this prompt
+    std::int64_t expected_end_ms = -1;   ///< time to the end of the answer
     std::int64_t cold_ms = -1;           ///< time for which the endpoint still counts as cold
     std::int64_t ends = -1;              ///< number of endpoints that crashed while running the request
     std::int64_t trials = -1;            ///< number of runs of the request in isolation at an endpoint
@@ -129,6 +130,9 @@
     std::uint64_t hedges = 0;
     std::uint64_t resumed = 0;
     std::uint64_t escalated = 0;
+    std::uint64_t escalated_to_middle = 0; ///< of these, to a model that is not the largest
+    std::uint64_t kept_for_time = 0;       ///< unsure answers kept: larger models would end too late
+    std::uint64_t kept_for_load = 0; ///< unsure answers kept for the load of larger models, or their price
     std::uint64_t endpoint_refusals = 0;
     std::uint64_t attempts_lost = 0;
     std::uint64_t prompts_told = 0;      ///< prompts announced to other instances
--- a/include/runlink/routing/forwarder_options.hpp
+++ b/include/runlink/routing/forwarder_options.hpp
@@ -3,10 +3,12 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 
 #include "runlink/crashes/crash_attribution.hpp"
 #include "runlink/load/admission.hpp"
+#include "runlink/load/forecast.hpp"
 #include "runlink/load/load_options.hpp"
 #include "runlink/paths/path_control.hpp"
 #include "runlink/places/endpoint_bounds.hpp"
@@ -67,6 +69,9 @@
     milliseconds replace_interval{100};
     places::region_map regions;
     load::load_options load;
+    /// Replaces the forecast of the placement, for tests; may be empty.
+    std::function<std::optional<load::stream_forecast>(time_point, const endpoint_entry&, const prompt_need&)>
+        forecast;
 };
 
 } // namespace runlink::routing
--- a/include/runlink/routing/prompt_placement.hpp
+++ b/include/runlink/routing/prompt_placement.hpp
@@ -3,9 +3,11 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "runlink/load/endpoint_backlog.hpp"
+#include "runlink/load/forecast.hpp"
 #include "runlink/load/prompt_speed.hpp"
 #include "runlink/routing/endpoint_directory.hpp"
 #include "runlink/routing/gossip_messages.hpp"
@@ -109,6 +111,9 @@
 
     /// Estimates for a prompt if it is sent now.
     placed_prompt expect(time_point now, const endpoint_entry& to, const prompt_need& need) const;
+    /// Forecast of the answer to a prompt that is sent now; empty if nothing is known of the endpoint.
+    std::optional<load::stream_forecast> forecast(time_point now, const endpoint_entry& to,
+                                                  const prompt_need& need) const;
     /// Records that a prompt is sent now.
     placed_prompt sent(time_point now, const endpoint_entry& to, const prompt_need& need);
     /// The answer to an own prompt has begun.
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "runlink/load/model_choice.hpp"
 #include "runlink/paths/path_control.hpp"
 #include "runlink/places/evacuations.hpp"
 #include "runlink/routing/forwarder_hooks.hpp"
@@ -398,8 +399,27 @@
     /// byte. Without these samples a version that never answered 30 % of its requests was rated good.
     void sample_given_up(time_point now, const flow& it, attempt& from, bool is_stalled);
     cascade_input cascade_input_of(time_point now, const flow& it, int confidence, const succession& larger);
-    /// Retries at the largest model if the confidence of the answer is too low. Returns whether it does.
+    /// Retries at a larger model if the confidence of the answer is too low. Returns whether it does.
     bool try_escalate(time_point now, flow& it, attempt_id from, int confidence);
+    /// The larger models that may be asked, and where.
+    struct larger_models
+    {
+        load::model_choice_input in;
+        std::vector<successor> to; ///< for each of `in.larger`
+    };
+    std::optional<load::stream_forecast> forecast_of(time_point now, const endpoint_entry& to,
+                                                     const std::optional<prompt_need>& need) const;
+    load::model_choice_input choice_input_of(time_point now, const flow& it, const attempt& from,
+                                             int confidence) const;
+    /// Adds the sizes above that of `in`. Returns whether all that may be asked have a forecast, and one may.
+    bool add_larger(time_point now, const flow& it, larger_models& out);
+    /// Decides by the forecasts of the larger models. Empty: there is none, and the thresholds decide;
+    /// otherwise whether a larger model was asked.
+    std::optional<bool> try_choose_model(time_point now, flow& it, attempt_id from, int confidence);
+    void note_kept(time_point now, flow& it, attempt_id from, const larger_models& all,
+                   load::choice_reason why);
+    /// Drops the answer of `from` and asks the model of index `size`.
+    void ask_larger(time_point now, flow& it, attempt_id from, std::size_t size, const successor& to);
 
     // Endings
     void end_without_answer(time_point now, flow& it, core::errc why);
@@ -432,6 +452,7 @@
     forwarder_options options_;
     forwarder_hooks hooks_;
     routing_table_ptr table_;
+    load::active_load load_active_; ///< by `options_.load` and the engines of `table_`
     std::optional<time_point> proven_at_;
     struct stop_times
     {
@@ -453,6 +474,7 @@
     rollout_control rollouts_;
     session_pins pins_;
     cascade_policy cascade_;
+    load::model_choice model_choice_;
     admission admission_;
     start_queue start_queue_;
     std::optional<time_point> paused_since_;
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -379,6 +379,7 @@
     number("table", decision.table_version);
     number("expected_wait_ms", decision.expected_wait_ms);
     number("expected_read_ms", decision.expected_read_ms);
+    number("expected_end_ms", decision.expected_end_ms);
     number("cold_ms", decision.cold_ms);
     number("ends", decision.ends);
     number("trials", decision.trials);
--- a/src/runlink/routing/prompt_placement.cpp
+++ b/src/runlink/routing/prompt_placement.cpp
@@ -100,6 +100,13 @@
     return out;
 }
 
+std::optional<load::stream_forecast> prompt_placement::forecast(time_point /*now*/,
+                                                                const endpoint_entry& /*to*/,
+                                                                const prompt_need& /*need*/) const
+{
+    return std::nullopt;
+}
+
 placed_prompt prompt_placement::sent(time_point now, const endpoint_entry& to, const prompt_need& need)
 {
     auto out = expect(now, to, need);
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -9,6 +9,18 @@
 namespace runlink::routing
 {
 
+namespace
+{
+
+load::model_choice_options choice_options(const forwarder_options& from)
+{
+    load::model_choice_options out;
+    out.accept_confidence = from.cascade.accept_confidence;
+    return out;
+}
+
+} // namespace
+
 request_forwarder::request_forwarder(forwarder_options options, const failure_domain_id& own_domain,
                                      const core::instance_id& self, forwarder_hooks hooks)
     : options_{std::move(options)}, hooks_{std::move(hooks)},
@@ -18,7 +30,8 @@
                                                                            core::stable_hash(self.str()),
                                                                            attribution_hooks()},
       rollouts_{options_.rollouts, core::stable_hash(self.str())}, pins_{options_.session_ttl},
-      cascade_{options_.cascade}, admission_{options_.admission}, start_queue_{options_.start}
+      cascade_{options_.cascade}, model_choice_{choice_options(options_)}, admission_{options_.admission},
+      start_queue_{options_.start}
 {
     bounds_.brittle().place_of = [this](const endpoint_id& id) -> std::optional<places::endpoint_place>
     {
@@ -34,8 +47,14 @@
             it.key_last_valid_at.reset(); // the key may have been added again
         else if (!it.account.empty() && !it.key_last_valid_at)
             it.key_last_valid_at = proven_at_;
+    std::vector<load::engine_limits> engines;
     for (const auto& it : table->services())
+    {
         bounds_.warm_up().set_limit(it.id, it.cold);
+        if (it.runs_models)
+            engines.push_back(it.engine);
+    }
+    load_active_ = load::active_parts(options_.load, engines);
     table_ = std::move(table);
     is_start_queue_ready_ = true;
 }
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -168,6 +168,9 @@
     const bool has_larger = it.model_index + 1 < it.matched_route->model_sizes.size();
     if (!has_larger || !it.request.model.empty())
         return false;
+    if (load_active_.model_choice)
+        if (const auto asked = try_choose_model(now, it, from, confidence))
+            return *asked;
     auto larger = it;
     larger.model_index = it.matched_route->model_sizes.size() - 1;
     larger.tried.clear(); // the same endpoint may run the larger model
@@ -181,13 +184,19 @@
     line.confidence = confidence;
     line.endpoint = attempts_.at(from).endpoint.str();
     hooks_.log(line);
+    ask_larger(now, it, from, larger.model_index, next.value());
+    return true;
+}
+
+void request_forwarder::ask_larger(time_point now, flow& it, attempt_id from, std::size_t size,
+                                   const successor& to)
+{
     ++counters_.escalated;
     take_attempt(now, from);
     hooks_.cancel(from);
-    it.model_index = larger.model_index;
+    it.model_index = size;
     it.tried.clear();
-    send_retry(now, it, next.value(), true);
-    return true;
+    send_retry(now, it, to, true);
 }
 
 void request_forwarder::on_stream_event(time_point now, attempt_id id, std::string_view event,
