Load: streams at engines are tracked over all instances, and endpoints chosen by forecast

Instances announced prompts only until their first token, so the number of streams that an endpoint runs was not known: up to 53 ran at one endpoint while the median one had 19. With load.engine_load in force, each prompt is announced with its stream and the end of the stream is announced too; digests between failure domains carry the sums. The endpoint is chosen by the forecast of the stream and its cost to the streams that run there, among a few random candidates, since updates are 60 to 300 ms old.

token_speed and answer_length are placeholders. Without the switch all decisions and messages stay the same.

--- a/include/runlink/gateway/gossip_link.hpp
+++ b/include/runlink/gateway/gossip_link.hpp
@@ -45,6 +45,8 @@
     /// Address of a peer; empty if the instance is not one.
     std::string host_of(const core::instance_id& id) const;
     std::size_t peer_count() const { return peers_.size(); }
+    /// Number of peers in the own failure domain.
+    std::size_t count_in_domain() const;
     /// Sets the address of an instance that is not yet a peer. It receives only messages sent to its id.
     void put_address(const core::instance_id& id, const std::string& host, std::uint16_t port);
 
@@ -55,6 +57,7 @@
     void broadcast(std::vector<routing::version_evidence> it);
     void broadcast(const routing::prompt_sent& it);
     void broadcast(const routing::prompt_answered& it);
+    void broadcast(const load::stream_ended& it);
     /// Sent immediately: each copy of the request that another instance sends meanwhile may crash an
     /// endpoint.
     void broadcast(const crashes::crash_message& it) { send_to_all(it, false); }
@@ -118,6 +121,7 @@
     std::vector<routing::session_run> pending_runs_;
     std::vector<routing::prompt_sent> pending_prompts_;
     std::vector<routing::prompt_answered> pending_answers_;
+    std::vector<load::stream_ended> pending_ends_;
 };
 
 } // namespace runlink::gateway
--- a/include/runlink/load/forecast.hpp
+++ b/include/runlink/load/forecast.hpp
@@ -39,6 +39,7 @@
     std::uint32_t held_tokens = 0; ///< tokens in memory once these streams end
     std::uint32_t tokens_left = 0; ///< tokens that these streams still generate
     duration reading{};            ///< time to read the prompts that wait
+    duration run_left{};           ///< sum of the times that these streams are expected to run on
 };
 
 /// What is expected of a stream at an endpoint. All times count from now.
--- a/include/runlink/load/load_digest.hpp
+++ b/include/runlink/load/load_digest.hpp
@@ -2,6 +2,7 @@
 /// Periodic digests of the endpoint load that one failure domain causes, sent to other failure domains.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -40,6 +41,12 @@
     core::milliseconds interval{120};
     /// Loads below this are omitted, since they are over before the digest arrives.
     core::milliseconds least_load{30};
+    /// Streams of a failure domain count for this long without a new digest. Unlike a backlog they do not
+    /// decline by themselves, so they would count forever after the loss of a relay.
+    core::milliseconds streams_ttl{960};
+    /// Bytes per second that a relay may spend on the stream counts that it passes on to its failure domain:
+    /// an eighth of a link of 10 Mbit/s.
+    std::uint32_t streams_bytes_per_s = 156'000;
 };
 
 /// Keeps the latest digest of each other failure domain.
@@ -56,6 +63,9 @@
     void on_digest(core::time_point now, const load_digest& it);
     /// The sum of all digests, reduced by the time since each arrived.
     load_digest merged(core::time_point now) const;
+    /// `merged`, with stream counts in every second digest only, and only of the endpoints with the most
+    /// streams, as many as may be sent to this number of instances.
+    load_digest merged_for(core::time_point now, std::size_t receivers);
 
 private:
     struct received
@@ -66,6 +76,7 @@
 
     load_exchange_options options_;
     std::map<core::failure_domain_id, received> domains_;
+    bool has_stream_turn_ = false; ///< the next `merged_for` holds stream counts
 };
 
 } // namespace runlink::load
--- a/include/runlink/routing/endpoint_chooser.hpp
+++ b/include/runlink/routing/endpoint_chooser.hpp
@@ -35,6 +35,8 @@
     std::size_t max_idle_probes = 32;
     /// Endpoints that are considered as the home of a prompt, by falling score, before all are compared.
     std::size_t max_home_probes = 8;
+    /// With tracked streams: endpoints drawn at random from each set that `sampled_choice` looks at.
+    std::size_t sample_size = 2;
     placement_options placement;
 };
 
@@ -134,6 +136,20 @@
     /// parts of the prompt in their cache, and the home of the prompt.
     const endpoint_entry* quick_choice(time_point now, const endpoint_directory& from,
                                        const endpoint_need& need) const;
+    /// The choice with tracked streams: the home of the prompt, and a few random endpoints of the own failure
+    /// domain and of those that have the shared parts. Null if that finds none. One random endpoint of any
+    /// failure domain keeps their loads even; more of them would be chosen by the oldest updates.
+    ///
+    /// What is known of other instances' sends is 60 to 300 ms old. If each instance compared all endpoints,
+    /// those that choose within that time would all choose the same one.
+    const endpoint_entry* sampled_choice(time_point now, const endpoint_directory& from,
+                                         const endpoint_need& need) const;
+    /// Adds up to `size` random endpoints of `from` that `is_preferred` admits.
+    void add_sample(time_point now, const endpoint_directory& directory, const endpoint_need& need,
+                    const candidates& from, std::size_t size, std::uint64_t seed, candidates& to) const;
+    /// Endpoints of the own failure domain that have the shared parts of the prompt in their cache.
+    candidates near_with_parts(time_point now, const endpoint_directory& from,
+                               const endpoint_need& need) const;
     const endpoint_entry* compare_all(time_point now, const endpoint_directory& from,
                                       const endpoint_need& need) const;
     void eject(time_point now, load& it);
--- a/include/runlink/routing/forwarder_hooks.hpp
+++ b/include/runlink/routing/forwarder_hooks.hpp
@@ -47,6 +47,8 @@
     std::int64_t table_version = -1;
     std::int64_t expected_wait_ms = -1;  ///< time to read the prompts queued before this one
     std::int64_t expected_read_ms = -1;  ///< time to read this prompt
+    std::int64_t running = -1;           ///< streams at the endpoint, over all instances
+    std::int64_t expected_end_ms = -1;   ///< time until the end of a stream of median length
     std::int64_t cold_ms = -1;           ///< time for which the endpoint still counts as cold
     std::int64_t ends = -1;              ///< number of endpoints that crashed while running the request
     std::int64_t trials = -1;            ///< number of runs of the request in isolation at an endpoint
@@ -98,6 +100,9 @@
     std::function<void(const prompt_sent&)> announce_prompt_sent;
     /// Announces to other instances that an endpoint began to answer a prompt.
     std::function<void(const prompt_answered&)> announce_prompt_answered;
+    /// Announces to other instances that a stream is over at its endpoint, if its prompt was announced with
+    /// it.
+    std::function<void(const load::stream_ended&)> announce_stream_ended = [](const auto&) {};
     /// Announces endpoint crashes to other instances.
     std::function<void(const crashes::crash_message&)> announce_crashes = [](const auto&) {};
     /// Announces rate limits stated by endpoints to the instances in `to`, or to all if `to` is empty.
@@ -133,6 +138,8 @@
     std::uint64_t attempts_lost = 0;
     std::uint64_t prompts_told = 0;      ///< prompts announced to other instances
     std::uint64_t prompts_heard = 0;     ///< prompts announced by other instances
+    std::uint64_t streams_begun = 0;     ///< tracked streams whose first token has arrived
+    std::uint64_t streams_late = 0;      ///< of these, long after the forecast time
     std::uint64_t cold_sends = 0;        ///< sends to cold endpoints
     std::uint64_t without_place = 0;     ///< requests refused because no endpoint may be used now
     std::uint64_t endpoints_ended = 0;   ///< endpoint ends that this instance detected itself
--- a/include/runlink/routing/prompt_placement.hpp
+++ b/include/runlink/routing/prompt_placement.hpp
@@ -3,10 +3,17 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
+#include <set>
 #include <vector>
 
+#include "runlink/load/answer_length.hpp"
 #include "runlink/load/endpoint_backlog.hpp"
+#include "runlink/load/engine_load.hpp"
 #include "runlink/load/prompt_speed.hpp"
+#include "runlink/load/stream_forecaster.hpp"
+#include "runlink/load/token_speed.hpp"
+#include "runlink/load/unseen_work.hpp"
 #include "runlink/routing/endpoint_directory.hpp"
 #include "runlink/routing/gossip_messages.hpp"
 #include "runlink/routing/kept_prompts.hpp"
@@ -53,6 +60,10 @@
     std::uint32_t own_tokens = 0;    ///< tokens of the rest of the prompt
     std::uint32_t request_bytes = 0;
     duration time_to_target = duration::max(); ///< time left until the target latency is missed
+    /// The following are only used if streams are tracked.
+    std::uint32_t prompt_tokens = 0;
+    load::length_estimate length{}; ///< of the answer
+    load::engine_limits engine{};   ///< of each endpoint of the service
 };
 
 /// A prompt that was sent to an endpoint, with the estimates at that time.
@@ -66,12 +77,27 @@
     duration work{};                 ///< expected time to read the prompt
 };
 
+/// An own stream that is tracked from its send to its end at the endpoint.
+struct tracked_stream
+{
+    prompt_sent sent; ///< as announced to peers
+    core::model_id model;
+    time_point sent_at{};
+    std::uint32_t tokens_per_event = 1;
+    std::uint32_t running = 0;      ///< streams at the endpoint before this one
+    load::stream_forecast forecast; ///< at its send
+    bool has_begun = false;
+};
+
 /// Places prompts by a cost in units of endpoint time: the backlog of the endpoint, the time to read the
 /// prompt, the traffic to another failure domain, and the requests in flight.
 ///
 /// With one unit for all of these, no limits on request counts are needed. Short prompts avoid endpoints that
 /// read long ones. A frequent prompt stays at the endpoint that has it cached until reading it again
 /// elsewhere is faster. Bursts spread out, since all instances know what their peers have sent.
+///
+/// With `track_streams`, the streams that an endpoint runs count as well: the wait for a slot and memory, the
+/// time to generate the answer there, and the delay of the streams that run there.
 class prompt_placement
 {
 public:
@@ -107,6 +133,28 @@
         return backlog_.time_left(now, hash_of(id)) == duration{};
     }
 
+    /// Turns the tracking of streams on or off; off drops what is known of them.
+    void track_streams(bool is_on, load::forecast_kind kind);
+    bool tracks_streams() const { return tracks_streams_; }
+    /// Forecast of a stream if it is sent now; nothing if streams are not tracked or none of the model has
+    /// been seen to generate tokens.
+    std::optional<load::stream_forecast> forecast(time_point now, const endpoint_entry& to,
+                                                  const prompt_need& need) const;
+    /// The stream that begins if the prompt is sent now, and runs at most for `time_left`.
+    tracked_stream plan_stream(time_point now, const endpoint_entry& to, const prompt_need& need,
+                               load::stream_hash id, duration time_left) const;
+    /// Records that the stream is sent now.
+    void stream_sent(time_point now, const tracked_stream& it) { streams_.sent(now, it.sent, true); }
+    /// Own streams; `began` is the arrival of the head, and each event brings `tokens_per_event` tokens.
+    void stream_began(tracked_stream& it);
+    void stream_progressed(const tracked_stream& it);
+    void stream_ended(const load::stream_ended& it) { streams_.ended(it); }
+    const load::engine_load& streams() const { return streams_; }
+    load::token_speed& token_speeds() { return token_speed_; }
+    const load::token_speed& token_speeds() const { return token_speed_; }
+    load::answer_length& answer_lengths() { return answer_length_; }
+    const load::answer_length& answer_lengths() const { return answer_length_; }
+
     /// Estimates for a prompt if it is sent now.
     placed_prompt expect(time_point now, const endpoint_entry& to, const prompt_need& need) const;
     /// Records that a prompt is sent now.
@@ -120,18 +168,19 @@
     /// An endpoint began its answer to a prompt of a peer.
     void on_peer_answered(time_point now, const prompt_answered& it);
     /// Takes the loads that other failure domains cause.
-    void on_remote_loads(time_point now, const load_digest& it) { backlog_.set_remote_loads(now, it.loads); }
+    void on_remote_loads(time_point now, const load_digest& it);
     /// The loads of at least `least` that the own failure domain causes.
-    load_digest local_loads(time_point now, milliseconds least) const
-    {
-        return {own_domain_, backlog_.local_loads(now, least)};
-    }
+    load_digest local_loads(time_point now, milliseconds least) const;
     /// Whether a prompt is worth announcing to peers.
     bool should_announce(const placed_prompt& it) const { return it.work >= options_.least_told; }
     /// Drops outdated state; to be called about once a second.
     void expire(time_point now);
 
 private:
+    load::stream_forecast forecast_of(endpoint_hash at, const load::endpoint_state& state,
+                                      std::uint32_t unread, const prompt_need& need) const;
+    load::stream_forecast forecast_at(time_point now, endpoint_hash at, const prompt_need& need) const;
+    load::endpoint_state state_of(time_point now, endpoint_hash at) const;
     duration cost(time_point now, const candidate& at, const prompt_need& need, bool is_home) const;
     std::uint32_t unread_tokens(time_point now, endpoint_hash at, const prompt_need& need) const;
 
@@ -140,6 +189,13 @@
     endpoint_backlog backlog_;
     kept_prompts kept_;
     prompt_speed speed_;
+    bool tracks_streams_ = false;
+    load::forecast_kind forecast_kind_ = load::forecast_kind::ends;
+    load::engine_load streams_;
+    load::unseen_work peer_work_;
+    load::token_speed token_speed_;
+    load::answer_length answer_length_;
+    std::set<core::model_id> learned_models_; ///< whose streams were seen to generate tokens
 };
 
 } // namespace runlink::routing
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -131,6 +131,13 @@
         chooser_.placement().on_peer_answered(now, it);
     }
 
+    /// A stream that another instance announced with its prompt is over.
+    void on_peer_stream_ended(const load::stream_ended& it) { chooser_.placement().stream_ended(it); }
+    /// The parts of load tracking that are in force.
+    const load::active_load& active_load() const { return active_load_; }
+    /// Number of streams tracked one by one, those of peers included.
+    std::size_t streams_tracked() const { return chooser_.placement().streams().size(); }
+
     /// Prompts sent by instances of other failure domains.
     void on_remote_loads(time_point now, const load_digest& it)
     {
@@ -212,7 +219,8 @@
         model_id model;
         std::uint32_t number = 0; ///< counts the sends of the request, from 1
         bool may_have_run = false;
-        std::optional<placed_prompt> prompt; ///< set until the endpoint has read the prompt
+        std::optional<placed_prompt> prompt;  ///< set until the endpoint has read the prompt
+        std::optional<tracked_stream> stream; ///< set if streams are tracked
         time_point started{};
         duration expected{}; ///< estimated time to the first byte, from backlog and prompt; 0: unknown
         bool has_head = false;
@@ -358,9 +366,21 @@
     /// The model that the next attempt asks for; empty if the caller named the model or the route has none.
     model_id model_of(const flow& it) const;
     std::optional<placed_prompt> place_prompt(time_point now, const endpoint_entry& to,
-                                              const std::optional<prompt_need>& need);
+                                              const std::optional<prompt_need>& need,
+                                              const std::optional<tracked_stream>& stream);
     void on_prompt_read(time_point now, attempt& it);
 
+    // Streams tracked over all instances
+    /// Takes the parts of load tracking that are in force by the current table.
+    void apply_load_switches();
+    /// Adds what the forecast of a stream needs.
+    void add_stream_need(const flow& it, prompt_need& to) const;
+    std::optional<tracked_stream> plan_stream(time_point now, const flow& it, const successor& to,
+                                              attempt_id id) const;
+    void begin_stream(time_point now, attempt& it);
+    void end_stream(const attempt& it);
+    static void describe_stream(const attempt& it, decision& to);
+
     // Succession: an attempt that may still be answered is cancelled only in the step that sends its
     // successor. Without a successor the attempt is kept.
 
@@ -462,6 +482,8 @@
     std::map<attempt_id, attempt> attempts_;
     std::set<std::pair<time_point, flow_id>> timers_;
     std::uint64_t next_attempt_ = 1;
+    load::active_load active_load_;
+    std::uint64_t self_hash_; ///< hash of the instance's id
     forwarder_counters counters_;
 };
 
--- a/src/runlink/gateway/gateway_daemon_peers.cpp
+++ b/src/runlink/gateway/gateway_daemon_peers.cpp
@@ -237,9 +237,8 @@
         return;
     next_digest_ = now + remote_loads_.options().interval;
     gossip_.send_to(relay_.other_relays(), forwarder_.local_loads(now, remote_loads_.options().least_load));
-    const auto far = remote_loads_.merged(now);
-    gossip_.broadcast_in_domain(far);
-    forwarder_.on_remote_loads(now, far);
+    gossip_.broadcast_in_domain(remote_loads_.merged_for(now, gossip_.count_in_domain()));
+    forwarder_.on_remote_loads(now, remote_loads_.merged(now));
 }
 
 void gateway_daemon::on_load_digest(core::time_point now, const load::load_digest& it)
@@ -258,6 +257,8 @@
         forwarder_.on_peer_prompt(now, e);
     for (const auto& e : it.answers)
         forwarder_.on_peer_answer(now, e);
+    for (const auto& e : it.ended)
+        forwarder_.on_peer_stream_ended(e);
     if (!it.sender.str().empty()) // messages that hold only prompts have no sender
         forwarder_.rollouts().on_peer_evidence(now, it.sender, it.evidence);
 }
--- a/src/runlink/gateway/gossip_link.cpp
+++ b/src/runlink/gateway/gossip_link.cpp
@@ -89,6 +89,12 @@
     return found == peers_.end() ? std::string{} : found->second.host.toString().toStdString();
 }
 
+std::size_t gossip_link::count_in_domain() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(peers_.begin(), peers_.end(), [](const auto& it) { return it.second.in_own_domain; }));
+}
+
 void gossip_link::put_address(const core::instance_id& id, const std::string& host, std::uint16_t port)
 {
     addresses_[id] = {QHostAddress{QString::fromStdString(host)}, port};
@@ -154,6 +160,14 @@
     start_prompt_timer();
 }
 
+void gossip_link::broadcast(const load::stream_ended& it)
+{
+    if (peers_.empty())
+        return;
+    pending_ends_.push_back(it);
+    start_prompt_timer();
+}
+
 void gossip_link::start_prompt_timer()
 {
     if (!prompt_timer_.isActive())
@@ -165,6 +179,7 @@
     routing::gossip_message out;
     out.prompts = std::exchange(pending_prompts_, {});
     out.answers = std::exchange(pending_answers_, {});
+    out.ended = std::exchange(pending_ends_, {});
     send_to_all(out, !sends_prompts_to_all_domains());
 }
 
--- a/src/runlink/routing/endpoint_chooser.cpp
+++ b/src/runlink/routing/endpoint_chooser.cpp
@@ -10,6 +10,17 @@
 
 /// Limit on the doublings of an ejection; `longest_ejection` applies before it is reached.
 constexpr std::uint32_t max_doublings = 6;
+/// Draws per endpoint of a sample: enough to find endpoints that may be used where half may not.
+constexpr std::size_t max_draws_per_sample = 8;
+
+/// A bit mixer (splitmix64): consecutive numbers become independent ones.
+std::uint64_t mixed(std::uint64_t n)
+{
+    n += 0x9e3779b97f4a7c15U;
+    n = (n ^ (n >> 30U)) * 0xbf58476d1ce4e5b9U;
+    n = (n ^ (n >> 27U)) * 0x94d049bb133111ebU;
+    return n ^ (n >> 31U);
+}
 
 } // namespace
 
@@ -165,7 +176,8 @@
 const endpoint_entry* endpoint_chooser::peek(time_point now, const endpoint_directory& from,
                                              const endpoint_need& need) const
 {
-    const auto* quick = quick_choice(now, from, need);
+    const bool is_tracked = need.prompt && placement_.tracks_streams();
+    const auto* quick = is_tracked ? sampled_choice(now, from, need) : quick_choice(now, from, need);
     return quick != nullptr ? quick : compare_all(now, from, need);
 }
 
@@ -280,4 +292,63 @@
     return placement_.choose(now, all, *need.prompt, *home);
 }
 
+// Choice with tracked streams
+
+void endpoint_chooser::add_sample(time_point now, const endpoint_directory& directory,
+                                  const endpoint_need& need, const candidates& from, std::size_t size,
+                                  std::uint64_t seed, candidates& to) const
+{
+    std::size_t found = 0;
+    const auto draws = size * max_draws_per_sample;
+    for (std::size_t n = 0; n < draws && found < size && !from.empty(); ++n)
+    {
+        seed = mixed(seed + n);
+        const auto* it = from[seed % from.size()];
+        if (std::find(to.begin(), to.end(), it) != to.end() || !is_preferred(now, directory, need, *it))
+            continue;
+        to.push_back(it);
+        ++found;
+    }
+}
+
+endpoint_chooser::candidates endpoint_chooser::near_with_parts(time_point now, const endpoint_directory& from,
+                                                               const endpoint_need& need) const
+{
+    candidates out;
+    for (const auto hash : placement_.endpoints_with(now, *need.prompt))
+        if (const auto* it = from.index().find(hash);
+            it != nullptr && it->service == need.service && it->failure_domain == own_domain_)
+            out.push_back(it);
+    return out;
+}
+
+const endpoint_entry* endpoint_chooser::sampled_choice(time_point now, const endpoint_directory& from,
+                                                       const endpoint_need& need) const
+{
+    const auto* group = from.index().group(need.service);
+    if (group == nullptr)
+        return nullptr;
+    // Equal until the next rotation, since a request is placed twice: for its admission and for its send.
+    const auto seed = mixed(rotation_ ^ mixed(options_.rotation_start));
+    candidates sample;
+    const endpoint_entry* home = nullptr;
+    if (need.prompt->shared_tokens > 0)
+    {
+        const auto found = find_home(now, from, need);
+        if (!found)
+            return nullptr;
+        home = *found;
+        if (home != nullptr)
+            sample.push_back(home);
+        add_sample(now, from, need, near_with_parts(now, from, need), options_.sample_size, seed, sample);
+    }
+    if (const auto near = group->by_domain.find(own_domain_); near != group->by_domain.end())
+        add_sample(now, from, need, near->second, options_.sample_size, mixed(seed + 1), sample);
+    add_sample(now, from, need, group->all, 1, mixed(seed + 2), sample);
+    std::vector<prompt_placement::candidate> all;
+    for (const auto* it : sample)
+        all.push_back({it, 0});
+    return placement_.choose(now, all, *need.prompt, home);
+}
+
 } // namespace runlink::routing
--- a/src/runlink/routing/prompt_placement.cpp
+++ b/src/runlink/routing/prompt_placement.cpp
@@ -1,6 +1,7 @@
 #include "runlink/routing/prompt_placement.hpp"
 
 #include <algorithm>
+#include <chrono>
 
 #include "runlink/core/hash.hpp"
 
@@ -58,9 +59,16 @@
                                 bool is_home) const
 {
     const auto id = hash_of(at.endpoint->id);
-    const auto wait = backlog_.time_left(now, id);
+    auto wait = backlog_.time_left(now, id);
+    auto for_tokens = options_.per_request * at.in_flight;
+    if (tracks_streams_)
+    {
+        const auto expected = forecast_at(now, id, need);
+        wait = std::max(wait, expected.admission);
+        for_tokens = expected.end - expected.first_token + expected.cost_to_others;
+    }
     const auto first_token = wait + speed_.time_to_read(need.model, unread_tokens(now, id, need));
-    auto out = wait + options_.per_request * at.in_flight;
+    auto out = wait + for_tokens;
     if (first_token > need.time_to_target)
         out += (first_token - need.time_to_target) * options_.late_weight;
     out += speed_.time_to_read(need.model, need.own_tokens);
@@ -97,6 +105,8 @@
     out.unread_tokens = unread_tokens(now, out.endpoint, need);
     out.wait = backlog_.time_left(now, out.endpoint);
     out.work = speed_.time_to_read(need.model, out.unread_tokens);
+    if (tracks_streams_)
+        out.wait = std::max(out.wait, forecast_at(now, out.endpoint, need).admission);
     return out;
 }
 
@@ -126,6 +136,11 @@
 void prompt_placement::on_peer_sent(time_point now, const prompt_sent& it)
 {
     backlog_.sent(now, it.endpoint, it.work, false);
+    if (tracks_streams_)
+    {
+        streams_.sent(now, it, false);
+        peer_work_.add(now, it.work);
+    }
     kept_.sent(now, it.endpoint, it.prompt);
 }
 
@@ -138,6 +153,100 @@
 {
     backlog_.expire(now);
     kept_.expire(now);
+    streams_.expire(now);
+}
+
+void prompt_placement::on_remote_loads(time_point now, const load_digest& it)
+{
+    backlog_.set_remote_loads(now, it.loads);
+    if (tracks_streams_)
+        streams_.set_remote_loads(now, it.loads);
+}
+
+load_digest prompt_placement::local_loads(time_point now, milliseconds least) const
+{
+    load_digest out{own_domain_, backlog_.local_loads(now, least)};
+    streams_.add_local_loads(now, out.loads);
+    return out;
+}
+
+// Streams
+
+void prompt_placement::track_streams(bool is_on, load::forecast_kind kind)
+{
+    tracks_streams_ = is_on;
+    forecast_kind_ = kind;
+    if (!is_on)
+        streams_.clear();
+}
+
+load::endpoint_state prompt_placement::state_of(time_point now, endpoint_hash at) const
+{
+    auto out = streams_.state(now, at);
+    // Unseen prompts are taken to be spread as the streams are, those of other failure domains included.
+    const auto all = static_cast<std::int64_t>(std::max<std::size_t>(streams_.size(), 1));
+    out.reading = backlog_.time_left(now, at) + peer_work_.unseen(now) * out.running / all;
+    return out;
+}
+
+load::stream_forecast prompt_placement::forecast_of(endpoint_hash at, const load::endpoint_state& state,
+                                                    std::uint32_t unread, const prompt_need& need) const
+{
+    const load::stream_need stream{need.model, need.prompt_tokens, unread, need.length};
+    const auto running = load::running_with(state, need.engine);
+    return load::forecast_stream(forecast_kind_, state, need.engine, stream,
+                                 {speed_.time_to_read(need.model, unread),
+                                  token_speed_.per_token(need.model, at, running),
+                                  token_speed_.per_stream(need.model, at)});
+}
+
+load::stream_forecast prompt_placement::forecast_at(time_point now, endpoint_hash at,
+                                                    const prompt_need& need) const
+{
+    return forecast_of(at, state_of(now, at), unread_tokens(now, at, need), need);
+}
+
+std::optional<load::stream_forecast> prompt_placement::forecast(time_point now, const endpoint_entry& to,
+                                                                const prompt_need& need) const
+{
+    if (!tracks_streams_ || !learned_models_.contains(need.model))
+        return std::nullopt;
+    return forecast_at(now, hash_of(to.id), need);
+}
+
+tracked_stream prompt_placement::plan_stream(time_point now, const endpoint_entry& to,
+                                             const prompt_need& need, load::stream_hash id,
+                                             duration time_left) const
+{
+    tracked_stream out;
+    const auto at = hash_of(to.id);
+    const auto state = state_of(now, at);
+    const auto unread = unread_tokens(now, at, need);
+    out.model = need.model;
+    out.sent_at = now;
+    out.tokens_per_event = need.engine.tokens_per_event;
+    out.running = state.running;
+    out.forecast = forecast_of(at, state, unread, need);
+    out.sent = {at,
+                need.shared,
+                std::chrono::ceil<milliseconds>(speed_.time_to_read(need.model, unread)),
+                id,
+                need.prompt_tokens + need.length.median,
+                need.length.median,
+                load::engine_load::run_time(std::min(out.forecast.end, time_left))};
+    return out;
+}
+
+void prompt_placement::stream_began(tracked_stream& it)
+{
+    it.has_begun = true;
+    streams_.began(it.sent.endpoint, it.sent.stream);
+}
+
+void prompt_placement::stream_progressed(const tracked_stream& it)
+{
+    streams_.progressed(it.sent.endpoint, it.sent.stream, it.tokens_per_event);
+    learned_models_.insert(it.model);
 }
 
 } // namespace runlink::routing
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -18,7 +18,8 @@
                                                                            core::stable_hash(self.str()),
                                                                            attribution_hooks()},
       rollouts_{options_.rollouts, core::stable_hash(self.str())}, pins_{options_.session_ttl},
-      cascade_{options_.cascade}, admission_{options_.admission}, start_queue_{options_.start}
+      cascade_{options_.cascade}, admission_{options_.admission}, start_queue_{options_.start},
+      self_hash_{core::stable_hash(self.str())}
 {
     bounds_.brittle().place_of = [this](const endpoint_id& id) -> std::optional<places::endpoint_place>
     {
@@ -37,6 +38,7 @@
     for (const auto& it : table->services())
         bounds_.warm_up().set_limit(it.id, it.cold);
     table_ = std::move(table);
+    apply_load_switches();
     is_start_queue_ready_ = true;
 }
 
@@ -166,7 +168,8 @@
     record.number = request_flow.sends;
     record.started = now;
     record.is_trial = to.is_trial;
-    record.prompt = place_prompt(now, endpoint, to.prompt);
+    record.stream = plan_stream(now, request_flow, to, order.id);
+    record.prompt = place_prompt(now, endpoint, to.prompt, record.stream);
     if (record.prompt)
         record.expected = record.prompt->wait + record.prompt->work;
     chooser_.started(endpoint.id);
@@ -210,6 +213,7 @@
         line.expected_wait_ms = std::chrono::floor<milliseconds>(sent.prompt->wait).count();
         line.expected_read_ms = std::chrono::floor<milliseconds>(sent.prompt->work).count();
     }
+    describe_stream(sent, line);
     hooks_.log(line);
 }
 
@@ -272,6 +276,7 @@
     it.attempts.erase(id);
     if (out.prompt)
         chooser_.placement().withdrawn(now, *out.prompt);
+    end_stream(out);
     chooser_.finished(out.endpoint);
     bounds_.finished(now, out.endpoint, out.started);
     if (bounds_.brittle().is_brittle(out.endpoint))
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -128,6 +128,7 @@
         return retry_or_end(now, *it, core::errc::endpoint_answer_invalid, true);
     }
     on_prompt_read(now, from);
+    begin_stream(now, from);
     it->last_progress = now;
     sample_head(now, *it, from);
     if (it->head_forwarded)
@@ -200,6 +201,8 @@
     if (!from.first_event)
         from.first_event = now;
     ++from.events;
+    if (from.stream)
+        chooser_.placement().stream_progressed(*from.stream);
     from.has_ended = false;
     from.is_stalled = false;
     on_heard(now, from.endpoint);
--- a/src/runlink/routing/request_forwarder_arrival.cpp
+++ b/src/runlink/routing/request_forwarder_arrival.cpp
@@ -230,6 +230,7 @@
     prompt.own_tokens = it.request.prompt_tokens - prompt.shared_tokens;
     prompt.request_bytes = it.request.body_bytes;
     prompt.time_to_target = it.arrived + it.matched_route->target_latency - now;
+    add_stream_need(it, prompt);
     out.prompt = prompt;
     return out;
 }
@@ -242,16 +243,21 @@
 }
 
 std::optional<placed_prompt> request_forwarder::place_prompt(time_point now, const endpoint_entry& to,
-                                                             const std::optional<prompt_need>& need)
+                                                             const std::optional<prompt_need>& need,
+                                                             const std::optional<tracked_stream>& stream)
 {
     if (!need)
         return std::nullopt;
     auto& placement = chooser_.placement();
     const auto out = placement.sent(now, to, *need);
-    if (!placement.should_announce(out))
+    if (stream)
+        placement.stream_sent(now, *stream);
+    else if (!placement.should_announce(out))
         return out;
     ++counters_.prompts_told;
-    hooks_.announce_prompt_sent({out.endpoint, need->shared, std::chrono::ceil<milliseconds>(out.work)});
+    hooks_.announce_prompt_sent(
+        stream ? stream->sent
+               : prompt_sent{out.endpoint, need->shared, std::chrono::ceil<milliseconds>(out.work)});
     return out;
 }
 
