Merge the tracking of streams at engines

The learned speeds and lengths belong to the placement, which uses them for its forecasts; the forwarder feeds them.

--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -11,9 +11,7 @@
 #include <string_view>
 #include <vector>
 
-#include "runlink/load/answer_length.hpp"
 #include "runlink/load/model_choice.hpp"
-#include "runlink/load/token_speed.hpp"
 #include "runlink/paths/path_control.hpp"
 #include "runlink/places/evacuations.hpp"
 #include "runlink/routing/forwarder_hooks.hpp"
@@ -28,13 +26,6 @@
 namespace runlink::routing
 {
 
-/// What is learned from streams while the load of engines is tracked.
-struct learned_speeds
-{
-    load::token_speed tokens;
-    load::answer_length lengths;
-};
-
 /// Receives requests and the results of their attempts, and decides what is sent where and when.
 ///
 /// A refusal says `not_run` only if no attempt may have run. A request that is not idempotent has at most one
@@ -141,6 +132,13 @@
         chooser_.placement().on_peer_answered(now, it);
     }
 
+    /// A stream that another instance announced with its prompt is over.
+    void on_peer_stream_ended(const load::stream_ended& it) { chooser_.placement().stream_ended(it); }
+    /// The parts of load tracking that are in force.
+    const load::active_load& active_load() const { return load_active_; }
+    /// Number of streams tracked one by one, those of peers included.
+    std::size_t streams_tracked() const { return chooser_.placement().streams().size(); }
+
     /// Prompts sent by instances of other failure domains.
     void on_remote_loads(time_point now, const load_digest& it)
     {
@@ -167,7 +165,8 @@
     /// Number of active requests whose API key is not in the current table.
     std::size_t count_without_key() const;
     const forwarder_counters& counters() const { return counters_; }
-    const learned_speeds& learned() const { return learned_; }
+    const load::token_speed& token_speeds() const { return chooser_.placement().token_speeds(); }
+    const load::answer_length& answer_lengths() const { return chooser_.placement().answer_lengths(); }
     /// Number of attempts under way at the endpoints of each service.
     std::map<service_id, std::uint32_t> running() const;
 
@@ -224,7 +223,8 @@
         model_id model;
         std::uint32_t number = 0; ///< counts the sends of the request, from 1
         bool may_have_run = false;
-        std::optional<placed_prompt> prompt; ///< set until the endpoint has read the prompt
+        std::optional<placed_prompt> prompt;  ///< set until the endpoint has read the prompt
+        std::optional<tracked_stream> stream; ///< set if streams are tracked
         time_point started{};
         duration expected{}; ///< estimated time to the first byte, from backlog and prompt; 0: unknown
         bool has_head = false;
@@ -371,9 +371,21 @@
     /// The model that the next attempt asks for; empty if the caller named the model or the route has none.
     model_id model_of(const flow& it) const;
     std::optional<placed_prompt> place_prompt(time_point now, const endpoint_entry& to,
-                                              const std::optional<prompt_need>& need);
+                                              const std::optional<prompt_need>& need,
+                                              const std::optional<tracked_stream>& stream);
     void on_prompt_read(time_point now, attempt& it);
 
+    // Streams tracked over all instances
+    /// Takes the parts of load tracking that are in force by the current table.
+    void apply_load_switches();
+    /// Adds what the forecast of a stream needs.
+    void add_stream_need(const flow& it, prompt_need& to) const;
+    std::optional<tracked_stream> plan_stream(time_point now, const flow& it, const successor& to,
+                                              attempt_id id) const;
+    void begin_stream(time_point now, attempt& it);
+    void end_stream(const attempt& it);
+    static void describe_stream(const attempt& it, decision& to);
+
     // Succession: an attempt that may still be answered is cancelled only in the step that sends its
     // successor. Without a successor the attempt is kept.
 
@@ -507,8 +519,8 @@
     std::map<attempt_id, attempt> attempts_;
     std::set<std::pair<time_point, flow_id>> timers_;
     std::uint64_t next_attempt_ = 1;
+    std::uint64_t self_hash_; ///< hash of the instance's id
     forwarder_counters counters_;
-    learned_speeds learned_;
 };
 
 } // namespace runlink::routing
--- a/src/runlink/routing/forwarder_speeds_test.cpp
+++ b/src/runlink/routing/forwarder_speeds_test.cpp
@@ -123,11 +123,11 @@
 
     duration per_token(const endpoint_id& at) const
     {
-        return forwarder->learned().tokens.per_token(middle, load::hash_of(at), 1);
+        return forwarder->token_speeds().per_token(middle, load::hash_of(at), 1);
     }
     load::length_estimate length() const
     {
-        return forwarder->learned().lengths.expect("chat", std::nullopt, 0);
+        return forwarder->answer_lengths().expect("chat", std::nullopt, 0);
     }
 
     time_point now = start;
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -31,7 +31,7 @@
                                                                            attribution_hooks()},
       rollouts_{options_.rollouts, core::stable_hash(self.str())}, pins_{options_.session_ttl},
       cascade_{options_.cascade}, model_choice_{choice_options(options_)}, admission_{options_.admission},
-      start_queue_{options_.start}
+      start_queue_{options_.start}, self_hash_{core::stable_hash(self.str())}
 {
     bounds_.brittle().place_of = [this](const endpoint_id& id) -> std::optional<places::endpoint_place>
     {
@@ -47,16 +47,10 @@
             it.key_last_valid_at.reset(); // the key may have been added again
         else if (!it.account.empty() && !it.key_last_valid_at)
             it.key_last_valid_at = proven_at_;
-    std::vector<load::engine_limits> engines;
     for (const auto& it : table->services())
-    {
         bounds_.warm_up().set_limit(it.id, it.cold);
-        if (it.runs_models)
-            engines.push_back(it.engine);
-    }
-    load_active_ = load::active_parts(options_.load, engines);
-    chooser_.placement().set_by_endpoint(load_active_.engine_load);
     table_ = std::move(table);
+    apply_load_switches();
     is_start_queue_ready_ = true;
 }
 
@@ -186,7 +180,8 @@
     record.number = request_flow.sends;
     record.started = now;
     record.is_trial = to.is_trial;
-    record.prompt = place_prompt(now, endpoint, to.prompt);
+    record.stream = plan_stream(now, request_flow, to, order.id);
+    record.prompt = place_prompt(now, endpoint, to.prompt, record.stream);
     if (record.prompt)
         record.expected = record.prompt->wait + record.prompt->work;
     chooser_.started(endpoint.id);
@@ -230,6 +225,7 @@
         line.expected_wait_ms = std::chrono::floor<milliseconds>(sent.prompt->wait).count();
         line.expected_read_ms = std::chrono::floor<milliseconds>(sent.prompt->work).count();
     }
+    describe_stream(sent, line);
     hooks_.log(line);
 }
 
@@ -292,6 +288,7 @@
     it.attempts.erase(id);
     if (out.prompt)
         chooser_.placement().withdrawn(now, *out.prompt);
+    end_stream(out);
     chooser_.finished(out.endpoint);
     bounds_.finished(now, out.endpoint, out.started);
     if (bounds_.brittle().is_brittle(out.endpoint))
--- a/src/runlink/routing/request_forwarder_speeds.cpp
+++ b/src/runlink/routing/request_forwarder_speeds.cpp
@@ -15,9 +15,9 @@
 
 } // namespace
 
-std::uint32_t request_forwarder::running_at(time_point /*now*/, const endpoint_id& at) const
+std::uint32_t request_forwarder::running_at(time_point now, const endpoint_id& at) const
 {
-    return chooser_.in_flight(at);
+    return chooser_.placement().state_of(now, load::hash_of(at)).running;
 }
 
 std::uint32_t request_forwarder::tokens_per_event(const flow& it)
@@ -39,7 +39,7 @@
     const auto tokens = tokens_per_event(it) * events_per_sample;
     if (from.events == 1 || tokens == 0 || since == time_point{})
         return;
-    learned_.tokens.observe(asked_model(it, from), load::hash_of(from.endpoint),
+    chooser_.placement().token_speeds().observe(asked_model(it, from), load::hash_of(from.endpoint),
                             running_at(now, from.endpoint), (now - since) / tokens);
 }
 
@@ -50,9 +50,9 @@
         return;
     // The events that the caller received before it resumed the stream itself are not known.
     if (is_complete && !it.request.last_event)
-        learned_.lengths.observe(it.matched_route->name, it.request.length_hint, tokens);
+        chooser_.placement().answer_lengths().observe(it.matched_route->name, it.request.length_hint, tokens);
     else
-        learned_.lengths.observe_cut(it.matched_route->name, it.request.length_hint, tokens);
+        chooser_.placement().answer_lengths().observe_cut(it.matched_route->name, it.request.length_hint, tokens);
 }
 
 } // namespace runlink::routing
