--- a/include/runlink/routing/prompt_placement.hpp
+++ b/include/runlink/routing/prompt_placement.hpp
@@ -4,7 +4,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <vector>
 
 #include "runlink/load/answer_length.hpp"
@@ -137,8 +136,9 @@
     /// Turns the tracking of streams on or off; off drops what is known of them.
     void track_streams(bool is_on, load::forecast_kind kind);
     bool tracks_streams() const { return tracks_streams_; }
-    /// Forecast of a stream if it is sent now; nothing if streams are not tracked or none of the model has
-    /// been seen to generate tokens.
+    /// Forecast of a stream if it is sent now; nothing if streams are not tracked or none has been seen
+    /// to generate tokens. A model without samples is forecast with the initial speeds: otherwise one that was
+    /// never asked would never be.
     std::optional<load::stream_forecast> forecast(time_point now, const endpoint_entry& to,
                                                   const prompt_need& need) const;
     /// The stream that begins if the prompt is sent now, and runs at most for `time_left`.
@@ -199,7 +199,7 @@
     load::unseen_work peer_work_;
     load::token_speed token_speed_;
     load::answer_length answer_length_;
-    std::set<core::model_id> learned_models_; ///< whose streams were seen to generate tokens
+    bool has_learned_ = false; ///< a stream was seen to generate tokens
 };
 
 } // namespace runlink::routing
--- a/src/runlink/routing/prompt_placement.cpp
+++ b/src/runlink/routing/prompt_placement.cpp
@@ -219,7 +219,7 @@
 std::optional<load::stream_forecast> prompt_placement::forecast(time_point now, const endpoint_entry& to,
                                                                 const prompt_need& need) const
 {
-    if (!tracks_streams_ || !learned_models_.contains(need.model))
+    if (!tracks_streams_ || !has_learned_)
         return std::nullopt;
     return forecast_at(now, hash_of(to.id), need);
 }
@@ -256,7 +256,7 @@
 void prompt_placement::stream_progressed(const tracked_stream& it)
 {
     streams_.progressed(it.sent.endpoint, it.sent.stream, it.tokens_per_event);
-    learned_models_.insert(it.model);
+    has_learned_ = true;
 }
 
 } // namespace runlink::routing
