Load: stream counts in digests are limited to an eighth of a link

With an entry for each endpoint that runs streams, a relay would send its failure domain 2.5 Mbit/s at 133 instances (calculated), and far more in larger fleets. Counts go into every second digest, those of the endpoints with the most streams first.

Tested: load_test, routing_test.

--- a/include/runlink/load/load_digest.hpp
+++ b/include/runlink/load/load_digest.hpp
@@ -44,8 +44,8 @@
     /// Streams of a failure domain count for this long without a new digest. Unlike a backlog they do not
     /// decline by themselves, so they would count forever after the loss of a relay.
     core::milliseconds streams_ttl{960};
-    /// Bytes per second that a relay may spend on the stream counts that it passes on to its failure domain:
-    /// an eighth of a link of 10 Mbit/s.
+    /// Bytes per second that a relay may spend on stream counts for its failure domain, and on those for
+    /// other relays: an eighth of a link of 10 Mbit/s each.
     std::uint32_t streams_bytes_per_s = 156'000;
 };
 
@@ -63,11 +63,17 @@
     void on_digest(core::time_point now, const load_digest& it);
     /// The sum of all digests, reduced by the time since each arrived.
     load_digest merged(core::time_point now) const;
-    /// `merged`, with stream counts in every second digest only, and only of the endpoints with the most
-    /// streams, as many as may be sent to this number of instances.
-    load_digest merged_for(core::time_point now, std::size_t receivers);
+    /// Leaves the stream counts of the endpoints with the most streams in a digest, as many as may be sent to
+    /// this number of receivers in each interval. A digest without streams stays unchanged.
+    void limit_streams(load_digest& it, std::size_t receivers) const;
+    /// The same for a digest that holds stream counts only every second time, and then twice as many.
+    void limit_streams_by_turn(load_digest& it, std::size_t receivers);
 
 private:
+    /// Number of stream counts that may be sent to each receiver within a number of intervals.
+    std::size_t most_streams(std::size_t receivers, int intervals) const;
+    void keep_most_streams(load_digest& it, std::size_t most) const;
+
     struct received
     {
         core::time_point at{}; ///< arrival
@@ -76,7 +82,7 @@
 
     load_exchange_options options_;
     std::map<core::failure_domain_id, received> domains_;
-    bool has_stream_turn_ = false; ///< the next `merged_for` holds stream counts
+    bool has_stream_turn_ = false; ///< the latest `limit_streams_by_turn` left stream counts
 };
 
 } // namespace runlink::load
--- a/src/runlink/gateway/gateway_daemon_peers.cpp
+++ b/src/runlink/gateway/gateway_daemon_peers.cpp
@@ -236,9 +236,15 @@
     if (!relay_.is_relay() || gossip_.sends_prompts_to_all_domains())
         return;
     next_digest_ = now + remote_loads_.options().interval;
-    gossip_.send_to(relay_.other_relays(), forwarder_.local_loads(now, remote_loads_.options().least_load));
-    gossip_.broadcast_in_domain(remote_loads_.merged_for(now, gossip_.count_in_domain()));
-    forwarder_.on_remote_loads(now, remote_loads_.merged(now));
+    const auto others = relay_.other_relays();
+    auto own = forwarder_.local_loads(now, remote_loads_.options().least_load);
+    remote_loads_.limit_streams(own, others.size());
+    gossip_.send_to(others, own);
+    const auto far = remote_loads_.merged(now);
+    auto passed_on = far;
+    remote_loads_.limit_streams_by_turn(passed_on, gossip_.count_in_domain());
+    gossip_.broadcast_in_domain(passed_on);
+    forwarder_.on_remote_loads(now, far);
 }
 
 void gateway_daemon::on_load_digest(core::time_point now, const load::load_digest& it)
--- a/src/runlink/load/engine_load_test.cpp
+++ b/src/runlink/load/engine_load_test.cpp
@@ -149,24 +149,35 @@
     for (std::uint32_t n = 1; n <= 100; ++n)
         far.loads.push_back({endpoint_hash{n}, milliseconds{n == 1 ? 90 : 0}, n, n * 1000, n * 100});
     relay.on_digest(start, far);
-    const auto first = relay.merged_for(start, 44);
+    const auto passed_on = [&](load_exchange& from, std::size_t receivers)
+    {
+        auto out = from.merged(start);
+        from.limit_streams_by_turn(out, receivers);
+        return out;
+    };
+    const auto first = passed_on(relay, 44);
     REQUIRE(first.loads.size() == 61); // 60 with streams, and the backlog of the first
     CHECK(first.loads.front().running == 100);
     CHECK(first.loads.back().running == 0);
-    const auto second = relay.merged_for(start, 44);
+    const auto second = passed_on(relay, 44);
     REQUIRE(second.loads.size() == 1);
     CHECK(second.loads[0].left == milliseconds{90});
     engine_load receiver;
     receiver.set_remote_loads(start, first.loads);
     receiver.set_remote_loads(start + milliseconds{120}, second.loads);
     CHECK(running(receiver, start + milliseconds{120}, endpoint_hash{100}) == 100);
-    CHECK(relay.merged_for(start, 328).loads.size() == 8 + 1);
+    CHECK(passed_on(relay, 328).loads.size() == 8 + 1);
     // Without tracked streams nothing is left out.
     for (auto& it : far.loads)
         it.running = 0;
     load_exchange other;
     other.on_digest(start, far);
-    CHECK(other.merged_for(start, 328).loads.size() == other.merged(start).loads.size());
+    CHECK(passed_on(other, 328).loads.size() == other.merged(start).loads.size());
+    // Another relay gets all of them each time: there are few.
+    auto own = far;
+    own.loads[9].running = 5;
+    relay.limit_streams(own, 2);
+    CHECK(own.loads.size() == 100);
 }
 
 TEST_CASE("a stream is admitted at once while there are slots and memory")
--- a/src/runlink/load/load_digest.cpp
+++ b/src/runlink/load/load_digest.cpp
@@ -8,8 +8,9 @@
 namespace
 {
 
-/// One of this many digests holds stream counts: streams last for seconds, backlogs for tenths of a second.
-constexpr int turns_per_streams = 2;
+/// One of this many digests to the own failure domain holds stream counts: streams last for seconds, backlogs
+/// for tenths of a second.
+constexpr int intervals_per_turn = 2;
 /// Size of an endpoint with its streams in a datagram.
 constexpr double bytes_per_streams = 14;
 
@@ -51,21 +52,35 @@
     return out;
 }
 
-load_digest load_exchange::merged_for(core::time_point now, std::size_t receivers)
+std::size_t load_exchange::most_streams(std::size_t receivers, int intervals) const
 {
-    auto out = merged(now);
-    const auto per_turn = options_.streams_bytes_per_s *
-                          std::chrono::duration<double>(options_.interval).count() * turns_per_streams;
-    const auto most =
-        static_cast<std::size_t>(per_turn / bytes_per_streams) / std::max<std::size_t>(receivers, 1);
-    std::stable_sort(out.loads.begin(), out.loads.end(),
+    const auto time = std::chrono::duration<double>(options_.interval * intervals).count();
+    const auto all = static_cast<std::size_t>(options_.streams_bytes_per_s * time / bytes_per_streams);
+    return all / std::max<std::size_t>(receivers, 1);
+}
+
+void load_exchange::keep_most_streams(load_digest& it, std::size_t most) const
+{
+    const auto all = static_cast<std::size_t>(
+        std::count_if(it.loads.begin(), it.loads.end(), [](const auto& e) { return e.running > 0; }));
+    if (all <= most)
+        return;
+    std::stable_sort(it.loads.begin(), it.loads.end(),
                      [](const auto& a, const auto& b) { return a.running > b.running; });
+    for (auto n = most; n < all; ++n)
+        it.loads[n] = {it.loads[n].endpoint, it.loads[n].left};
+    std::erase_if(it.loads, [&](const auto& e) { return e.left < options_.least_load && e.running == 0; });
+}
+
+void load_exchange::limit_streams(load_digest& it, std::size_t receivers) const
+{
+    keep_most_streams(it, most_streams(receivers, 1));
+}
+
+void load_exchange::limit_streams_by_turn(load_digest& it, std::size_t receivers)
+{
     has_stream_turn_ = !has_stream_turn_;
-    for (std::size_t n = has_stream_turn_ ? most : 0; n < out.loads.size(); ++n)
-        out.loads[n] = {out.loads[n].endpoint, out.loads[n].left};
-    std::erase_if(out.loads,
-                  [&](const auto& it) { return it.left < options_.least_load && it.running == 0; });
-    return out;
+    keep_most_streams(it, has_stream_turn_ ? most_streams(receivers, intervals_per_turn) : 0);
 }
 
 } // namespace runlink::load
--- a/src/runlink/routing/engine_choice_test.cpp
+++ b/src/runlink/routing/engine_choice_test.cpp
@@ -405,7 +405,10 @@
         const auto followers = instances_.size() / domains.size() - 1;
         std::array<load_digest, domains.size()> passed_on;
         for (std::size_t n = first; n < instances_.size(); ++n)
-            passed_on[n % domains.size()] = instances_[n].others.merged_for(now_, followers);
+        {
+            passed_on[n % domains.size()] = instances_[n].others.merged(now_);
+            instances_[n].others.limit_streams_by_turn(passed_on[n % domains.size()], followers);
+        }
         for (std::size_t n = 0; n < instances_.size(); ++n)
             instances_[n].chooser.placement().on_remote_loads(
                 now_, n < first ? passed_on[n % domains.size()] : instances_[n].others.merged(now_));
--- a/src/runlink/routing/stream_tracking_test.cpp
+++ b/src/runlink/routing/stream_tracking_test.cpp
@@ -198,7 +198,7 @@
     peer.stream = load::stream_hash{77};
     it.forwarder.on_peer_prompt(it.now, peer);
     CHECK(it.forwarder.streams_tracked() == 3);
-    CHECK(it.forwarder.local_loads(it.now, milliseconds{30}).loads.size() > 0);
+    CHECK_FALSE(it.forwarder.local_loads(it.now, milliseconds{30}).loads.empty());
     it.forwarder.on_peer_stream_ended({peer.endpoint, peer.stream});
     CHECK(it.forwarder.streams_tracked() == 2);
 }
