Load: a test of the estimate of work that is not announced yet

Tested: load_test; on this code also routing_test, gateway_test, forwarding_test, forwarding_property_test, crash_test, limit_test and exposure_test.

--- a/src/runlink/load/engine_load_test.cpp
+++ b/src/runlink/load/engine_load_test.cpp
@@ -5,6 +5,7 @@
 #include "runlink/load/engine_load.hpp"
 #include "runlink/load/load_digest.hpp"
 #include "runlink/load/stream_forecaster.hpp"
+#include "runlink/load/unseen_work.hpp"
 
 using namespace runlink::load;
 
@@ -216,3 +217,14 @@
     CHECK(forecast_stream(forecast_kind::ends, state, limits, need, speed).cost_to_others ==
           duration{10 * 50 * 120});
 }
+
+// Guards against forecasts that stay late after a burst of announcements.
+TEST_CASE("work that is not announced yet follows the work announced in the last second")
+{
+    unseen_work it;
+    CHECK(it.unseen(start) == duration{});
+    it.add(start, milliseconds{1000});
+    CHECK(it.unseen(start) == milliseconds{180});
+    CHECK(it.unseen(start + milliseconds{1000}) == duration{66'218}); // a factor of e less
+    CHECK(it.unseen(start + milliseconds{20'000}) == duration{});
+}
