Backlog: prompts of peers' streams count until they are announced as read

Cause: an answer was taken to show that everything sent before it had been read, but engines read urgent prompts first. With tracked streams an answer now names its stream and removes that prompt only.

--- a/include/runlink/load/endpoint_backlog.hpp
+++ b/include/runlink/load/endpoint_backlog.hpp
@@ -24,6 +24,9 @@
     /// Longest time that an unanswered entry counts. Longer waits are handled by the timers of the requests
     /// themselves.
     milliseconds max_entry_age{10'000};
+    /// Time for which a prompt of a peer's stream counts without an update. The longest prompts are read in
+    /// three to four seconds; a longer silence points to a lost announcement.
+    milliseconds max_unread_time{4000};
 };
 
 /// Estimates for each endpoint the time that it needs to read the prompts sent to it.
@@ -43,7 +46,11 @@
 
     /// A prompt was sent to an endpoint, by this instance (`is_own`) or a peer. `work` is the expected time
     /// to read it. Own work counts until its answer begins.
-    void sent(time_point now, endpoint_hash to, duration work, bool is_own);
+    /// A `stream` identifies the prompt of a peer, which then counts until it is known to have been read.
+    void sent(time_point now, endpoint_hash to, duration work, bool is_own, stream_hash stream = {});
+    /// The prompt of a peer's stream was read, or its stream ended before that. Removes this prompt only: an
+    /// engine reads urgent prompts first, so an answer shows nothing about prompts that were sent before it.
+    void read(time_point now, endpoint_hash by, stream_hash stream);
     /// The answer to a prompt that any instance sent at `sent_at` has begun. Removes the work of peers up to
     /// that time; own work is removed by `withdrawn`.
     void answered(time_point now, endpoint_hash from, time_point sent_at);
@@ -65,6 +72,7 @@
         time_point sent_at{};
         duration work{};
         bool is_own = false;
+        stream_hash stream{}; ///< of a peer; 0: not known
     };
     struct queue
     {
@@ -72,7 +80,7 @@
         time_point busy_until = time_point::min(); ///< expected end of reading all entries
     };
 
-    static duration local_time_left(time_point now, const queue& it);
+    duration local_time_left(time_point now, const queue& it) const;
     /// Limits `busy_until` to the time that the remaining entries need together.
     static void limit_busy_until(time_point now, queue& it);
 
--- a/include/runlink/load/load_messages.hpp
+++ b/include/runlink/load/load_messages.hpp
@@ -41,6 +41,7 @@
 {
     endpoint_hash endpoint;
     core::milliseconds age{}; ///< time since the request was sent
+    stream_hash stream{};     ///< 0: not tracked
 };
 
 /// A stream that was announced by `prompt_sent` is over at its endpoint.
--- a/include/runlink/routing/prompt_placement.hpp
+++ b/include/runlink/routing/prompt_placement.hpp
@@ -8,8 +8,8 @@
 
 #include "runlink/load/answer_length.hpp"
 #include "runlink/load/endpoint_backlog.hpp"
-#include "runlink/load/forecast.hpp"
 #include "runlink/load/engine_load.hpp"
+#include "runlink/load/forecast.hpp"
 #include "runlink/load/prompt_speed.hpp"
 #include "runlink/load/stream_forecaster.hpp"
 #include "runlink/load/token_speed.hpp"
@@ -139,8 +139,8 @@
     void track_streams(bool is_on, load::forecast_kind kind);
     bool tracks_streams() const { return tracks_streams_; }
     /// Forecast of a stream if it is sent now; nothing if streams are not tracked or none has been seen
-    /// to generate tokens. A model without samples is forecast with the initial speeds: otherwise one that was
-    /// never asked would never be.
+    /// to generate tokens. A model without samples is forecast with the initial speeds: otherwise one that
+    /// was never asked would never be.
     std::optional<load::stream_forecast> forecast(time_point now, const endpoint_entry& to,
                                                   const prompt_need& need) const;
     /// The stream that begins if the prompt is sent now, and runs at most for `time_left`.
@@ -152,6 +152,12 @@
     void stream_began(tracked_stream& it);
     void stream_progressed(const tracked_stream& it);
     void stream_ended(const load::stream_ended& it) { streams_.ended(it); }
+    /// A stream of a peer is over; its prompt may not have been read.
+    void on_peer_stream_ended(time_point now, const load::stream_ended& it)
+    {
+        backlog_.read(now, it.endpoint, it.stream);
+        streams_.ended(it);
+    }
     const load::engine_load& streams() const { return streams_; }
     /// Load of an endpoint, over all instances.
     load::endpoint_state state_of(time_point now, endpoint_hash at) const;
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -133,7 +133,10 @@
     }
 
     /// A stream that another instance announced with its prompt is over.
-    void on_peer_stream_ended(const load::stream_ended& it) { chooser_.placement().stream_ended(it); }
+    void on_peer_stream_ended(time_point now, const load::stream_ended& it)
+    {
+        chooser_.placement().on_peer_stream_ended(now, it);
+    }
     /// The parts of load tracking that are in force.
     const load::active_load& active_load() const { return load_active_; }
     const prompt_placement& placement() const { return chooser_.placement(); }
--- a/src/runlink/gateway/gateway_daemon_peers.cpp
+++ b/src/runlink/gateway/gateway_daemon_peers.cpp
@@ -264,7 +264,7 @@
     for (const auto& e : it.answers)
         forwarder_.on_peer_answer(now, e);
     for (const auto& e : it.ended)
-        forwarder_.on_peer_stream_ended(e);
+        forwarder_.on_peer_stream_ended(now, e);
     if (!it.sender.str().empty()) // messages that hold only prompts have no sender
         forwarder_.rollouts().on_peer_evidence(now, it.sender, it.evidence);
 }
--- a/src/runlink/load/endpoint_backlog.cpp
+++ b/src/runlink/load/endpoint_backlog.cpp
@@ -6,10 +6,10 @@
 namespace runlink::load
 {
 
-void endpoint_backlog::sent(time_point now, endpoint_hash to, duration work, bool is_own)
+void endpoint_backlog::sent(time_point now, endpoint_hash to, duration work, bool is_own, stream_hash stream)
 {
     auto& it = queues_[to];
-    it.entries.push_back({now, work, is_own});
+    it.entries.push_back({now, work, is_own, stream});
     it.busy_until = std::max(it.busy_until, now) + work;
 }
 
@@ -23,6 +23,15 @@
     limit_busy_until(now, found->second);
 }
 
+void endpoint_backlog::read(time_point now, endpoint_hash by, stream_hash stream)
+{
+    const auto found = queues_.find(by);
+    if (found == queues_.end() || stream == stream_hash{})
+        return;
+    std::erase_if(found->second.entries, [&](const entry& e) { return e.stream == stream; });
+    limit_busy_until(now, found->second);
+}
+
 void endpoint_backlog::withdrawn(time_point now, endpoint_hash from, time_point sent_at)
 {
     const auto found = queues_.find(from);
@@ -45,13 +54,25 @@
     it.busy_until = std::min(it.busy_until, now + rest);
 }
 
-duration endpoint_backlog::local_time_left(time_point now, const queue& it)
+duration endpoint_backlog::local_time_left(time_point now, const queue& it) const
 {
-    // An endpoint may be slower than expected: own prompts without an answer still wait there.
-    duration own{};
+    // An endpoint may be slower than expected: own prompts without an answer still wait there, and so do
+    // those of peers' streams. Of these the oldest is being read; a quarter of it is taken to be left at
+    // least.
+    constexpr int parts_of_oldest = 4;
+    duration unread{};
+    bool is_oldest = true;
     for (const auto& e : it.entries)
-        own += e.is_own ? e.work : duration{};
-    return std::max(it.busy_until - now, own);
+    {
+        const bool is_tracked = e.stream != stream_hash{} && now - e.sent_at < options_.max_unread_time;
+        if (e.is_own)
+            unread += e.work;
+        else if (is_tracked)
+            unread +=
+                is_oldest ? std::max<duration>(e.work - (now - e.sent_at), e.work / parts_of_oldest) : e.work;
+        is_oldest = is_oldest && !e.is_own && !is_tracked;
+    }
+    return std::max(it.busy_until - now, unread);
 }
 
 duration endpoint_backlog::time_left(time_point now, endpoint_hash of) const
--- a/src/runlink/proto/gossip_codec.cpp
+++ b/src/runlink/proto/gossip_codec.cpp
@@ -70,6 +70,7 @@
         auto* answer = out.add_answers();
         answer->set_endpoint(static_cast<std::uint32_t>(e.endpoint.value()));
         answer->set_age_ms(static_cast<std::uint32_t>(e.age.count()));
+        answer->set_stream(static_cast<std::uint32_t>(e.stream.value()));
     }
     for (const auto& e : message.ended)
     {
@@ -419,7 +420,8 @@
                                core::milliseconds{e.work_ms()}, load::stream_hash{e.stream()},
                                e.held_tokens(), e.made_tokens(), core::milliseconds{e.run_ms()}});
     for (const auto& e : in.answers())
-        out.answers.push_back({routing::endpoint_hash{e.endpoint()}, core::milliseconds{e.age_ms()}});
+        out.answers.push_back({routing::endpoint_hash{e.endpoint()}, core::milliseconds{e.age_ms()},
+                               load::stream_hash{e.stream()}});
     for (const auto& e : in.ended())
         out.ended.push_back({load::endpoint_hash{e.endpoint()}, load::stream_hash{e.stream()}});
     for (const auto& e : in.counts())
--- a/src/runlink/routing/engine_choice_test.cpp
+++ b/src/runlink/routing/engine_choice_test.cpp
@@ -331,7 +331,8 @@
         if (it.stream)
             from.chooser.placement().stream_began(*it.stream);
         tell(it.instance)
-            .answers.push_back({it.prompt.endpoint, std::chrono::floor<milliseconds>(now_ - it.sent_at)});
+            .answers.push_back({it.prompt.endpoint, std::chrono::floor<milliseconds>(now_ - it.sent_at),
+                                it.stream ? it.stream->sent.stream : load::stream_hash{}});
     }
 
     void generate(job& it, double tokens)
@@ -399,7 +400,7 @@
         for (const auto& e : it.message.answers)
             placement.on_peer_answered(now_, e);
         for (const auto& e : it.message.ended)
-            placement.stream_ended(e);
+            placement.on_peer_stream_ended(now_, e);
     }
 
     /// The last instances of the failure domains are their relays; followers get what they got one interval
--- a/src/runlink/routing/prompt_placement.cpp
+++ b/src/runlink/routing/prompt_placement.cpp
@@ -128,7 +128,8 @@
 void prompt_placement::answered(time_point now, const placed_prompt& it)
 {
     backlog_.withdrawn(now, it.endpoint, it.sent_at);
-    backlog_.answered(now, it.endpoint, it.sent_at);
+    if (!tracks_streams_)
+        backlog_.answered(now, it.endpoint, it.sent_at);
     if (it.wait >= negligible_wait && it.wait * min_work_to_wait_ratio >= it.work)
         return;
     const auto time = std::max<duration>(now - it.sent_at - it.wait, min_reading_time);
@@ -145,7 +146,7 @@
 
 void prompt_placement::on_peer_sent(time_point now, const prompt_sent& it)
 {
-    backlog_.sent(now, it.endpoint, it.work, false);
+    backlog_.sent(now, it.endpoint, it.work, false, tracks_streams_ ? it.stream : load::stream_hash{});
     if (tracks_streams_)
     {
         streams_.sent(now, it, false);
@@ -156,7 +157,10 @@
 
 void prompt_placement::on_peer_answered(time_point now, const prompt_answered& it)
 {
-    backlog_.answered(now, it.endpoint, now - it.age);
+    if (tracks_streams_)
+        backlog_.read(now, it.endpoint, it.stream);
+    else
+        backlog_.answered(now, it.endpoint, now - it.age);
 }
 
 void prompt_placement::expire(time_point now)
--- a/src/runlink/routing/request_forwarder_arrival.cpp
+++ b/src/runlink/routing/request_forwarder_arrival.cpp
@@ -266,8 +266,9 @@
     if (!it.prompt)
         return;
     chooser_.placement().answered(now, *it.prompt);
-    hooks_.announce_prompt_answered(
-        {it.prompt->endpoint, std::chrono::floor<milliseconds>(now - it.prompt->sent_at)});
+    hooks_.announce_prompt_answered({it.prompt->endpoint,
+                                     std::chrono::floor<milliseconds>(now - it.prompt->sent_at),
+                                     it.stream ? it.stream->sent.stream : load::stream_hash{}});
     it.prompt.reset();
 }
 
--- a/src/runlink/routing/stream_tracking_test.cpp
+++ b/src/runlink/routing/stream_tracking_test.cpp
@@ -199,7 +199,7 @@
     it.forwarder.on_peer_prompt(it.now, peer);
     CHECK(it.forwarder.streams_tracked() == 3);
     CHECK_FALSE(it.forwarder.local_loads(it.now, milliseconds{30}).loads.empty());
-    it.forwarder.on_peer_stream_ended({peer.endpoint, peer.stream});
+    it.forwarder.on_peer_stream_ended(it.now, {peer.endpoint, peer.stream});
     CHECK(it.forwarder.streams_tracked() == 2);
 }
 
