--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "runlink/load/model_choice.hpp"
 #include "runlink/paths/path_control.hpp"
 #include "runlink/places/evacuations.hpp"
 #include "runlink/routing/forwarder_hooks.hpp"
@@ -131,6 +132,17 @@
         chooser_.placement().on_peer_answered(now, it);
     }
 
+    /// A stream that another instance announced with its prompt is over.
+    void on_peer_stream_ended(time_point now, const load::stream_ended& it)
+    {
+        chooser_.placement().on_peer_stream_ended(now, it);
+    }
+    /// The parts of load tracking that are in force.
+    const load::active_load& active_load() const { return load_active_; }
+    const prompt_placement& placement() const { return chooser_.placement(); }
+    /// Number of streams tracked one by one, those of peers included.
+    std::size_t streams_tracked() const { return chooser_.placement().streams().size(); }
+
     /// Prompts sent by instances of other failure domains.
     void on_remote_loads(time_point now, const load_digest& it)
     {
@@ -157,6 +169,8 @@
     /// Number of active requests whose API key is not in the current table.
     std::size_t count_without_key() const;
     const forwarder_counters& counters() const { return counters_; }
+    const load::token_speed& token_speeds() const { return chooser_.placement().token_speeds(); }
+    const load::answer_length& answer_lengths() const { return chooser_.placement().answer_lengths(); }
     /// Number of attempts under way at the endpoints of each service.
     std::map<service_id, std::uint32_t> running() const;
 
@@ -194,6 +208,7 @@
         /// Why no further attempt was allowed, since the latest one was sent.
         std::optional<succession_denial> denied;
         std::optional<std::uint64_t> last_event;
+        std::uint32_t events = 0; ///< forwarded to the caller, over all attempts
         time_point last_progress{};
         time_point move_denied_at{}; ///< when a move was last denied
         time_point check_at{};       ///< the time in `timers_`
@@ -212,13 +227,15 @@
         model_id model;
         std::uint32_t number = 0; ///< counts the sends of the request, from 1
         bool may_have_run = false;
-        std::optional<placed_prompt> prompt; ///< set until the endpoint has read the prompt
+        std::optional<placed_prompt> prompt;  ///< set until the endpoint has read the prompt
+        std::optional<tracked_stream> stream; ///< set if streams are tracked
         time_point started{};
         duration expected{}; ///< estimated time to the first byte, from backlog and prompt; 0: unknown
         bool has_head = false;
         bool ends_with_connection = false; ///< see `attempt_head`
         std::optional<time_point> first_event;
         std::uint32_t events = 0;
+        time_point sampled_at{}; ///< start of the next sample of the time per token
         answer_counts counted;   ///< what was already counted in the version statistics
         bool is_trial = false;   ///< isolated run of a suspected request
         bool has_ended = false;  ///< the endpoint has ended, as far as is known
@@ -358,9 +375,21 @@
     /// The model that the next attempt asks for; empty if the caller named the model or the route has none.
     model_id model_of(const flow& it) const;
     std::optional<placed_prompt> place_prompt(time_point now, const endpoint_entry& to,
-                                              const std::optional<prompt_need>& need);
+                                              const std::optional<prompt_need>& need,
+                                              const std::optional<tracked_stream>& stream);
     void on_prompt_read(time_point now, attempt& it);
 
+    // Streams tracked over all instances
+    /// Takes the parts of load tracking that are in force by the current table.
+    void apply_load_switches();
+    /// Adds what the forecast of a stream needs.
+    void add_stream_need(const flow& it, prompt_need& to) const;
+    std::optional<tracked_stream> plan_stream(time_point now, const flow& it, const successor& to,
+                                              attempt_id id) const;
+    void begin_stream(time_point now, attempt& it);
+    void end_stream(const attempt& it);
+    static void describe_stream(const attempt& it, decision& to);
+
     // Succession: an attempt that may still be answered is cancelled only in the step that sends its
     // successor. Without a successor the attempt is kept.
 
@@ -398,8 +427,38 @@
     /// byte. Without these samples a version that never answered 30 % of its requests was rated good.
     void sample_given_up(time_point now, const flow& it, attempt& from, bool is_stalled);
     cascade_input cascade_input_of(time_point now, const flow& it, int confidence, const succession& larger);
-    /// Retries at the largest model if the confidence of the answer is too low. Returns whether it does.
+    /// Retries at a larger model if the confidence of the answer is too low. Returns whether it does.
     bool try_escalate(time_point now, flow& it, attempt_id from, int confidence);
+    /// The larger models that may be asked, and where.
+    struct larger_models
+    {
+        load::model_choice_input in;
+        std::vector<successor> to; ///< for each of `in.larger`
+    };
+    std::optional<load::stream_forecast> forecast_of(time_point now, const endpoint_entry& to,
+                                                     const std::optional<prompt_need>& need) const;
+    load::model_choice_input choice_input_of(time_point now, const flow& it, const attempt& from,
+                                             int confidence) const;
+    /// Adds the sizes above that of `in`. Returns whether all that may be asked have a forecast, and one may.
+    bool add_larger(time_point now, const flow& it, larger_models& out);
+    /// Decides by the forecasts of the larger models. Empty: there is none, and the thresholds decide;
+    /// otherwise whether a larger model was asked.
+    std::optional<bool> try_choose_model(time_point now, flow& it, attempt_id from, int confidence);
+    void note_kept(time_point now, flow& it, attempt_id from, const larger_models& all,
+                   load::choice_reason why);
+    /// Drops the answer of `from` and asks the model of index `size`.
+    void ask_larger(time_point now, flow& it, attempt_id from, std::size_t size, const successor& to);
+
+    // Speeds
+    /// Streams at the endpoint, this instance's included.
+    std::uint32_t running_at(time_point now, const endpoint_id& at) const;
+    /// Generated tokens in one event of the request's stream.
+    static std::uint32_t tokens_per_event(const flow& it);
+    static model_id asked_model(const flow& it, const attempt& from);
+    /// Learns the time per token from the events of an attempt, of which one was just counted.
+    void learn_token_speed(time_point now, const flow& it, attempt& from);
+    /// Learns the length of a response that ended, completely or not.
+    void learn_length(const flow& it, bool is_complete);
 
     // Endings
     void end_without_answer(time_point now, flow& it, core::errc why);
@@ -432,6 +491,7 @@
     forwarder_options options_;
     forwarder_hooks hooks_;
     routing_table_ptr table_;
+    load::active_load load_active_; ///< by `options_.load` and the engines of `table_`
     std::optional<time_point> proven_at_;
     struct stop_times
     {
@@ -453,6 +513,7 @@
     rollout_control rollouts_;
     session_pins pins_;
     cascade_policy cascade_;
+    load::model_choice model_choice_;
     admission admission_;
     start_queue start_queue_;
     std::optional<time_point> paused_since_;
@@ -462,6 +523,7 @@
     std::map<attempt_id, attempt> attempts_;
     std::set<std::pair<time_point, flow_id>> timers_;
     std::uint64_t next_attempt_ = 1;
+    std::uint64_t self_hash_; ///< hash of the instance's id
     forwarder_counters counters_;
 };
 
--- a/src/runlink/gateway/gateway_daemon_peers.cpp
+++ b/src/runlink/gateway/gateway_daemon_peers.cpp
@@ -236,9 +236,14 @@
     if (!relay_.is_relay() || gossip_.sends_prompts_to_all_domains())
         return;
     next_digest_ = now + remote_loads_.options().interval;
-    gossip_.send_to(relay_.other_relays(), forwarder_.local_loads(now, remote_loads_.options().least_load));
+    const auto others = relay_.other_relays();
+    auto own = forwarder_.local_loads(now, remote_loads_.options().least_load);
+    remote_loads_.limit_streams(own, others.size());
+    gossip_.send_to(others, own);
     const auto far = remote_loads_.merged(now);
-    gossip_.broadcast_in_domain(far);
+    auto passed_on = far;
+    remote_loads_.limit_streams_by_turn(passed_on, gossip_.count_in_domain());
+    gossip_.broadcast_in_domain(passed_on);
     forwarder_.on_remote_loads(now, far);
 }
 
@@ -258,6 +263,8 @@
         forwarder_.on_peer_prompt(now, e);
     for (const auto& e : it.answers)
         forwarder_.on_peer_answer(now, e);
+    for (const auto& e : it.ended)
+        forwarder_.on_peer_stream_ended(now, e);
     if (!it.sender.str().empty()) // messages that hold only prompts have no sender
         forwarder_.rollouts().on_peer_evidence(now, it.sender, it.evidence);
 }
--- a/src/runlink/load/load_digest.cpp
+++ b/src/runlink/load/load_digest.cpp
@@ -1,9 +1,27 @@
 #include "runlink/load/load_digest.hpp"
 
+#include <algorithm>
 #include <chrono>
 
 namespace runlink::load
 {
+namespace
+{
+
+/// One of this many digests to the own failure domain holds stream counts: streams last for seconds, backlogs
+/// for tenths of a second.
+constexpr int intervals_per_turn = 2;
+/// Size of an endpoint with its streams in a datagram.
+constexpr double bytes_per_streams = 14;
+
+void add_streams(const endpoint_load& from, endpoint_load& to)
+{
+    to.running += from.running;
+    to.held_tokens += from.held_tokens;
+    to.tokens_left += from.tokens_left;
+}
+
+} // namespace
 
 void load_exchange::on_digest(core::time_point now, const load_digest& it)
 {
@@ -12,19 +30,57 @@
 
 load_digest load_exchange::merged(core::time_point now) const
 {
-    std::map<endpoint_hash, core::milliseconds> sums;
+    std::map<endpoint_hash, endpoint_load> sums;
     for (const auto& [domain, it] : domains_)
     {
         const auto age = std::chrono::floor<core::milliseconds>(now - it.at);
         for (const auto& e : it.digest.loads)
+        {
             if (e.left > age)
-                sums[e.endpoint] += e.left - age;
+                sums[e.endpoint].left += e.left - age;
+            if (e.running > 0 && age < options_.streams_ttl)
+                add_streams(e, sums[e.endpoint]);
+        }
     }
     load_digest out;
-    for (const auto& [endpoint, left] : sums)
-        if (left >= options_.least_load)
-            out.loads.push_back({endpoint, left});
+    for (auto& [endpoint, it] : sums)
+    {
+        it.endpoint = endpoint;
+        if (it.left >= options_.least_load || it.running > 0)
+            out.loads.push_back(it);
+    }
     return out;
 }
 
+std::size_t load_exchange::most_streams(std::size_t receivers, int intervals) const
+{
+    const auto time = std::chrono::duration<double>(options_.interval * intervals).count();
+    const auto all = static_cast<std::size_t>(options_.streams_bytes_per_s * time / bytes_per_streams);
+    return all / std::max<std::size_t>(receivers, 1);
+}
+
+void load_exchange::keep_most_streams(load_digest& it, std::size_t most) const
+{
+    const auto all = static_cast<std::size_t>(
+        std::count_if(it.loads.begin(), it.loads.end(), [](const auto& e) { return e.running > 0; }));
+    if (all <= most)
+        return;
+    std::stable_sort(it.loads.begin(), it.loads.end(),
+                     [](const auto& a, const auto& b) { return a.running > b.running; });
+    for (auto n = most; n < all; ++n)
+        it.loads[n] = {it.loads[n].endpoint, it.loads[n].left};
+    std::erase_if(it.loads, [&](const auto& e) { return e.left < options_.least_load && e.running == 0; });
+}
+
+void load_exchange::limit_streams(load_digest& it, std::size_t receivers) const
+{
+    keep_most_streams(it, most_streams(receivers, 1));
+}
+
+void load_exchange::limit_streams_by_turn(load_digest& it, std::size_t receivers)
+{
+    has_stream_turn_ = !has_stream_turn_;
+    keep_most_streams(it, has_stream_turn_ ? most_streams(receivers, intervals_per_turn) : 0);
+}
+
 } // namespace runlink::load
