Plain services: load is known over the fleet, and requests wait for room

Each instance counted its own requests only. With one client account at 8 times its rate, callers that retry at once made three endpoints refuse more than half of the arrivals.

plain_load keeps requests in flight, answer times and refusals of each plain endpoint over all instances, and divides scarce capacity among the instances by demand, evenly without announcements. request_counts gains the rate of arrivals and the mean answer time; digests between failure domains carry sums. Requests without room wait in the queue that rate limits already have. Runlink-Load is read. Nothing changes with load.plain_load off.

--- a/include/runlink/gateway/gateway.hpp
+++ b/include/runlink/gateway/gateway.hpp
@@ -62,6 +62,8 @@
     /// Called with prompts sent to endpoints and with their answers, to be announced to other instances.
     std::function<void(const routing::prompt_sent&)> on_prompt_sent = [](const auto&) {};
     std::function<void(const routing::prompt_answered&)> on_prompt_answered = [](const auto&) {};
+    /// Called with the requests at plain endpoints, to be announced to other instances.
+    std::function<void(const std::vector<load::request_counts>&)> on_counts = [](const auto&) {};
     /// Called with crash reports to be announced to other instances.
     std::function<void(const crashes::crash_message&)> on_crash_seen = [](const auto&) {};
     /// Called with limits advertised by endpoints, to be announced to other instances; see `forwarder_hooks`.
--- a/include/runlink/gateway/gossip_link.hpp
+++ b/include/runlink/gateway/gossip_link.hpp
@@ -55,6 +55,8 @@
     void broadcast(std::vector<routing::version_evidence> it);
     void broadcast(const routing::prompt_sent& it);
     void broadcast(const routing::prompt_answered& it);
+    /// Sent immediately: the sender has batched them. They go where prompts go.
+    void broadcast(const std::vector<load::request_counts>& it);
     /// Sent immediately: each copy of the request that another instance sends meanwhile may crash an
     /// endpoint.
     void broadcast(const crashes::crash_message& it) { send_to_all(it, false); }
--- a/include/runlink/load/load_digest.hpp
+++ b/include/runlink/load/load_digest.hpp
@@ -30,6 +30,7 @@
 {
     core::failure_domain_id domain;
     std::vector<endpoint_load> loads;
+    std::vector<request_counts> counts{}; ///< sums over these instances; empty unless plain load is tracked
 };
 
 /// Parameters of the exchange.
@@ -40,6 +41,8 @@
     core::milliseconds interval{120};
     /// Loads below this are omitted, since they are over before the digest arrives.
     core::milliseconds least_load{30};
+    /// Age from which the counts of a digest are dropped, as are those of single instances.
+    core::milliseconds counts_expiry{300};
 };
 
 /// Keeps the latest digest of each other failure domain.
@@ -58,6 +61,7 @@
     load_digest merged(core::time_point now) const;
 
 private:
+    std::vector<request_counts> merged_counts(core::time_point now) const;
     struct received
     {
         core::time_point at{}; ///< arrival
--- a/include/runlink/load/load_messages.hpp
+++ b/include/runlink/load/load_messages.hpp
@@ -56,6 +56,12 @@
     endpoint_hash endpoint;
     std::uint32_t in_flight = 0; ///< sent and not yet answered
     bool is_full = false; ///< the endpoint refused a request for lack of capacity since the last message
+    /// Requests per 1,000 s that arrive at the instance and would best go to the endpoint, sent or not.
+    std::uint32_t arrivals_per_1000_s = 0;
+    /// Mean time in microseconds of the answers since the last message; 0: none.
+    std::uint32_t answer_us = 0;
+
+    friend bool operator==(const request_counts&, const request_counts&) = default;
 };
 
 } // namespace runlink::load
--- a/include/runlink/routing/endpoint_chooser.hpp
+++ b/include/runlink/routing/endpoint_chooser.hpp
@@ -90,6 +90,11 @@
     void keep_only(const endpoint_directory& directory);
 
     std::uint32_t in_flight(const endpoint_id& id) const;
+    /// Requests that are added to the load of the endpoint for its network path.
+    std::uint32_t extra_requests(const endpoint_entry& it) const
+    {
+        return it.failure_domain == own_domain_ ? 0U : options_.local_domain_bonus;
+    }
     /// Whether the endpoint is in backoff, and used only if no other endpoint is available.
     bool is_backing_off(time_point now, const endpoint_id& id) const { return now < at(id).backoff_until; }
 
--- a/include/runlink/routing/forwarder_hooks.hpp
+++ b/include/runlink/routing/forwarder_hooks.hpp
@@ -47,6 +47,7 @@
     std::int64_t table_version = -1;
     std::int64_t expected_wait_ms = -1;  ///< time to read the prompts queued before this one
     std::int64_t expected_read_ms = -1;  ///< time to read this prompt
+    std::int64_t running = -1;           ///< requests at the endpoint, as known, before this one
     std::int64_t cold_ms = -1;           ///< time for which the endpoint still counts as cold
     std::int64_t ends = -1;              ///< number of endpoints that crashed while running the request
     std::int64_t trials = -1;            ///< number of runs of the request in isolation at an endpoint
@@ -98,6 +99,8 @@
     std::function<void(const prompt_sent&)> announce_prompt_sent;
     /// Announces to other instances that an endpoint began to answer a prompt.
     std::function<void(const prompt_answered&)> announce_prompt_answered;
+    /// Announces requests at plain endpoints to other instances.
+    std::function<void(const std::vector<load::request_counts>&)> announce_counts = [](const auto&) {};
     /// Announces endpoint crashes to other instances.
     std::function<void(const crashes::crash_message&)> announce_crashes = [](const auto&) {};
     /// Announces rate limits stated by endpoints to the instances in `to`, or to all if `to` is empty.
@@ -144,6 +147,8 @@
     std::uint64_t withheld = 0;          ///< sends that lost their send slot while connecting
     std::uint64_t carried = 0;           ///< sends by way of another instance
     std::uint64_t waited = 0;            ///< requests that waited for a send slot
+    std::uint64_t no_room = 0;           ///< requests refused because plain endpoints had no room
+    std::uint64_t counts_told = 0;       ///< announcements of requests at plain endpoints
     std::uint64_t successors_denied = 0; ///< attempts kept because no successor was allowed
 };
 
--- a/include/runlink/routing/messages.hpp
+++ b/include/runlink/routing/messages.hpp
@@ -11,6 +11,7 @@
 #include "runlink/core/failure.hpp"
 #include "runlink/core/ids.hpp"
 #include "runlink/crashes/element_fingerprint.hpp"
+#include "runlink/load/plain_load.hpp"
 #include "runlink/routing/endpoint_directory.hpp"
 
 namespace runlink::routing
@@ -96,6 +97,8 @@
     /// The endpoint falls over if it refuses more requests than this in a second; empty if it is not brittle.
     std::optional<double> refusals_per_s;
     bool is_brittle_readable = true;
+    std::optional<load::load_statement> load = std::nullopt;
+    bool is_load_readable = true;
 };
 
 /// Why an attempt ended without a complete answer.
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "runlink/load/plain_load.hpp"
 #include "runlink/paths/path_control.hpp"
 #include "runlink/places/evacuations.hpp"
 #include "runlink/routing/forwarder_hooks.hpp"
@@ -135,12 +136,21 @@
     void on_remote_loads(time_point now, const load_digest& it)
     {
         chooser_.placement().on_remote_loads(now, it);
+        on_counts_told(now, {}, it.counts);
     }
     /// Prompts sent by instances of this instance's failure domain.
     load_digest local_loads(time_point now, milliseconds least) const
     {
-        return chooser_.placement().local_loads(now, least);
+        auto out = chooser_.placement().local_loads(now, least);
+        if (load_active_.plain_load)
+            out.counts = plain_.local_counts(now);
+        return out;
     }
+    /// Another instance announces its requests at plain endpoints.
+    void on_counts_told(time_point now, const core::instance_id& from,
+                        const std::vector<load::request_counts>& all);
+    /// Number of requests that wait until an endpoint may be sent to.
+    std::size_t waiting_count() const { return slot_queue_.size(); }
 
     /// Another instance reports crashed endpoints.
     void on_crash_news(time_point now, const crashes::crash_message& it);
@@ -212,6 +222,7 @@
         model_id model;
         std::uint32_t number = 0; ///< counts the sends of the request, from 1
         bool may_have_run = false;
+        bool is_plain = false;               ///< counted in `plain_`
         std::optional<placed_prompt> prompt; ///< set until the endpoint has read the prompt
         time_point started{};
         duration expected{}; ///< estimated time to the first byte, from backlog and prompt; 0: unknown
@@ -275,7 +286,7 @@
     /// Time until the first allowed endpoint may be sent a request again.
     duration time_to_slot(time_point now, const flow& it) const;
     /// Whether a more urgent or an older request waits for a send slot at the endpoint.
-    bool is_outranked(const flow& it, const endpoint_entry& at) const;
+    bool is_outranked(time_point now, const flow& it, const endpoint_entry& at) const;
     /// Whose next send to an endpoint is considered.
     enum class sender
     {
@@ -344,6 +355,36 @@
     void log_attribution(time_point now, std::string_view event, crashes::element_fingerprint it,
                          std::string_view reason);
 
+    // Plain services
+    /// Whether the request is for a plain service (without an engine) whose load is tracked.
+    bool is_plain(const flow& it) const;
+    duration time_to_target(time_point now, const flow& it) const;
+    /// Whether the endpoint has room for the request; true if its load is not tracked.
+    bool has_plain_room(time_point now, const flow& it, const endpoint_entry& at) const;
+    /// Whether the endpoint is restricted by its own statements, or by its load.
+    bool is_restricted(time_point now, const flow& it, const endpoint_entry& at) const;
+    /// The endpoint for the next attempt; null if there is none.
+    const endpoint_entry* choose_endpoint(time_point now, const flow& it, const endpoint_need& need) const;
+    const endpoint_entry* lowest_end(time_point now, const flow& it, endpoint_chooser::candidates from) const;
+    /// Tracks the load of the endpoint if its service is plain.
+    void put_plain(const endpoint_entry& it);
+    /// Counts the arrival of a request that is sent to an endpoint or has none.
+    void note_plain_arrival(time_point now, const flow& it, const endpoint_entry* to);
+    void note_plain_send(time_point now, const flow& it, const endpoint_entry& to);
+    void note_plain_end(time_point now, const flow& it, const attempt& of);
+    void note_plain_answer(time_point now, const attempt& from, bool is_refused);
+    /// The send slots that are left at the endpoint by its load.
+    slot_series with_load(time_point now, const endpoint_entry& at, slot_series it) const;
+    /// Shortest expected time to an answer over the endpoints; 0 if the load is not tracked.
+    duration expected_run(time_point now, const flow& it) const;
+    void note_stated_load(time_point now, const endpoint_id& id, const endpoint_statement& it);
+    /// When the waiting request may be sent; the end of time if that does not depend on load.
+    time_point plain_slot_at(const flow& it) const;
+    /// Whether the request was refused a send only for lack of room.
+    bool lacks_room(time_point now, const flow& it) const;
+    load::plain_load::waiting_check waits_at_all() const;
+    void announce_counts(time_point now);
+
     // Attempts
     /// Whether the endpoint stated that it is leaving and may not be used even as a last resort.
     bool is_excluded_as_leaving(time_point now, const endpoint_id& id) const;
@@ -444,6 +485,10 @@
     liveness liveness_;
     places::endpoint_bounds bounds_;
     slot_queue slot_queue_;
+    load::active_load load_active_;
+    load::plain_load plain_;
+    std::set<endpoint_id> unreadable_loads_; ///< endpoints whose statement of load was logged as unreadable
+    time_point counts_checked_at_{};         ///< when announcements were last checked to be due
     repeated_news<endpoint_id> leaving_news_;
     places::evacuations evacuations_;
     paths::path_control paths_;
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -75,6 +75,7 @@
     out.announce_session_run = [this](const routing::session_run& it) { on_session_run(it); };
     out.announce_prompt_sent = [this](const routing::prompt_sent& it) { on_prompt_sent(it); };
     out.announce_prompt_answered = [this](const routing::prompt_answered& it) { on_prompt_answered(it); };
+    out.announce_counts = [this](const std::vector<load::request_counts>& it) { on_counts(it); };
     out.announce_crashes = [this](const crashes::crash_message& it) { on_crash_seen(it); };
     out.announce_limits = [this](const std::vector<core::instance_id>& to,
                                  const std::vector<places::limit_report>& it) { on_limits_told(to, it); };
@@ -379,6 +380,7 @@
     number("table", decision.table_version);
     number("expected_wait_ms", decision.expected_wait_ms);
     number("expected_read_ms", decision.expected_read_ms);
+    number("running", decision.running);
     number("cold_ms", decision.cold_ms);
     number("ends", decision.ends);
     number("trials", decision.trials);
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -70,6 +70,7 @@
     gateway_.on_session_run = [this](const routing::session_run& it) { gossip_.broadcast(it); };
     gateway_.on_prompt_sent = [this](const routing::prompt_sent& it) { gossip_.broadcast(it); };
     gateway_.on_prompt_answered = [this](const routing::prompt_answered& it) { gossip_.broadcast(it); };
+    gateway_.on_counts = [this](const std::vector<load::request_counts>& it) { gossip_.broadcast(it); };
     gateway_.on_crash_seen = [this](const crashes::crash_message& it) { gossip_.broadcast(it); };
     gateway_.on_limits_told =
         [this](const std::vector<core::instance_id>& to, const std::vector<places::limit_report>& it)
--- a/src/runlink/gateway/gateway_daemon_peers.cpp
+++ b/src/runlink/gateway/gateway_daemon_peers.cpp
@@ -258,6 +258,8 @@
         forwarder_.on_peer_prompt(now, e);
     for (const auto& e : it.answers)
         forwarder_.on_peer_answer(now, e);
+    if (!it.counts.empty())
+        forwarder_.on_counts_told(now, it.sender, it.counts);
     if (!it.sender.str().empty()) // messages that hold only prompts have no sender
         forwarder_.rollouts().on_peer_evidence(now, it.sender, it.evidence);
 }
--- a/src/runlink/gateway/gossip_link.cpp
+++ b/src/runlink/gateway/gossip_link.cpp
@@ -193,6 +193,14 @@
     send_to_all(out, false);
 }
 
+void gossip_link::broadcast(const std::vector<load::request_counts>& it)
+{
+    routing::gossip_message out;
+    out.sender = self_;
+    out.counts = it;
+    send_to_all(out, !sends_prompts_to_all_domains());
+}
+
 void gossip_link::receive()
 {
     while (socket_.hasPendingDatagrams())
--- a/src/runlink/gateway/statement_reader.cpp
+++ b/src/runlink/gateway/statement_reader.cpp
@@ -45,6 +45,25 @@
     return out;
 }
 
+/// Parses `running,waiting,slots,pace`; nothing if the text is not of that form.
+std::optional<load::load_statement> read_load(std::string_view text)
+{
+    load::load_statement out;
+    auto from = text.data();
+    const auto end = from + text.size();
+    for (auto* to : {&out.running, &out.waiting, &out.slots, &out.pace})
+    {
+        if (to != &out.running && (from == end || *from++ != ','))
+            return std::nullopt;
+        const auto [last, ec] = std::from_chars(from, end, *to);
+        if (ec != std::errc{})
+            return std::nullopt;
+        from = last;
+    }
+    const bool is_valid = from == end && out.slots > 0 && out.pace > 0;
+    return is_valid ? std::optional{out} : std::nullopt;
+}
+
 core::duration to_duration(double seconds)
 {
     constexpr double us_per_s = 1e6;
@@ -70,6 +89,11 @@
     const auto brittle = read_field(head.fields, names.brittle);
     out.refusals_per_s = brittle.value;
     out.is_brittle_readable = brittle.is_readable;
+    if (const auto* text = head.fields.find(names.load))
+    {
+        out.load = read_load(*text);
+        out.is_load_readable = out.load.has_value();
+    }
     if (head.status != status_unavailable)
         return out;
     const auto rest = read_field(head.fields, names.rest);
--- a/src/runlink/proto/gossip_codec.cpp
+++ b/src/runlink/proto/gossip_codec.cpp
@@ -30,6 +30,21 @@
         to.add_with(n);
 }
 
+void to_wire(const load::request_counts& it, wire::RequestCounts& to)
+{
+    to.set_endpoint(static_cast<std::uint32_t>(it.endpoint.value()));
+    to.set_in_flight(it.in_flight);
+    to.set_full(it.is_full);
+    to.set_arrivals_per_1000_s(it.arrivals_per_1000_s);
+    to.set_answer_us(it.answer_us);
+}
+
+load::request_counts from_wire(const wire::RequestCounts& in)
+{
+    return {load::endpoint_hash{in.endpoint()}, in.in_flight(), in.full(), in.arrivals_per_1000_s(),
+            in.answer_us()};
+}
+
 void to_wire(const routing::gossip_message& message, wire::Datagram& to)
 {
     auto& out = *to.mutable_gossip();
@@ -78,12 +93,7 @@
         ended->set_stream(static_cast<std::uint32_t>(e.stream.value()));
     }
     for (const auto& e : message.counts)
-    {
-        auto* counts = out.add_counts();
-        counts->set_endpoint(static_cast<std::uint32_t>(e.endpoint.value()));
-        counts->set_in_flight(e.in_flight);
-        counts->set_full(e.is_full);
-    }
+        to_wire(e, *out.add_counts());
 }
 
 void to_wire(const control::sync_request& it, wire::Datagram& to)
@@ -136,6 +146,8 @@
         out.add_endpoints(static_cast<std::uint32_t>(e.endpoint.value()));
         out.add_left_ms(static_cast<std::uint32_t>(e.left.count()));
     }
+    for (const auto& e : it.counts)
+        to_wire(e, *out.add_counts());
     const auto is_tracked = [](const load::endpoint_load& e) { return e.running > 0; };
     if (std::none_of(it.loads.begin(), it.loads.end(), is_tracked))
         return;
@@ -380,6 +392,8 @@
         }
         out.loads.push_back(it);
     }
+    for (const auto& e : in.counts())
+        out.counts.push_back(from_wire(e));
     return out;
 }
 
@@ -423,7 +437,7 @@
     for (const auto& e : in.ended())
         out.ended.push_back({load::endpoint_hash{e.endpoint()}, load::stream_hash{e.stream()}});
     for (const auto& e : in.counts())
-        out.counts.push_back({load::endpoint_hash{e.endpoint()}, e.in_flight(), e.full()});
+        out.counts.push_back(from_wire(e));
     return out;
 }
 
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 #include "runlink/core/hash.hpp"
@@ -20,6 +21,8 @@
       rollouts_{options_.rollouts, core::stable_hash(self.str())}, pins_{options_.session_ttl},
       cascade_{options_.cascade}, admission_{options_.admission}, start_queue_{options_.start}
 {
+    constexpr std::uint64_t phases = 1000;
+    plain_.set_phase(static_cast<double>(core::stable_hash(self.str()) % phases) / phases);
     bounds_.brittle().place_of = [this](const endpoint_id& id) -> std::optional<places::endpoint_place>
     {
         const auto* it = endpoints_.find(id);
@@ -36,7 +39,15 @@
             it.key_last_valid_at = proven_at_;
     for (const auto& it : table->services())
         bounds_.warm_up().set_limit(it.id, it.cold);
+    std::vector<load::engine_limits> engines;
+    for (const auto& it : table->services())
+        engines.push_back(it.engine);
+    load_active_ = load::active_parts(options_.load, engines);
     table_ = std::move(table);
+    for (const auto& it : table_->services())
+        if (const auto* group = endpoints_.index().group(it.id))
+            for (const auto* e : group->all)
+                put_plain(*e);
     is_start_queue_ready_ = true;
 }
 
@@ -91,6 +102,8 @@
     chooser_.keep_only(endpoints_);
     chooser_.placement().expire(now);
     liveness_.keep_only(endpoints_);
+    plain_.forget_if([this](load::endpoint_hash id) { return endpoints_.index().find(id) == nullptr; });
+    std::erase_if(unreadable_loads_, [this](const auto& id) { return endpoints_.find(id) == nullptr; });
     bounds_.expire(now, [this](const endpoint_id& id) { return endpoints_.find(id) == nullptr; });
     attribution_.watch(now, endpoints_.size());
     attribution_.expire(now);
@@ -181,12 +194,15 @@
     if (bounds_.limits().limit_of(endpoint.id))
         ++counters_.limited_sends;
     bounds_.sent(now, endpoint.id);
+    record.is_plain = is_plain(request_flow);
     if (to.is_trial)
     {
         ++counters_.trials;
         attribution_.begin_trial(now, request_flow.elements, crashes::hash_of_endpoint_id(endpoint.id));
     }
     log_dispatched(now, request_flow, order, record);
+    if (record.is_plain)
+        note_plain_send(now, request_flow, endpoint);
     attempts_.emplace(order.id, std::move(record));
     hooks_.start(order);
 }
@@ -205,6 +221,8 @@
     line.reason = sent.is_trial ? "trial" : "";
     line.attempt = sent.number;
     line.time_left_ms = order.time_left.count();
+    if (sent.is_plain)
+        line.running = std::lround(plain_.running(now, load::hash_of(sent.endpoint)));
     if (sent.prompt)
     {
         line.expected_wait_ms = std::chrono::floor<milliseconds>(sent.prompt->wait).count();
@@ -274,6 +292,7 @@
         chooser_.placement().withdrawn(now, *out.prompt);
     chooser_.finished(out.endpoint);
     bounds_.finished(now, out.endpoint, out.started);
+    note_plain_end(now, it, out);
     if (bounds_.brittle().is_brittle(out.endpoint))
         recheck_first_waiting(now, it.service);
     if (!out.via.empty())
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -53,6 +53,8 @@
         report_answered(now, *request_flow, attempts_.at(id), head.ends_with_connection);
     auto from = take_attempt(now, id);
     on_heard(now, from->endpoint);
+    if (from->is_plain && (head.not_run || !is_bad))
+        note_plain_answer(now, *from, head.not_run);
     auto line = describe(now, *request_flow, refused ? "endpoint_refused" : "endpoint_answered");
     line.endpoint = from->endpoint.str();
     line.version = from->version.str();
@@ -308,6 +310,8 @@
         hooks_.break_off(it.id);
         return finish(now, it, to_string(why), -1);
     }
+    if (lacks_room(now, it))
+        ++counters_.no_room;
     refusal out;
     out.not_run = it.runs == 0;
     out.why = {why, it.service.str(),
--- a/src/runlink/routing/request_forwarder_endpoints.cpp
+++ b/src/runlink/routing/request_forwarder_endpoints.cpp
@@ -13,6 +13,7 @@
     const auto change = endpoints_.put(it);
     if (change == endpoint_directory::change::outdated)
         return change;
+    put_plain(it);
     if (bounds_.warm_up().told(now, it.id, it.service, it.cold_for))
         log_cold(now, it, places::cold_reason::told);
     if (change == endpoint_directory::change::restarted)
@@ -133,7 +134,7 @@
     // Only a request that has waited goes beyond this instance's part of a brittle endpoint.
     const bool may_try = it.held_since.has_value();
     return is_allowed(it, to) && (may_try || bounds_.brittle().has_free_part(to.id)) &&
-           bounds_.may_send(now, to.id) && !is_outranked(it, to);
+           bounds_.may_send(now, to.id) && has_plain_room(now, it, to) && !is_outranked(now, it, to);
 }
 
 duration request_forwarder::time_to_slot(time_point now, const flow& it) const
--- a/src/runlink/routing/request_forwarder_places.cpp
+++ b/src/runlink/routing/request_forwarder_places.cpp
@@ -9,10 +9,25 @@
 
 namespace runlink::routing
 {
+namespace
+{
+
+/// Delays the slots of endpoints that together may be sent one request per `interval`.
+void share_rate(std::vector<slot_series>& slots, duration interval)
+{
+    const auto n = static_cast<duration::rep>(slots.size());
+    for (duration::rep i = 0; i < n && interval > duration{}; ++i)
+    {
+        auto& it = slots[static_cast<std::size_t>(i)];
+        it = {it.first + i * interval, std::max(it.interval, n * interval)};
+    }
+}
+
+} // namespace
 
-bool request_forwarder::is_outranked(const flow& it, const endpoint_entry& at) const
+bool request_forwarder::is_outranked(time_point now, const flow& it, const endpoint_entry& at) const
 {
-    if (!bounds_.is_restricted(at.id))
+    if (!is_restricted(now, it, at))
         return false;
     for (const auto id : slot_queue_.before(it.service, queue_entry_of(it)))
     {
@@ -27,15 +42,22 @@
                                                              sender whose) const
 {
     auto need = need_of(now, it);
-    need.may_use = [this, &it](const endpoint_entry& e)
-    { return is_allowed(it, e) && bounds_.is_restricted(e.id); };
+    need.may_use = [this, now, &it](const endpoint_entry& e)
+    { return is_allowed(it, e) && is_restricted(now, it, e); };
     std::vector<slot_series> out;
+    duration shared{};
     for (const auto* e : chooser_.fitting(now, endpoints_, need))
     {
         const auto first =
             whose == sender::self ? bounds_.next_send(now, e->id) : bounds_.next_send_of_any(now, e->id);
         out.push_back({first, bounds_.interval(now, e->id)});
+        if (is_plain(it))
+        {
+            out.back() = with_load(now, *e, out.back());
+            shared = plain_.interval(now, load::hash_of(e->id));
+        }
     }
+    share_rate(out, shared);
     return out;
 }
 
@@ -46,7 +68,8 @@
     const auto late_at = it.head_forwarded
                              ? it.held_since.value_or(it.last_progress) + it.matched_route->target_gap
                              : it.arrived + it.matched_route->target_latency;
-    return at && *at < std::min<time_point>(late_at, it.deadline - options_.min_time_left);
+    return at &&
+           *at < std::min<time_point>(late_at - expected_run(now, it), it.deadline - options_.min_time_left);
 }
 
 void request_forwarder::wait_for_slot(time_point now, flow& it)
--- a/src/runlink/routing/request_forwarder_statements.cpp
+++ b/src/runlink/routing/request_forwarder_statements.cpp
@@ -38,6 +38,7 @@
         log_statement("endpoint_brittle", id, "unreadable");
     else
         note_brittle(now, id, it.refusals_per_s, asked_at);
+    note_stated_load(now, id, it);
     if (it.rest && bounds_.rests().on_rest_requested(now, id, *it.rest))
         log_rest(id, *it.rest);
 }
--- a/src/runlink/routing/request_forwarder_succession.cpp
+++ b/src/runlink/routing/request_forwarder_succession.cpp
@@ -49,7 +49,7 @@
     out.is_trial = in.content == crashes::permission::alone;
     auto need = need_of(now, it);
     isolate_suspects(now, need, out.is_trial);
-    out.endpoint = chooser_.peek(now, endpoints_, need);
+    out.endpoint = choose_endpoint(now, it, need);
     if (out.endpoint == nullptr)
         return succession_denial::no_endpoint;
     out.prompt = std::move(need.prompt);
@@ -165,7 +165,7 @@
 {
     if (!it.denied)
         return;
-    to.denied = to_string(*it.denied);
+    to.denied = lacks_room(now, it) ? "no_room" : to_string(*it.denied);
     to.key_gone_ms = time_since_key_valid(now, it).count();
     to.allowance_left = static_cast<std::int64_t>(std::max(retries_.at(it.service).left(now), 0.0));
     to.endpoints_fitting =
--- a/src/runlink/routing/request_forwarder_timers.cpp
+++ b/src/runlink/routing/request_forwarder_timers.cpp
@@ -21,7 +21,7 @@
     { return std::chrono::duration_cast<core::duration>(of * share); };
     auto out = it.deadline;
     if (it.held_since)
-        return std::min(out, it.last_progress + options_.hold_interval);
+        return std::min({out, it.last_progress + options_.hold_interval, plain_slot_at(it)});
     if (it.replace_at)
         out = std::min(out, *it.replace_at);
     if (it.matched_route->kind == route_kind::safe && !it.hedged)
@@ -156,6 +156,7 @@
     apply_verdicts(now);
     announce_limits(now);
     announce_leaving(now);
+    announce_counts(now);
     if (start_queue_.size() > 0)
         process_start_queue(now);
     while (!timers_.empty() && timers_.begin()->first <= now)
@@ -178,6 +179,9 @@
          {attribution_.next_due(), bounds_.limits().next_due(), leaving_news_.next_due(), paths_.next_due()})
         if (at)
             held = std::min(held.value_or(*at), *at);
+    if (load_active_.plain_load)
+        if (const auto at = plain_.next_due(counts_checked_at_, waits_at_all()))
+            held = std::min(held.value_or(*at), *at);
     if (timers_.empty() || !held)
         return timers_.empty() ? held : std::optional{timers_.begin()->first};
     return std::min(timers_.begin()->first, *held);
