--- a/include/runlink/load/load_digest.hpp
+++ b/include/runlink/load/load_digest.hpp
@@ -31,6 +31,7 @@
 {
     core::failure_domain_id domain;
     std::vector<endpoint_load> loads;
+    std::vector<request_counts> counts{}; ///< sums over these instances; empty unless plain load is tracked
 };
 
 /// Parameters of the exchange.
@@ -47,6 +48,8 @@
     /// Bytes per second that a relay may spend on stream counts for its failure domain, and on those for
     /// other relays: an eighth of a link of 10 Mbit/s each.
     std::uint32_t streams_bytes_per_s = 156'000;
+    /// Age from which the counts of a digest are dropped, as are those of single instances.
+    core::milliseconds counts_expiry{300};
 };
 
 /// Keeps the latest digest of each other failure domain.
@@ -74,6 +77,7 @@
     std::size_t most_streams(std::size_t receivers, int intervals) const;
     void keep_most_streams(load_digest& it, std::size_t most) const;
 
+    std::vector<request_counts> merged_counts(core::time_point now) const;
     struct received
     {
         core::time_point at{}; ///< arrival
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -76,6 +76,7 @@
     out.announce_prompt_sent = [this](const routing::prompt_sent& it) { on_prompt_sent(it); };
     out.announce_prompt_answered = [this](const routing::prompt_answered& it) { on_prompt_answered(it); };
     out.announce_stream_ended = [this](const load::stream_ended& it) { on_stream_ended(it); };
+    out.announce_counts = [this](const std::vector<load::request_counts>& it) { on_counts(it); };
     out.announce_crashes = [this](const crashes::crash_message& it) { on_crash_seen(it); };
     out.announce_limits = [this](const std::vector<core::instance_id>& to,
                                  const std::vector<places::limit_report>& it) { on_limits_told(to, it); };
--- a/src/runlink/load/load_digest.cpp
+++ b/src/runlink/load/load_digest.cpp
@@ -49,6 +49,7 @@
         if (it.left >= options_.least_load || it.running > 0)
             out.loads.push_back(it);
     }
+    out.counts = merged_counts(now);
     return out;
 }
 
@@ -83,4 +84,27 @@
     keep_most_streams(it, has_stream_turn_ ? most_streams(receivers, intervals_per_turn) : 0);
 }
 
+std::vector<request_counts> load_exchange::merged_counts(core::time_point now) const
+{
+    std::map<endpoint_hash, request_counts> sums;
+    for (const auto& [domain, it] : domains_)
+    {
+        if (now - it.at >= options_.counts_expiry)
+            continue;
+        for (const auto& e : it.digest.counts)
+        {
+            auto& sum = sums[e.endpoint];
+            sum.endpoint = e.endpoint;
+            sum.in_flight += e.in_flight;
+            sum.is_full = sum.is_full || e.is_full;
+            sum.arrivals_per_1000_s += e.arrivals_per_1000_s;
+            sum.answer_us = std::max(sum.answer_us, e.answer_us);
+        }
+    }
+    std::vector<request_counts> out;
+    for (const auto& [endpoint, sum] : sums)
+        out.push_back(sum);
+    return out;
+}
+
 } // namespace runlink::load
