--- a/include/runlink/load/answer_quality.hpp
+++ b/include/runlink/load/answer_quality.hpp
@@ -17,12 +17,12 @@
 struct answer_quality_options
 {
     /// Part of all requests that the smallest model answers well. The router never learns whether an answer
-    /// was good, and the part is not configured anywhere, so it is a prior: the sheets of both deployments
-    /// state it.
-    double smallest_good = 0.58;
+    /// was good, and the part is not configured anywhere, so it is a prior: models answer about half of what
+    /// they are asked well if they are asked hard requests too.
+    double smallest_good = 0.5;
     /// The same for the models between the smallest and the largest. A request that a smaller model answers
     /// well is answered well by each larger one; the largest answers all well.
-    double middle_good = 0.67;
+    double middle_good = 0.6;
     /// The probability stays this far from 0 and 1: the confidence is a rough estimate at its extremes too.
     double doubt = 0.05;
     /// Slope of the probability over the rank. With 8, the mean probability over all ranks equals the prior
