--- a/src/runlink/routing/plain_slots_test.cpp
+++ b/src/runlink/routing/plain_slots_test.cpp
@@ -1,5 +1,6 @@
 // Drives many forwarders against modelled endpoints of a plain service, on a virtual clock.
 
+#define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 
 #include <cstdio>
