--- a/include/runlink/routing/forwarder_options.hpp
+++ b/include/runlink/routing/forwarder_options.hpp
@@ -3,13 +3,16 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 
 #include "runlink/crashes/crash_attribution.hpp"
+#include "runlink/load/admission.hpp"
+#include "runlink/load/forecast.hpp"
+#include "runlink/load/load_options.hpp"
 #include "runlink/paths/path_control.hpp"
 #include "runlink/places/endpoint_bounds.hpp"
 #include "runlink/places/region_map.hpp"
-#include "runlink/routing/admission.hpp"
 #include "runlink/routing/cascade_policy.hpp"
 #include "runlink/routing/endpoint_chooser.hpp"
 #include "runlink/routing/liveness.hpp"
@@ -20,6 +23,9 @@
 namespace runlink::routing
 {
 
+using load::admission;
+using load::admission_options;
+
 /// Parameters of the forwarder.
 struct forwarder_options
 {
@@ -62,6 +68,10 @@
     /// Interval between two checks whether attempts at ended endpoints may be replaced.
     milliseconds replace_interval{100};
     places::region_map regions;
+    load::load_options load;
+    /// Replaces the forecast of the placement, for tests; may be empty.
+    std::function<std::optional<load::stream_forecast>(time_point, const endpoint_entry&, const prompt_need&)>
+        forecast;
 };
 
 } // namespace runlink::routing
--- a/include/runlink/routing/messages.hpp
+++ b/include/runlink/routing/messages.hpp
@@ -11,6 +11,7 @@
 #include "runlink/core/failure.hpp"
 #include "runlink/core/ids.hpp"
 #include "runlink/crashes/element_fingerprint.hpp"
+#include "runlink/load/plain_load.hpp"
 #include "runlink/routing/endpoint_directory.hpp"
 
 namespace runlink::routing
@@ -42,6 +43,8 @@
     model_id model;                 ///< empty if the router chooses the model
     std::uint32_t prompt_tokens = 0;
     std::uint32_t max_new_tokens = 0;
+    /// The caller's guess of the number of generated tokens: right in the median, often far off.
+    std::optional<std::uint32_t> length_hint;
     std::uint32_t body_bytes = 0;
     std::vector<prompt_part> prompt;         ///< in order; the last segment is not shared
     std::optional<std::uint64_t> last_event; ///< ID of the last stream event that the caller has
@@ -94,6 +97,8 @@
     /// The endpoint falls over if it refuses more requests than this in a second; empty if it is not brittle.
     std::optional<double> refusals_per_s;
     bool is_brittle_readable = true;
+    std::optional<load::load_statement> load = std::nullopt;
+    bool is_load_readable = true;
 };
 
 /// Why an attempt ended without a complete answer.
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -11,6 +11,8 @@
 #include <string_view>
 #include <vector>
 
+#include "runlink/load/model_choice.hpp"
+#include "runlink/load/plain_load.hpp"
 #include "runlink/paths/path_control.hpp"
 #include "runlink/places/evacuations.hpp"
 #include "runlink/routing/forwarder_hooks.hpp"
@@ -131,16 +133,36 @@
         chooser_.placement().on_peer_answered(now, it);
     }
 
+    /// A stream that another instance announced with its prompt is over.
+    void on_peer_stream_ended(time_point now, const load::stream_ended& it)
+    {
+        chooser_.placement().on_peer_stream_ended(now, it);
+    }
+    /// The parts of load tracking that are in force.
+    const load::active_load& active_load() const { return load_active_; }
+    const prompt_placement& placement() const { return chooser_.placement(); }
+    /// Number of streams tracked one by one, those of peers included.
+    std::size_t streams_tracked() const { return chooser_.placement().streams().size(); }
+
     /// Prompts sent by instances of other failure domains.
     void on_remote_loads(time_point now, const load_digest& it)
     {
         chooser_.placement().on_remote_loads(now, it);
+        on_counts_told(now, {}, it.counts);
     }
     /// Prompts sent by instances of this instance's failure domain.
     load_digest local_loads(time_point now, milliseconds least) const
     {
-        return chooser_.placement().local_loads(now, least);
+        auto out = chooser_.placement().local_loads(now, least);
+        if (load_active_.plain_load)
+            out.counts = plain_.local_counts(now);
+        return out;
     }
+    /// Another instance announces its requests at plain endpoints.
+    void on_counts_told(time_point now, const core::instance_id& from,
+                        const std::vector<load::request_counts>& all);
+    /// Number of requests that wait until an endpoint may be sent to.
+    std::size_t waiting_count() const { return slot_queue_.size(); }
 
     /// Another instance reports crashed endpoints.
     void on_crash_news(time_point now, const crashes::crash_message& it);
@@ -157,6 +179,8 @@
     /// Number of active requests whose API key is not in the current table.
     std::size_t count_without_key() const;
     const forwarder_counters& counters() const { return counters_; }
+    const load::token_speed& token_speeds() const { return chooser_.placement().token_speeds(); }
+    const load::answer_length& answer_lengths() const { return chooser_.placement().answer_lengths(); }
     /// Number of attempts under way at the endpoints of each service.
     std::map<service_id, std::uint32_t> running() const;
 
@@ -194,6 +218,7 @@
         /// Why no further attempt was allowed, since the latest one was sent.
         std::optional<succession_denial> denied;
         std::optional<std::uint64_t> last_event;
+        std::uint32_t events = 0; ///< forwarded to the caller, over all attempts
         time_point last_progress{};
         time_point move_denied_at{}; ///< when a move was last denied
         time_point check_at{};       ///< the time in `timers_`
@@ -212,13 +237,16 @@
         model_id model;
         std::uint32_t number = 0; ///< counts the sends of the request, from 1
         bool may_have_run = false;
-        std::optional<placed_prompt> prompt; ///< set until the endpoint has read the prompt
+        std::optional<placed_prompt> prompt;  ///< set until the endpoint has read the prompt
+        std::optional<tracked_stream> stream; ///< set if streams are tracked
+        bool is_plain = false;                ///< counted in `plain_`
         time_point started{};
         duration expected{}; ///< estimated time to the first byte, from backlog and prompt; 0: unknown
         bool has_head = false;
         bool ends_with_connection = false; ///< see `attempt_head`
         std::optional<time_point> first_event;
         std::uint32_t events = 0;
+        time_point sampled_at{}; ///< start of the next sample of the time per token
         answer_counts counted;   ///< what was already counted in the version statistics
         bool is_trial = false;   ///< isolated run of a suspected request
         bool has_ended = false;  ///< the endpoint has ended, as far as is known
@@ -275,7 +303,7 @@
     /// Time until the first allowed endpoint may be sent a request again.
     duration time_to_slot(time_point now, const flow& it) const;
     /// Whether a more urgent or an older request waits for a send slot at the endpoint.
-    bool is_outranked(const flow& it, const endpoint_entry& at) const;
+    bool is_outranked(time_point now, const flow& it, const endpoint_entry& at) const;
     /// Whose next send to an endpoint is considered.
     enum class sender
     {
@@ -344,6 +372,36 @@
     void log_attribution(time_point now, std::string_view event, crashes::element_fingerprint it,
                          std::string_view reason);
 
+    // Plain services
+    /// Whether the request is for a plain service (without an engine) whose load is tracked.
+    bool is_plain(const flow& it) const;
+    duration time_to_target(time_point now, const flow& it) const;
+    /// Whether the endpoint has room for the request; true if its load is not tracked.
+    bool has_plain_room(time_point now, const flow& it, const endpoint_entry& at) const;
+    /// Whether the endpoint is restricted by its own statements, or by its load.
+    bool is_restricted(time_point now, const flow& it, const endpoint_entry& at) const;
+    /// The endpoint for the next attempt; null if there is none.
+    const endpoint_entry* choose_endpoint(time_point now, const flow& it, const endpoint_need& need) const;
+    const endpoint_entry* lowest_end(time_point now, const flow& it, endpoint_chooser::candidates from) const;
+    /// Tracks the load of the endpoint if its service is plain.
+    void put_plain(const endpoint_entry& it);
+    /// Counts the arrival of a request that is sent to an endpoint or has none.
+    void note_plain_arrival(time_point now, const flow& it, const endpoint_entry* to);
+    void note_plain_send(time_point now, const flow& it, const endpoint_entry& to);
+    void note_plain_end(time_point now, const flow& it, const attempt& of);
+    void note_plain_answer(time_point now, const attempt& from, bool is_refused);
+    /// The send slots that are left at the endpoint by its load.
+    slot_series with_load(time_point now, const endpoint_entry& at, slot_series it) const;
+    /// Shortest expected time to an answer over the endpoints; 0 if the load is not tracked.
+    duration expected_run(time_point now, const flow& it) const;
+    void note_stated_load(time_point now, const endpoint_id& id, const endpoint_statement& it);
+    /// When the waiting request may be sent; the end of time if that does not depend on load.
+    time_point plain_slot_at(const flow& it) const;
+    /// Whether the request was refused a send only for lack of room.
+    bool lacks_room(time_point now, const flow& it) const;
+    load::plain_load::waiting_check waits_at_all() const;
+    void announce_counts(time_point now);
+
     // Attempts
     /// Whether the endpoint stated that it is leaving and may not be used even as a last resort.
     bool is_excluded_as_leaving(time_point now, const endpoint_id& id) const;
@@ -358,9 +416,21 @@
     /// The model that the next attempt asks for; empty if the caller named the model or the route has none.
     model_id model_of(const flow& it) const;
     std::optional<placed_prompt> place_prompt(time_point now, const endpoint_entry& to,
-                                              const std::optional<prompt_need>& need);
+                                              const std::optional<prompt_need>& need,
+                                              const std::optional<tracked_stream>& stream);
     void on_prompt_read(time_point now, attempt& it);
 
+    // Streams tracked over all instances
+    /// Takes the parts of load tracking that are in force by the current table.
+    void apply_load_switches();
+    /// Adds what the forecast of a stream needs.
+    void add_stream_need(const flow& it, prompt_need& to) const;
+    std::optional<tracked_stream> plan_stream(time_point now, const flow& it, const successor& to,
+                                              attempt_id id) const;
+    void begin_stream(time_point now, attempt& it);
+    void end_stream(const attempt& it);
+    static void describe_stream(const attempt& it, decision& to);
+
     // Succession: an attempt that may still be answered is cancelled only in the step that sends its
     // successor. Without a successor the attempt is kept.
 
@@ -398,8 +468,38 @@
     /// byte. Without these samples a version that never answered 30 % of its requests was rated good.
     void sample_given_up(time_point now, const flow& it, attempt& from, bool is_stalled);
     cascade_input cascade_input_of(time_point now, const flow& it, int confidence, const succession& larger);
-    /// Retries at the largest model if the confidence of the answer is too low. Returns whether it does.
+    /// Retries at a larger model if the confidence of the answer is too low. Returns whether it does.
     bool try_escalate(time_point now, flow& it, attempt_id from, int confidence);
+    /// The larger models that may be asked, and where.
+    struct larger_models
+    {
+        load::model_choice_input in;
+        std::vector<successor> to; ///< for each of `in.larger`
+    };
+    std::optional<load::stream_forecast> forecast_of(time_point now, const endpoint_entry& to,
+                                                     const std::optional<prompt_need>& need) const;
+    load::model_choice_input choice_input_of(time_point now, const flow& it, const attempt& from,
+                                             int confidence) const;
+    /// Adds the sizes above that of `in`. Returns whether all that may be asked have a forecast, and one may.
+    bool add_larger(time_point now, const flow& it, larger_models& out);
+    /// Decides by the forecasts of the larger models. Empty: there is none, and the thresholds decide;
+    /// otherwise whether a larger model was asked.
+    std::optional<bool> try_choose_model(time_point now, flow& it, attempt_id from, int confidence);
+    void note_kept(time_point now, flow& it, attempt_id from, const larger_models& all,
+                   load::choice_reason why);
+    /// Drops the answer of `from` and asks the model of index `size`.
+    void ask_larger(time_point now, flow& it, attempt_id from, std::size_t size, const successor& to);
+
+    // Speeds
+    /// Streams at the endpoint, this instance's included.
+    std::uint32_t running_at(time_point now, const endpoint_id& at) const;
+    /// Generated tokens in one event of the request's stream.
+    static std::uint32_t tokens_per_event(const flow& it);
+    static model_id asked_model(const flow& it, const attempt& from);
+    /// Learns the time per token from the events of an attempt, of which one was just counted.
+    void learn_token_speed(time_point now, const flow& it, attempt& from);
+    /// Learns the length of a response that ended, completely or not.
+    void learn_length(const flow& it, bool is_complete);
 
     // Endings
     void end_without_answer(time_point now, flow& it, core::errc why);
@@ -432,6 +532,7 @@
     forwarder_options options_;
     forwarder_hooks hooks_;
     routing_table_ptr table_;
+    load::active_load load_active_; ///< by `options_.load` and the engines of `table_`
     std::optional<time_point> proven_at_;
     struct stop_times
     {
@@ -444,6 +545,9 @@
     liveness liveness_;
     places::endpoint_bounds bounds_;
     slot_queue slot_queue_;
+    load::plain_load plain_;
+    std::set<endpoint_id> unreadable_loads_; ///< endpoints whose statement of load was logged as unreadable
+    time_point counts_checked_at_{};         ///< when announcements were last checked to be due
     repeated_news<endpoint_id> leaving_news_;
     places::evacuations evacuations_;
     paths::path_control paths_;
@@ -453,6 +557,7 @@
     rollout_control rollouts_;
     session_pins pins_;
     cascade_policy cascade_;
+    load::model_choice model_choice_;
     admission admission_;
     start_queue start_queue_;
     std::optional<time_point> paused_since_;
@@ -462,6 +567,7 @@
     std::map<attempt_id, attempt> attempts_;
     std::set<std::pair<time_point, flow_id>> timers_;
     std::uint64_t next_attempt_ = 1;
+    std::uint64_t self_hash_; ///< hash of the instance's id
     forwarder_counters counters_;
 };
 
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -70,6 +70,8 @@
     gateway_.on_session_run = [this](const routing::session_run& it) { gossip_.broadcast(it); };
     gateway_.on_prompt_sent = [this](const routing::prompt_sent& it) { gossip_.broadcast(it); };
     gateway_.on_prompt_answered = [this](const routing::prompt_answered& it) { gossip_.broadcast(it); };
+    gateway_.on_stream_ended = [this](const load::stream_ended& it) { gossip_.broadcast(it); };
+    gateway_.on_counts = [this](const std::vector<load::request_counts>& it) { gossip_.broadcast(it); };
     gateway_.on_crash_seen = [this](const crashes::crash_message& it) { gossip_.broadcast(it); };
     gateway_.on_limits_told =
         [this](const std::vector<core::instance_id>& to, const std::vector<places::limit_report>& it)
@@ -130,6 +132,7 @@
     out.bounds.warm_up.senders = tuning.cold_senders;
     out.directory.last_resort_time = std::max(settings_.drain - drain_margin, core::milliseconds{0});
     out.regions = settings_.regions;
+    out.load = settings_.load;
     out.hedge_after = tuning.hedge_after;
     out.move_after = tuning.move_after;
     out.stall_after = tuning.stall_after;
--- a/src/runlink/gateway/gateway_daemon_peers.cpp
+++ b/src/runlink/gateway/gateway_daemon_peers.cpp
@@ -154,7 +154,7 @@
         on_gossip(now, *gossip);
     else if (const auto* request = std::get_if<control::sync_request>(&it))
         on_sync_request(now, *request);
-    else if (const auto* load = std::get_if<routing::load_digest>(&it))
+    else if (const auto* load = std::get_if<load::load_digest>(&it))
         on_load_digest(now, *load);
     else if (const auto* crashes = std::get_if<crashes::crash_message>(&it))
         forwarder_.on_crash_news(now, *crashes);
@@ -236,13 +236,18 @@
     if (!relay_.is_relay() || gossip_.sends_prompts_to_all_domains())
         return;
     next_digest_ = now + remote_loads_.options().interval;
-    gossip_.send_to(relay_.other_relays(), forwarder_.local_loads(now, remote_loads_.options().least_load));
+    const auto others = relay_.other_relays();
+    auto own = forwarder_.local_loads(now, remote_loads_.options().least_load);
+    remote_loads_.limit_streams(own, others.size());
+    gossip_.send_to(others, own);
     const auto far = remote_loads_.merged(now);
-    gossip_.broadcast_in_domain(far);
+    auto passed_on = far;
+    remote_loads_.limit_streams_by_turn(passed_on, gossip_.count_in_domain());
+    gossip_.broadcast_in_domain(passed_on);
     forwarder_.on_remote_loads(now, far);
 }
 
-void gateway_daemon::on_load_digest(core::time_point now, const routing::load_digest& it)
+void gateway_daemon::on_load_digest(core::time_point now, const load::load_digest& it)
 {
     if (!it.domain.empty())
         remote_loads_.on_digest(now, it); // from another relay
@@ -258,6 +263,10 @@
         forwarder_.on_peer_prompt(now, e);
     for (const auto& e : it.answers)
         forwarder_.on_peer_answer(now, e);
+    for (const auto& e : it.ended)
+        forwarder_.on_peer_stream_ended(now, e);
+    if (!it.counts.empty())
+        forwarder_.on_counts_told(now, it.sender, it.counts);
     if (!it.sender.str().empty()) // messages that hold only prompts have no sender
         forwarder_.rollouts().on_peer_evidence(now, it.sender, it.evidence);
 }
--- a/src/runlink/gateway/gateway_test.cpp
+++ b/src/runlink/gateway/gateway_test.cpp
@@ -132,6 +132,29 @@
     CHECK_FALSE(read(503, names.rest, "-1").rest);
 }
 
+TEST_CASE("the load of an endpoint is read whole or not at all")
+{
+    // Guards against estimates from half a statement.
+    const header_names names;
+    const auto read = [&](const std::string& value)
+    {
+        net::http_response_head head;
+        head.status = 200;
+        head.fields.add(names.request_id, "r1");
+        head.fields.add(names.load, value);
+        return *read_statement(names, head, core::request_id{"r1"});
+    };
+    CHECK(read("5,3,8,250").load == load::load_statement{5, 3, 8, 250});
+    CHECK(read("5,3,8,250").is_load_readable);
+    for (const auto* it : {"", "5,3,8", "5,3,8,", "5,3,8,250,1", "5,,8,250", "-1,3,8,250", "5,3,0,250",
+                           "5,3,8,0", "5, 3,8,250", "5,3,8,99999999999"})
+    {
+        INFO(it);
+        CHECK_FALSE(read(it).load);
+        CHECK_FALSE(read(it).is_load_readable);
+    }
+}
+
 TEST_CASE("reserved fields of callers are removed in any spelling")
 {
     header_names names;
@@ -211,6 +234,31 @@
         CHECK(bad.error().detail.find(path) != std::string::npos);
 }
 
+TEST_CASE("load tracking is off unless the settings switch it on")
+{
+    REQUIRE(parse_gateway_settings(settings_text));
+    CHECK(parse_gateway_settings(settings_text).value().load == load::load_options{});
+    const auto with = [](const std::string& block)
+    {
+        auto text = std::string{settings_text};
+        text.insert(text.find('{') + 1, "\"load\": " + block + ", ");
+        return parse_gateway_settings(text);
+    };
+    const auto on = with(R"({"engine_load": "scarce", "model_choice": "scarce", "plain_load": "on",
+                             "scarce_tokens_per_slot": 6000, "forecast": "counts"})");
+    REQUIRE(on);
+    CHECK(on.value().load.engine_load == load::load_switch::scarce);
+    CHECK(on.value().load.plain_load == load::load_switch::on);
+    CHECK(on.value().load.scarce_tokens_per_slot == 6000);
+    CHECK(on.value().load.forecast == load::forecast_kind::counts);
+    const auto wrong = with(R"({"engine_load": "yes", "forecast": "guess", "scarce_tokens_per_slot": -1,
+                                "model_choice": "on", "other": 1})");
+    REQUIRE_FALSE(wrong);
+    for (const auto* path : {"$.load.engine_load", "$.load.forecast", "$.load.scarce_tokens_per_slot",
+                             "$.load.model_choice", "$.load.other"})
+        CHECK(wrong.error().detail.find(path) != std::string::npos);
+}
+
 TEST_CASE("regions of failure domains are read, and invalid ones are reported")
 {
     auto text = std::string{settings_text};
@@ -309,12 +357,38 @@
     CHECK(back.events.at(0).is_deleted);
     CHECK(back.omitted == reply.omitted);
     CHECK(back.complete_since == 4);
-    const routing::load_digest load{core::failure_domain_id{"n"},
-                                    {{routing::endpoint_hash{7}, core::milliseconds{90}}}};
-    const auto told = std::get<routing::load_digest>(proto::decode_datagram(proto::encode(load)));
+    const load::load_digest load{core::failure_domain_id{"n"},
+                                 {{routing::endpoint_hash{7}, core::milliseconds{90}}}};
+    const auto told = std::get<load::load_digest>(proto::decode_datagram(proto::encode(load)));
     CHECK(told.domain == load.domain);
     CHECK(told.loads.at(0).endpoint.value() == 7);
     CHECK(told.loads.at(0).left == core::milliseconds{90});
+    CHECK(told.loads.at(0).running == 0);
+    auto tracked = load;
+    tracked.loads.push_back({routing::endpoint_hash{8}, core::milliseconds{0}, 5, 70'000, 900});
+    const auto streams = std::get<load::load_digest>(proto::decode_datagram(proto::encode(tracked)));
+    REQUIRE(streams.loads.size() == 2);
+    CHECK(streams.loads[1].running == 5);
+    CHECK(streams.loads[1].held_tokens == 70'000);
+    CHECK(streams.loads[1].tokens_left == 900);
+    routing::gossip_message streamed;
+    streamed.sender = core::instance_id{"a"};
+    streamed.prompts.push_back({routing::endpoint_hash{7}, routing::prompt_hash{9}, core::milliseconds{30},
+                                load::stream_hash{11}, 12'000, 380, core::milliseconds{5000}});
+    streamed.ended.push_back({routing::endpoint_hash{7}, load::stream_hash{11}});
+    streamed.counts.push_back({routing::endpoint_hash{7}, 4, true, 2500, 31'000});
+    const auto changes = std::get<routing::gossip_message>(proto::decode_datagram(proto::encode(streamed)));
+    CHECK(changes.prompts.at(0).stream.value() == 11);
+    CHECK(changes.prompts.at(0).held_tokens == 12'000);
+    CHECK(changes.prompts.at(0).made_tokens == 380);
+    CHECK(changes.prompts.at(0).run_time == core::milliseconds{5000});
+    CHECK(changes.ended.at(0).stream.value() == 11);
+    CHECK(changes.counts.at(0).in_flight == 4);
+    CHECK(changes.counts.at(0).is_full);
+    CHECK(changes.counts.at(0) == streamed.counts.at(0));
+    tracked.counts = streamed.counts;
+    CHECK(std::get<load::load_digest>(proto::decode_datagram(proto::encode(tracked))).counts ==
+          streamed.counts);
     const auto leaving = std::get<routing::leaving_notices>(proto::decode_datagram(
         proto::encode(routing::leaving_notices{{{core::endpoint_id{"e1@5"}, core::milliseconds{70}}}})));
     REQUIRE(leaving.notices.size() == 1);
@@ -343,6 +417,7 @@
         int prompts = 0;
         int runs = 0;
         int evidence = 0;
+        int ended = 0;
     };
     heard near_one;
     heard far_one;
@@ -354,6 +429,7 @@
             to.prompts += static_cast<int>(message.prompts.size());
             to.runs += static_cast<int>(message.runs.size());
             to.evidence += static_cast<int>(message.evidence.size());
+            to.ended += static_cast<int>(message.ended.size());
         };
     };
     const core::failure_domain_id n{"n"};
@@ -370,9 +446,12 @@
     CHECK_FALSE(it.sends_prompts_to_all_domains());
     near_one = far_one = {};
     it.broadcast(routing::prompt_sent{});
+    it.broadcast(load::stream_ended{});
     it.broadcast(routing::session_run{});
     REQUIRE(tests::wait_for([&] { return near_one.prompts == 1 && far_one.runs == 1; }));
     CHECK(far_one.prompts == 0);
+    CHECK(near_one.ended == 1); // in the datagram of the prompt
+    CHECK(far_one.ended == 0);
     it.broadcast(std::vector<routing::version_evidence>(1)); // without a session run
     REQUIRE(tests::wait_for([&] { return near_one.evidence == 1 && far_one.evidence == 1; }));
     it.set_max_peers_for_all_domains(2);
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 #include "runlink/core/hash.hpp"
@@ -9,6 +10,18 @@
 namespace runlink::routing
 {
 
+namespace
+{
+
+load::model_choice_options choice_options(const forwarder_options& from)
+{
+    load::model_choice_options out;
+    out.accept_confidence = from.cascade.accept_confidence;
+    return out;
+}
+
+} // namespace
+
 request_forwarder::request_forwarder(forwarder_options options, const failure_domain_id& own_domain,
                                      const core::instance_id& self, forwarder_hooks hooks)
     : options_{std::move(options)}, hooks_{std::move(hooks)},
@@ -18,8 +31,11 @@
                                                                            core::stable_hash(self.str()),
                                                                            attribution_hooks()},
       rollouts_{options_.rollouts, core::stable_hash(self.str())}, pins_{options_.session_ttl},
-      cascade_{options_.cascade}, admission_{options_.admission}, start_queue_{options_.start}
+      cascade_{options_.cascade}, model_choice_{choice_options(options_)}, admission_{options_.admission},
+      start_queue_{options_.start}, self_hash_{core::stable_hash(self.str())}
 {
+    constexpr std::uint64_t phases = 1000;
+    plain_.set_phase(static_cast<double>(core::stable_hash(self.str()) % phases) / phases);
     bounds_.brittle().place_of = [this](const endpoint_id& id) -> std::optional<places::endpoint_place>
     {
         const auto* it = endpoints_.find(id);
@@ -37,6 +53,11 @@
     for (const auto& it : table->services())
         bounds_.warm_up().set_limit(it.id, it.cold);
     table_ = std::move(table);
+    apply_load_switches();
+    for (const auto& it : table_->services())
+        if (const auto* group = endpoints_.index().group(it.id))
+            for (const auto* e : group->all)
+                put_plain(*e);
     is_start_queue_ready_ = true;
 }
 
@@ -91,6 +112,8 @@
     chooser_.keep_only(endpoints_);
     chooser_.placement().expire(now);
     liveness_.keep_only(endpoints_);
+    plain_.forget_if([this](load::endpoint_hash id) { return endpoints_.index().find(id) == nullptr; });
+    std::erase_if(unreadable_loads_, [this](const auto& id) { return endpoints_.find(id) == nullptr; });
     bounds_.expire(now, [this](const endpoint_id& id) { return endpoints_.find(id) == nullptr; });
     attribution_.watch(now, endpoints_.size());
     attribution_.expire(now);
@@ -166,7 +189,8 @@
     record.number = request_flow.sends;
     record.started = now;
     record.is_trial = to.is_trial;
-    record.prompt = place_prompt(now, endpoint, to.prompt);
+    record.stream = plan_stream(now, request_flow, to, order.id);
+    record.prompt = place_prompt(now, endpoint, to.prompt, record.stream);
     if (record.prompt)
         record.expected = record.prompt->wait + record.prompt->work;
     chooser_.started(endpoint.id);
@@ -181,12 +205,15 @@
     if (bounds_.limits().limit_of(endpoint.id))
         ++counters_.limited_sends;
     bounds_.sent(now, endpoint.id);
+    record.is_plain = is_plain(request_flow);
     if (to.is_trial)
     {
         ++counters_.trials;
         attribution_.begin_trial(now, request_flow.elements, crashes::hash_of_endpoint_id(endpoint.id));
     }
     log_dispatched(now, request_flow, order, record);
+    if (record.is_plain)
+        note_plain_send(now, request_flow, endpoint);
     attempts_.emplace(order.id, std::move(record));
     hooks_.start(order);
 }
@@ -205,11 +232,14 @@
     line.reason = sent.is_trial ? "trial" : "";
     line.attempt = sent.number;
     line.time_left_ms = order.time_left.count();
+    if (sent.is_plain)
+        line.running = std::lround(plain_.running(now, load::hash_of(sent.endpoint)));
     if (sent.prompt)
     {
         line.expected_wait_ms = std::chrono::floor<milliseconds>(sent.prompt->wait).count();
         line.expected_read_ms = std::chrono::floor<milliseconds>(sent.prompt->work).count();
     }
+    describe_stream(sent, line);
     hooks_.log(line);
 }
 
@@ -272,8 +302,10 @@
     it.attempts.erase(id);
     if (out.prompt)
         chooser_.placement().withdrawn(now, *out.prompt);
+    end_stream(out);
     chooser_.finished(out.endpoint);
     bounds_.finished(now, out.endpoint, out.started);
+    note_plain_end(now, it, out);
     if (bounds_.brittle().is_brittle(out.endpoint))
         recheck_first_waiting(now, it.service);
     if (!out.via.empty())
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -53,6 +53,8 @@
         report_answered(now, *request_flow, attempts_.at(id), head.ends_with_connection);
     auto from = take_attempt(now, id);
     on_heard(now, from->endpoint);
+    if (from->is_plain && (head.not_run || !is_bad))
+        note_plain_answer(now, *from, head.not_run);
     auto line = describe(now, *request_flow, refused ? "endpoint_refused" : "endpoint_answered");
     line.endpoint = from->endpoint.str();
     line.version = from->version.str();
@@ -128,6 +130,7 @@
         return retry_or_end(now, *it, core::errc::endpoint_answer_invalid, true);
     }
     on_prompt_read(now, from);
+    begin_stream(now, from);
     it->last_progress = now;
     sample_head(now, *it, from);
     if (it->head_forwarded)
@@ -168,6 +171,9 @@
     const bool has_larger = it.model_index + 1 < it.matched_route->model_sizes.size();
     if (!has_larger || !it.request.model.empty())
         return false;
+    if (load_active_.model_choice)
+        if (const auto asked = try_choose_model(now, it, from, confidence))
+            return *asked;
     auto larger = it;
     larger.model_index = it.matched_route->model_sizes.size() - 1;
     larger.tried.clear(); // the same endpoint may run the larger model
@@ -181,13 +187,19 @@
     line.confidence = confidence;
     line.endpoint = attempts_.at(from).endpoint.str();
     hooks_.log(line);
+    ask_larger(now, it, from, larger.model_index, next.value());
+    return true;
+}
+
+void request_forwarder::ask_larger(time_point now, flow& it, attempt_id from, std::size_t size,
+                                   const successor& to)
+{
     ++counters_.escalated;
     take_attempt(now, from);
     hooks_.cancel(from);
-    it.model_index = larger.model_index;
+    it.model_index = size;
     it.tried.clear();
-    send_retry(now, it, next.value(), true);
-    return true;
+    send_retry(now, it, to, true);
 }
 
 void request_forwarder::on_stream_event(time_point now, attempt_id id, std::string_view event,
@@ -200,6 +212,9 @@
     if (!from.first_event)
         from.first_event = now;
     ++from.events;
+    learn_token_speed(now, *it, from);
+    if (from.stream)
+        chooser_.placement().stream_progressed(*from.stream);
     from.has_ended = false;
     from.is_stalled = false;
     on_heard(now, from.endpoint);
@@ -210,6 +225,7 @@
         return; // the caller already has this event
     if (event_id)
         it->last_event = event_id;
+    ++it->events;
     hooks_.forward_bytes(it->id, event);
 }
 
@@ -308,6 +324,8 @@
         hooks_.break_off(it.id);
         return finish(now, it, to_string(why), -1);
     }
+    if (lacks_room(now, it))
+        ++counters_.no_room;
     refusal out;
     out.not_run = it.runs == 0;
     out.why = {why, it.service.str(),
@@ -339,6 +357,7 @@
                                          : core::run_outcome::unknown;
     hooks_.log(line);
     hooks_.ended(line, now - it.arrived);
+    learn_length(it, outcome == "answered");
     end_wait(it);
     timers_.erase({it.check_at, it.id});
     flows_.erase(it.id);
