--- a/src/runlink/routing/request_forwarder_speeds.cpp
+++ b/src/runlink/routing/request_forwarder_speeds.cpp
@@ -40,7 +40,7 @@
     if (from.events == 1 || tokens == 0 || since == time_point{})
         return;
     chooser_.placement().token_speeds().observe(asked_model(it, from), load::hash_of(from.endpoint),
-                            running_at(now, from.endpoint), (now - since) / tokens);
+                                                running_at(now, from.endpoint), (now - since) / tokens);
 }
 
 void request_forwarder::learn_length(const flow& it, bool is_complete)
@@ -52,7 +52,8 @@
     if (is_complete && !it.request.last_event)
         chooser_.placement().answer_lengths().observe(it.matched_route->name, it.request.length_hint, tokens);
     else
-        chooser_.placement().answer_lengths().observe_cut(it.matched_route->name, it.request.length_hint, tokens);
+        chooser_.placement().answer_lengths().observe_cut(it.matched_route->name, it.request.length_hint,
+                                                          tokens);
 }
 
 } // namespace runlink::routing
