--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -148,7 +148,7 @@
     void on_remote_loads(time_point now, const load_digest& it)
     {
         chooser_.placement().on_remote_loads(now, it);
-        on_counts_told(now, {}, it.counts);
+        on_peer_counts(now, {}, it.counts);
     }
     /// Prompts sent by instances of this instance's failure domain.
     load_digest local_loads(time_point now, milliseconds least) const
@@ -159,7 +159,7 @@
         return out;
     }
     /// Another instance announces its requests at plain endpoints.
-    void on_counts_told(time_point now, const core::instance_id& from,
+    void on_peer_counts(time_point now, const core::instance_id& from,
                         const std::vector<load::request_counts>& all);
     /// Number of requests that wait until an endpoint may be sent to.
     std::size_t waiting_count() const { return slot_queue_.size(); }
--- a/src/runlink/gateway/gateway_daemon_peers.cpp
+++ b/src/runlink/gateway/gateway_daemon_peers.cpp
@@ -266,7 +266,7 @@
     for (const auto& e : it.ended)
         forwarder_.on_peer_stream_ended(now, e);
     if (!it.counts.empty())
-        forwarder_.on_counts_told(now, it.sender, it.counts);
+        forwarder_.on_peer_counts(now, it.sender, it.counts);
     if (!it.sender.str().empty()) // messages that hold only prompts have no sender
         forwarder_.rollouts().on_peer_evidence(now, it.sender, it.evidence);
 }
--- a/src/runlink/gateway/gateway_test.cpp
+++ b/src/runlink/gateway/gateway_test.cpp
@@ -359,11 +359,11 @@
     CHECK(back.complete_since == 4);
     const load::load_digest load{core::failure_domain_id{"n"},
                                  {{routing::endpoint_hash{7}, core::milliseconds{90}}}};
-    const auto told = std::get<load::load_digest>(proto::decode_datagram(proto::encode(load)));
-    CHECK(told.domain == load.domain);
-    CHECK(told.loads.at(0).endpoint.value() == 7);
-    CHECK(told.loads.at(0).left == core::milliseconds{90});
-    CHECK(told.loads.at(0).running == 0);
+    const auto digest = std::get<load::load_digest>(proto::decode_datagram(proto::encode(load)));
+    CHECK(digest.domain == load.domain);
+    CHECK(digest.loads.at(0).endpoint.value() == 7);
+    CHECK(digest.loads.at(0).left == core::milliseconds{90});
+    CHECK(digest.loads.at(0).running == 0);
     auto tracked = load;
     tracked.loads.push_back({routing::endpoint_hash{8}, core::milliseconds{0}, 5, 70'000, 900});
     const auto streams = std::get<load::load_digest>(proto::decode_datagram(proto::encode(tracked)));
--- a/src/runlink/routing/plain_slots_test.cpp
+++ b/src/runlink/routing/plain_slots_test.cpp
@@ -247,7 +247,7 @@
         const auto delay = milliseconds{5 + static_cast<int>(random_() % 170)};
         for (int n = 0; n < day_.instances; ++n)
             if (n != from && !happens(day_.updates_lost))
-                later(delay, [this, n, from, it] { at_instance(n).on_counts_told(now_, name(from), it); });
+                later(delay, [this, n, from, it] { at_instance(n).on_peer_counts(now_, name(from), it); });
     }
 
     void arrive(bool is_busy)
--- a/src/runlink/routing/request_forwarder_load.cpp
+++ b/src/runlink/routing/request_forwarder_load.cpp
@@ -1,4 +1,5 @@
-// Streams at the endpoints of engines: from their send to their end, and what other instances are told.
+// Streams at the endpoints of engines: from their send to their end, and what is announced to other
+// instances.
 
 #include <chrono>
 #include <string>
--- a/src/runlink/routing/request_forwarder_models.cpp
+++ b/src/runlink/routing/request_forwarder_models.cpp
@@ -114,7 +114,7 @@
 void request_forwarder::note_kept(time_point now, flow& it, attempt_id from, const larger_models& all,
                                   load::choice_reason why)
 {
-    // The line tells what the thresholds would have decided otherwise.
+    // Logged only where the thresholds would have decided otherwise.
     const auto& largest = all.to.back();
     if (cascade_.accepts(cascade_input_of(now, it, all.in.confidence, largest)))
         return;
--- a/src/runlink/routing/request_forwarder_plain.cpp
+++ b/src/runlink/routing/request_forwarder_plain.cpp
@@ -1,5 +1,5 @@
-// Requests to plain services (without an engine) whose load is tracked: which endpoint has room, and what
-// other instances are told.
+// Requests to plain services (without an engine) whose load is tracked: which endpoint has room, and what is
+// announced to other instances.
 
 #include <algorithm>
 #include <numeric>
@@ -143,7 +143,7 @@
         plain_.answered(now, id, now - from.started);
 }
 
-void request_forwarder::on_counts_told(time_point now, const core::instance_id& from,
+void request_forwarder::on_peer_counts(time_point now, const core::instance_id& from,
                                        const std::vector<load::request_counts>& all)
 {
     if (!load_active_.plain_load)
--- a/src/runlink/routing/stream_tracking_test.cpp
+++ b/src/runlink/routing/stream_tracking_test.cpp
@@ -20,7 +20,7 @@
 {
     time_point now{core::seconds{100}};
     std::vector<attempt_order> starts;
-    std::vector<prompt_sent> told;
+    std::vector<prompt_sent> announced;
     std::vector<load::stream_ended> ended;
     std::vector<decision> dispatched;
     request_forwarder forwarder;
@@ -85,7 +85,7 @@
         out.break_off = [](flow_id) {};
         out.refuse = [](flow_id, const refusal&) {};
         out.announce_session_run = [](const session_run&) {};
-        out.announce_prompt_sent = [this](const prompt_sent& e) { told.push_back(e); };
+        out.announce_prompt_sent = [this](const prompt_sent& e) { announced.push_back(e); };
         out.announce_prompt_answered = [](const prompt_answered&) {};
         out.announce_stream_ended = [this](const load::stream_ended& e) { ended.push_back(e); };
         out.log = [this](const decision& e)
@@ -140,9 +140,9 @@
     it.begin(first);
     it.forwarder.on_stream_end(it.now, first);
     it.request(2, 12'000);
-    REQUIRE(it.told.size() == 1); // the long one
-    CHECK(it.told[0].stream == load::stream_hash{});
-    CHECK(it.told[0].held_tokens == 0);
+    REQUIRE(it.announced.size() == 1); // the long one
+    CHECK(it.announced[0].stream == load::stream_hash{});
+    CHECK(it.announced[0].held_tokens == 0);
     CHECK(it.ended.empty());
     CHECK(it.forwarder.streams_tracked() == 0);
     CHECK(it.dispatched[0].running == -1);
@@ -154,10 +154,10 @@
     tracked_forwarder it{load::load_switch::on};
     const auto id = it.request(1);
     const auto at = it.starts.back().endpoint.id;
-    REQUIRE(it.told.size() == 1);
-    CHECK(it.told[0].stream != load::stream_hash{});
-    CHECK(it.told[0].made_tokens == 290);
-    CHECK(it.told[0].held_tokens == 830 + 290);
+    REQUIRE(it.announced.size() == 1);
+    CHECK(it.announced[0].stream != load::stream_hash{});
+    CHECK(it.announced[0].made_tokens == 290);
+    CHECK(it.announced[0].held_tokens == 830 + 290);
     CHECK(it.dispatched[0].running == 0);
     CHECK(it.dispatched[0].expected_end_ms > 0);
     CHECK(it.state_of(at).running == 1);
@@ -171,8 +171,8 @@
     {
         it.forwarder.on_lost(it.now, id, attempt_loss::broken);
         CHECK(it.state_of(at).running == 0);
-        REQUIRE(it.told.size() == 2); // resumed elsewhere, as another stream
-        CHECK(it.told[1].stream != it.told[0].stream);
+        REQUIRE(it.announced.size() == 2); // resumed elsewhere, as another stream
+        CHECK(it.announced[1].stream != it.announced[0].stream);
         it.forwarder.on_caller_left(it.now, flow_id{1});
     }
     SECTION("caller left")
@@ -180,11 +180,11 @@
         it.forwarder.on_caller_left(it.now, flow_id{1});
     }
     CHECK(it.forwarder.streams_tracked() == 0);
-    REQUIRE(it.ended.size() == it.told.size());
+    REQUIRE(it.ended.size() == it.announced.size());
     for (std::size_t n = 0; n < it.ended.size(); ++n)
     {
-        CHECK(it.ended[n].stream == it.told[n].stream);
-        CHECK(it.ended[n].endpoint == it.told[n].endpoint);
+        CHECK(it.ended[n].stream == it.announced[n].stream);
+        CHECK(it.ended[n].endpoint == it.announced[n].endpoint);
     }
 }
 
@@ -193,8 +193,8 @@
     tracked_forwarder it{load::load_switch::on};
     it.request(1);
     it.request(2);
-    CHECK(it.told[0].stream != it.told[1].stream);
-    auto peer = it.told[0];
+    CHECK(it.announced[0].stream != it.announced[1].stream);
+    auto peer = it.announced[0];
     peer.stream = load::stream_hash{77};
     it.forwarder.on_peer_prompt(it.now, peer);
     CHECK(it.forwarder.streams_tracked() == 3);
@@ -213,9 +213,9 @@
     CHECK(it.forwarder.streams_tracked() == 0);
     it.begin(id);
     it.forwarder.on_stream_end(it.now, id);
-    CHECK(it.ended.size() == 1); // peers were told of it
+    CHECK(it.ended.size() == 1); // the end is announced
     it.request(2);
-    CHECK(it.told.size() == 1);
+    CHECK(it.announced.size() == 1);
 }
 
 // Guards against decisions on nothing, and against a model that is never asked since it never was: without a
