--- a/src/runlink/load/load_digest.cpp
+++ b/src/runlink/load/load_digest.cpp
@@ -102,6 +102,7 @@
         }
     }
     std::vector<request_counts> out;
+    out.reserve(sums.size());
     for (const auto& [endpoint, sum] : sums)
         out.push_back(sum);
     return out;
