--- /dev/null
+++ b/tests/slow_store_test.cpp
@@ -0,0 +1,148 @@
+// Calls to a store whose answers take long to arrive.
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+#include <QElapsedTimer>
+#include <QTimer>
+
+#include "runlink/gateway/kv_http_store.hpp"
+#include "support/event_loop.hpp"
+#include "support/raw_peer.hpp"
+
+using namespace runlink;
+using namespace runlink::gateway;
+
+namespace
+{
+
+constexpr std::size_t value_bytes = 400'000;
+constexpr int chunks = 20;
+constexpr std::chrono::milliseconds chunk_interval{120};
+
+/// Items are sent as plain bytes, since the calls are what is tested here.
+control::kv_wire plain_wire()
+{
+    const auto item = [](const control::http_answer& it) { return control::kv_item{"conf", it.body, {}}; };
+    control::kv_wire out;
+    out.list = [](const std::string&) { return control::http_call{"GET", "/list", {}, {}}; };
+    out.watch = [](std::uint64_t, core::milliseconds)
+    { return control::http_call{"GET", "/watch", {}, {}}; };
+    out.commit = [](const control::kv_transaction&)
+    { return control::http_call{"POST", "/commit", "{}", {}}; };
+    out.read_era = [](const control::http_answer&) { return core::store_era{}; };
+    out.read_page = [item](const control::http_answer& it) -> control::kv_result<control::kv_page>
+    {
+        if (it.status == 0)
+            return control::kv_error::unavailable;
+        return control::kv_page{{item(it)}, false, {}};
+    };
+    out.read_changes = [item](const control::http_answer& it) -> control::kv_result<control::kv_changes>
+    {
+        if (it.status == 0)
+            return control::kv_error::unavailable;
+        return control::kv_changes{{{item(it)}}, {}};
+    };
+    out.read_commit = [item](const control::http_answer& it) -> control::kv_commit_result
+    {
+        if (it.status == 0)
+            return control::kv_error::unavailable;
+        return control::kv_conflict{{item(it)}};
+    };
+    return out;
+}
+
+/// A store that sends its answer in small parts, and stops after some of them.
+class slow_store
+{
+public:
+    explicit slow_store(int sent_chunks = chunks) : left_{sent_chunks}
+    {
+        peer_.on_bytes = [this]
+        {
+            if (timer_.isActive())
+                return;
+            peer_.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(value_bytes) + "\r\n\r\n");
+            timer_.start(chunk_interval);
+        };
+        QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] { send_chunk(); });
+    }
+
+    net::peer_address address() const { return peer_.address(); }
+    int connections() const { return peer_.connections; }
+
+private:
+    void send_chunk()
+    {
+        if (left_-- > 0 && peer_.socket->state() == QAbstractSocket::ConnectedState)
+            peer_.send(std::string(value_bytes / chunks, 'x'));
+        else
+            timer_.stop();
+    }
+
+    int left_;
+    tests::raw_peer peer_;
+    QTimer timer_;
+};
+
+std::size_t bytes_of(const control::kv_commit_result& it)
+{
+    const auto* found = std::get_if<control::kv_conflict>(&it);
+    return found == nullptr ? 0 : found->items.at(0).value.size();
+}
+
+} // namespace
+
+TEST_CASE("a proof whose answer carries a configuration larger than the link sends within the call timeout")
+{
+    slow_store peer;
+    kv_http_store store{{}, peer.address(), plain_wire()};
+    std::optional<control::kv_commit_result> result;
+    store.port().commit({}, [&](const auto& it) { result = it; });
+    net::run_until([&] { return result.has_value(); });
+    REQUIRE(result);
+    CHECK(bytes_of(*result) == value_bytes);
+}
+
+TEST_CASE("a page of a list that is larger than the link sends within the call timeout")
+{
+    slow_store peer;
+    kv_http_store store{{}, peer.address(), plain_wire()};
+    std::optional<control::kv_result<control::kv_page>> result;
+    store.port().list({}, [&](const auto& it) { result = it; });
+    net::run_until([&] { return result.has_value(); });
+    REQUIRE(result);
+    REQUIRE(std::holds_alternative<control::kv_page>(*result));
+    CHECK(std::get<control::kv_page>(*result).items.at(0).value.size() == value_bytes);
+}
+
+TEST_CASE("a change that is larger than the link sends within the slack of its watch")
+{
+    slow_store peer;
+    kv_http_store store{{}, peer.address(), plain_wire()};
+    std::optional<control::kv_result<control::kv_changes>> result;
+    store.port().watch(1, core::milliseconds{100}, [&](const auto& it) { result = it; });
+    net::run_until([&] { return result.has_value(); });
+    REQUIRE(result);
+    REQUIRE(std::holds_alternative<control::kv_changes>(*result));
+    CHECK(std::get<control::kv_changes>(*result).events.at(0).item.value.size() == value_bytes);
+}
+
+TEST_CASE("a store that falls silent within its answer is noticed about a second after its last byte")
+{
+    constexpr int sent_chunks = 10;
+    slow_store peer{sent_chunks};
+    kv_http_store store{{}, peer.address(), plain_wire()};
+    std::optional<control::kv_commit_result> result;
+    QElapsedTimer timer;
+    timer.start();
+    store.port().commit({}, [&](const auto& it) { result = it; });
+    net::run_until([&] { return result.has_value(); });
+    REQUIRE(result);
+    CHECK(std::holds_alternative<control::kv_error>(*result));
+    constexpr auto sending = chunk_interval * sent_chunks;
+    constexpr std::chrono::milliseconds noticed_within{1500};
+    CHECK(timer.elapsed() >= sending.count());
+    CHECK(timer.elapsed() < (sending + noticed_within).count());
+}
