Store: a transfer that makes progress is not given up

Callers were served by an older configuration for seconds to minutes after a newer one had been acknowledged, and refused for lack of a proof. Cause: the time limit of a call (900 ms) bounded the whole exchange, body included. A configuration of 4,250 routes takes longer on a link of 10 Mbit/s; the call was cancelled near its end and begun anew, for good, and kept the link full. Class: a limit on the whole of a transfer that is taken for a limit on silence. Change: core::transfer_deadline bounds the time to the first byte, the silence between two bytes, and the length by size and link (an eighth of the link); all calls of http_caller use it, watches and duties included. Lines store_transfer and store_call_failed, counters of bytes and of answers cut off.

--- a/include/runlink/gateway/gateway_daemon.hpp
+++ b/include/runlink/gateway/gateway_daemon.hpp
@@ -64,6 +64,7 @@
     /// expire.
     std::optional<core::milliseconds> max_key_age() const;
     routing::forwarder_options forwarder_options() const;
+    kv_http_options store_options() const;
     control::follower_hooks follower_hooks();
     control::relay_hooks relay_hooks();
 
@@ -143,6 +144,8 @@
     void keep_house(core::time_point now);
     void check_stop(core::time_point now);
     void log_store_calls(core::time_point now);
+    /// Logs the end of a call to the store that failed or carried a large answer.
+    void log_transfer(kv_call kind, const call_report& it);
     void log_state(std::string_view event, std::string_view reason);
 
     gateway_settings settings_;
--- a/include/runlink/gateway/kv_http_store.hpp
+++ b/include/runlink/gateway/kv_http_store.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "runlink/control/documents.hpp"
 #include "runlink/gateway/http_caller.hpp"
@@ -15,14 +16,23 @@
 /// Timeouts of calls to the store.
 struct kv_http_options
 {
-    /// A call without an answer within this time counts as unanswered. The store answers within milliseconds;
-    /// even 60 times slower, it stays well below the timeout.
-    core::milliseconds call_timeout{900};
+    /// The store begins its answer within milliseconds; even 60 times slower, it stays well below the limit.
+    core::transfer_limits transfer;
     core::milliseconds connect_timeout{400};
-    /// Added to the wait time of a watch to get its timeout.
+    /// Added to the wait time of a watch to get the limit for the first byte of its answer.
     core::milliseconds watch_slack{1500};
 };
 
+/// Kind of a call to the store.
+enum class kv_call
+{
+    list,
+    watch,
+    commit,
+};
+
+std::string_view to_string(kv_call it);
+
 /// Calls since the start by kind and result. The store's operators count and charge each call.
 struct kv_call_counters
 {
@@ -32,6 +42,8 @@
     std::uint64_t writes = 0;     ///< commits that write or remove items
     std::uint64_t unanswered = 0; ///< calls of any kind without an answer
     std::uint64_t refused = 0;    ///< calls of any kind answered with 429 or 503
+    std::uint64_t cut_off = 0;    ///< calls of any kind whose answer ended before it was whole
+    std::uint64_t bytes = 0;      ///< of the bodies of answers, also of those that were not whole
 
     std::uint64_t all() const { return lists + watches + commits; }
 };
@@ -50,11 +62,16 @@
 
     /// The era of an answer. Called for each answer, failures included, before its handler.
     std::function<void(core::store_era)> on_era = [](auto) {};
+    /// A call has ended. Called before its handler.
+    std::function<void(kv_call, const call_report&)> on_call_ended = [](auto, const auto&) {};
 
 private:
+    using answer_handler = std::function<void(const control::http_answer&)>;
+
     /// Sends a call and counts its outcome.
-    http_caller::call_ptr send(const control::http_call& request, core::milliseconds timeout,
-                               http_caller::answer_handler handler);
+    http_caller::call_ptr send(kv_call kind, const control::http_call& request,
+                               const core::transfer_limits& limits, answer_handler handler);
+    void count(int status, const call_report& report);
 
     kv_http_options options_;
     control::kv_wire wire_;
--- a/src/runlink/gateway/duty_runner.cpp
+++ b/src/runlink/gateway/duty_runner.cpp
@@ -22,6 +22,13 @@
 /// Additional delay of instances that don't follow the store directly.
 constexpr core::milliseconds follower_delay{1000};
 
+core::transfer_limits call_limits()
+{
+    core::transfer_limits out;
+    out.first_byte = call_timeout;
+    return out;
+}
+
 core::incarnation_id make_process_id(const core::instance_id& self, core::time_point now,
                                      duties::wall_time wall)
 {
@@ -194,8 +201,8 @@
     { write(documents_.write_usage(it), it.revision, std::move(done)); };
     out.send = [this](const duties::window_counts& it, std::function<void(duties::call_outcome)> done)
     {
-        platform_.send(wire_.report_usage(caller(), it), call_timeout,
-                       [this, done = std::move(done)](const control::http_answer& answer)
+        platform_.send(wire_.report_usage(caller(), it), call_limits(),
+                       [this, done = std::move(done)](const control::http_answer& answer, const call_report&)
                        {
                            const auto result = wire_.read_usage_result(answer.status);
                            on_call(result);
@@ -233,13 +240,14 @@
     { write(documents_.write_orders(it), it.revision, std::move(done)); };
     out.send = [this](const duties::scale_call& it, std::function<void(duties::scale_result)> done)
     {
-        platform_.send(wire_.scale(caller(), it), call_timeout,
-                       [this, it, done = std::move(done)](const control::http_answer& answer)
-                       {
-                           const auto result = wire_.read_scale_result(it, answer.status);
-                           on_call(result.what);
-                           done(result);
-                       });
+        platform_.send(
+            wire_.scale(caller(), it), call_limits(),
+            [this, it, done = std::move(done)](const control::http_answer& answer, const call_report&)
+            {
+                const auto result = wire_.read_scale_result(it, answer.status);
+                on_call(result.what);
+                done(result);
+            });
     };
     out.log = [this](core::time_point, const duties::scale_call& it, std::string_view result)
     {
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -47,7 +47,7 @@
       gateway_{{}, binding_.headers, log_, metrics_, clock_}, forwarder_{forwarder_options(),
                                                                          settings_.failure_domain,
                                                                          settings_.id, gateway_.hooks()},
-      store_{{}, settings_.store, binding_.store}, store_port_{store_.port()},
+      store_{store_options(), settings_.store, binding_.store}, store_port_{store_.port()},
       follower_{{binding_.documents.configuration_key}, store_port_, follower_hooks()},
       gossip_{settings_.id, settings_.failure_domain, [this](const proto::datagram& it) { on_datagram(it); }},
       carrier_{{}, [this](const net::carry_opening& it) { return admit_carried(it); }},
@@ -90,6 +90,7 @@
     };
     follower_.clock = clock_;
     store_.on_era = [this](core::store_era it) { follower_.on_era(it); };
+    store_.on_call_ended = [this](kv_call kind, const call_report& it) { log_transfer(kind, it); };
     forwarder_.rollouts().on_verdict =
         [this](const core::service_id& service, const routing::version_fault& why)
     {
@@ -103,6 +104,13 @@
 
 gateway_daemon::~gateway_daemon() = default;
 
+kv_http_options gateway_daemon::store_options() const
+{
+    kv_http_options out;
+    out.transfer = core::transfer_limits::for_link(settings_.link_mbps);
+    return out;
+}
+
 std::optional<core::milliseconds> gateway_daemon::max_key_age() const
 {
     return settings_.keys_expire ? std::optional{settings_.key_revocation - key_margin} : std::nullopt;
--- a/src/runlink/gateway/gateway_daemon_metrics.cpp
+++ b/src/runlink/gateway/gateway_daemon_metrics.cpp
@@ -54,6 +54,8 @@
                 gossip_.not_sent().count),
         counter("runlink_store_unanswered_total", "Calls of the store without an answer", calls.unanswered),
         counter("runlink_store_refused_total", "Calls that the store refused", calls.refused),
+        counter("runlink_store_cut_off_total", "Calls whose answer ended before it was whole", calls.cut_off),
+        counter("runlink_store_bytes_total", "Bytes of the store's answers", calls.bytes),
         counter("runlink_connections_opened_total", "Connections opened to endpoints",
                 gateway_.pool().totals().opened),
         counter("runlink_connections_reused_total", "Connections to endpoints used again",
@@ -133,6 +135,20 @@
     });
 }
 
+void gateway_daemon::log_transfer(kv_call kind, const call_report& it)
+{
+    constexpr std::uint64_t min_logged_bytes = 64 * 1024;
+    const bool is_whole = it.result == call_report{}.result;
+    if (is_whole && it.bytes < min_logged_bytes)
+        return;
+    observe::log_line line{is_whole ? "store_transfer" : "store_call_failed"};
+    line.text("call", to_string(kind))
+        .text("reason", it.result)
+        .number("bytes", static_cast<std::int64_t>(it.bytes))
+        .number("elapsed_ms", std::chrono::floor<core::milliseconds>(it.elapsed).count());
+    log_.write(clock_(), line, observe::log_rank::notable);
+}
+
 void gateway_daemon::log_store_calls(core::time_point now)
 {
     const auto& n = store_.counters();
@@ -143,7 +159,9 @@
         .number("commits", number(n.commits))
         .number("writes", number(n.writes))
         .number("unanswered", number(n.unanswered))
-        .number("refused", number(n.refused));
+        .number("refused", number(n.refused))
+        .number("cut_off", number(n.cut_off))
+        .number("bytes", number(n.bytes));
     log_.write(now, line, observe::log_rank::notable);
     observe::log_line shared{"load_shared"};
     shared.number("peers", number(gossip_.peer_count()))
--- a/src/runlink/gateway/http_caller.cpp
+++ b/src/runlink/gateway/http_caller.cpp
@@ -1,14 +1,36 @@
 #include "runlink/gateway/http_caller.hpp"
 
+#include <algorithm>
+#include <charconv>
+#include <chrono>
 #include <utility>
 
 namespace runlink::gateway
 {
+namespace
+{
+
+std::optional<std::uint64_t> announced_length(const net::http_response_head& it)
+{
+    const auto* text = it.fields.find("Content-Length");
+    std::uint64_t out = 0;
+    if (text == nullptr || std::from_chars(text->data(), text->data() + text->size(), out).ec != std::errc{})
+        return std::nullopt;
+    return out;
+}
+
+} // namespace
+
 struct http_caller::call
 {
+    call(const core::transfer_limits& limits, core::time_point now) : deadline{limits, now}, started{now} {}
+
     net::exchange exchange;
     QTimer timer;
+    core::transfer_deadline deadline;
+    core::time_point started;
     control::http_answer answer;
+    call_report report;
     answer_handler handler;
 };
 
@@ -17,22 +39,17 @@
 {
 }
 
-http_caller::call_ptr http_caller::send(const control::http_call& request, core::milliseconds timeout,
-                                        answer_handler handler)
+http_caller::call_ptr http_caller::send(const control::http_call& request,
+                                        const core::transfer_limits& limits, answer_handler handler)
 {
-    auto pending = std::make_shared<call>();
+    auto pending = std::make_shared<call>(limits, clock());
     pending->handler = std::move(handler);
     pending->timer.setSingleShot(true);
     QObject::connect(&pending->timer, &QTimer::timeout, &pending->timer,
-                     [weak = std::weak_ptr{pending}]
+                     [this, weak = std::weak_ptr{pending}]
                      {
-                         const auto expired = weak.lock();
-                         if (!expired)
-                             return;
-                         const auto exchange = expired->exchange.lock();
-                         fail(expired);
-                         if (exchange)
-                             exchange->abandon();
+                         if (const auto it = weak.lock())
+                             check_deadline(it);
                      });
     net::http_request_head head;
     head.method = request.method;
@@ -42,26 +59,48 @@
         head.fields.add("Content-Type", "application/json");
     for (const auto& [name, value] : request.fields)
         head.fields.add(name, value);
-    net::exchange_hooks hooks;
-    hooks.sent = [] {};
-    hooks.head = [pending](const net::http_response_head& e)
-    {
-        pending->answer.status = e.status;
-        for (const auto& field : e.fields)
-            pending->answer.fields.emplace_back(field.name, field.value);
-    };
-    hooks.body = [pending](std::string_view e) { pending->answer.body.append(e); };
-    hooks.end = [pending] { finish(pending); };
-    hooks.failed = [pending](net::exchange_failure) { fail(pending); };
     net::exchange_options options;
     options.connect_timeout = options_.connect_timeout;
     options.max_rest = options_.max_idle_time;
-    pending->timer.start(timeout);
+    pending->timer.start(limits.first_byte);
     pending->exchange =
-        pool_.send(address_, net::write_request(head, request.body), options, std::move(hooks));
+        pool_.send(address_, net::write_request(head, request.body), options, hooks_of(pending));
     return pending;
 }
 
+net::exchange_hooks http_caller::hooks_of(const call_ptr& it) const
+{
+    net::exchange_hooks out;
+    out.sent = [] {};
+    out.head = [this, it](const net::http_response_head& e)
+    {
+        it->answer.status = e.status;
+        for (const auto& field : e.fields)
+            it->answer.fields.emplace_back(field.name, field.value);
+        it->deadline.on_head(clock(), announced_length(e));
+        check_deadline(it);
+    };
+    out.body = [this, it](std::string_view e)
+    {
+        it->answer.body.append(e);
+        it->deadline.on_bytes(clock());
+    };
+    out.end = [this, it] { finish(it); };
+    out.failed = [this, it](net::exchange_failure e) { fail(it, to_string(e)); };
+    return out;
+}
+
+void http_caller::check_deadline(const call_ptr& it) const
+{
+    const auto left = std::chrono::ceil<core::milliseconds>(it->deadline.due() - clock());
+    if (left > core::milliseconds{0})
+        return it->timer.start(left);
+    const auto exchange = it->exchange.lock();
+    fail(it, to_string(it->deadline.reason()));
+    if (exchange)
+        exchange->abandon();
+}
+
 void http_caller::cancel(call& it)
 {
     it.handler = nullptr;
@@ -70,18 +109,22 @@
         exchange->abandon();
 }
 
-void http_caller::fail(const call_ptr& it)
+void http_caller::fail(const call_ptr& it, std::string_view why) const
 {
+    it->report.result = why;
+    it->report.bytes = it->answer.body.size();
     it->answer = {};
     finish(it);
 }
 
-void http_caller::finish(const call_ptr& it)
+void http_caller::finish(const call_ptr& it) const
 {
     it->timer.stop();
+    it->report.bytes = std::max<std::uint64_t>(it->report.bytes, it->answer.body.size());
+    it->report.elapsed = clock() - it->started;
     const auto handler = std::exchange(it->handler, nullptr);
     if (handler)
-        handler(it->answer);
+        handler(it->answer, it->report);
 }
 
 } // namespace runlink::gateway
--- a/src/runlink/gateway/kv_http_store.cpp
+++ b/src/runlink/gateway/kv_http_store.cpp
@@ -16,6 +16,17 @@
 
 } // namespace
 
+std::string_view to_string(kv_call it)
+{
+    switch (it)
+    {
+    case kv_call::list: return "list";
+    case kv_call::watch: return "watch";
+    case kv_call::commit: return "commit";
+    }
+    return "unknown";
+}
+
 kv_http_store::kv_http_store(kv_http_options options, net::peer_address address, control::kv_wire wire)
     : options_{options}, wire_{std::move(wire)}, caller_{{options.connect_timeout, max_idle_time},
                                                          std::move(address)}
@@ -29,14 +40,16 @@
         [this](const std::string& after, const std::function<void(control::kv_result<control::kv_page>)>& to)
     {
         ++counters_.lists;
-        send(wire_.list(after), options_.call_timeout,
+        send(kv_call::list, wire_.list(after), options_.transfer,
              [this, to](const control::http_answer& it) { to(wire_.read_page(it)); });
     };
     out.watch = [this](std::uint64_t after, core::milliseconds wait,
                        const std::function<void(control::kv_result<control::kv_changes>)>& to)
     {
         ++counters_.watches;
-        watch_ = send(wire_.watch(after, wait), wait + options_.watch_slack,
+        auto limits = options_.transfer;
+        limits.first_byte = wait + options_.watch_slack;
+        watch_ = send(kv_call::watch, wire_.watch(after, wait), limits,
                       [this, to](const control::http_answer& it) { to(wire_.read_changes(it)); });
     };
     out.commit =
@@ -44,7 +57,7 @@
     {
         ++counters_.commits;
         counters_.writes += it.writes.empty() && it.removals.empty() ? 0 : 1;
-        send(wire_.commit(it), options_.call_timeout,
+        send(kv_call::commit, wire_.commit(it), options_.transfer,
              [this, to](const control::http_answer& it) { to(wire_.read_commit(it)); });
     };
     out.cancel_watch = [this]
@@ -55,20 +68,27 @@
     return out;
 }
 
-http_caller::call_ptr kv_http_store::send(const control::http_call& request, core::milliseconds timeout,
-                                          http_caller::answer_handler handler)
+http_caller::call_ptr kv_http_store::send(kv_call kind, const control::http_call& request,
+                                          const core::transfer_limits& limits, answer_handler handler)
+{
+    return caller_.send(
+        request, limits,
+        [this, kind, handler = std::move(handler)](const control::http_answer& it, const call_report& report)
+        {
+            count(it.status, report);
+            on_call_ended(kind, report);
+            if (it.status != no_status)
+                on_era(wire_.read_era(it));
+            handler(it);
+        });
+}
+
+void kv_http_store::count(int status, const call_report& report)
 {
-    return caller_.send(request, timeout,
-                        [this, handler = std::move(handler)](const control::http_answer& it)
-                        {
-                            const int status = it.status;
-                            counters_.unanswered += status == no_status ? 1 : 0;
-                            counters_.refused +=
-                                status == status_too_many || status == status_unavailable ? 1 : 0;
-                            if (status != no_status)
-                                on_era(wire_.read_era(it));
-                            handler(it);
-                        });
+    counters_.bytes += report.bytes;
+    counters_.unanswered += status == no_status ? 1 : 0;
+    counters_.cut_off += status == no_status && report.bytes > 0 ? 1 : 0;
+    counters_.refused += status == status_too_many || status == status_unavailable ? 1 : 0;
 }
 
 } // namespace runlink::gateway
--- a/tests/slow_store_test.cpp
+++ b/tests/slow_store_test.cpp
@@ -27,10 +27,10 @@
     const auto item = [](const control::http_answer& it) { return control::kv_item{"conf", it.body, {}}; };
     control::kv_wire out;
     out.list = [](const std::string&) { return control::http_call{"GET", "/list", {}, {}}; };
-    out.watch = [](std::uint64_t, core::milliseconds)
-    { return control::http_call{"GET", "/watch", {}, {}}; };
-    out.commit = [](const control::kv_transaction&)
-    { return control::http_call{"POST", "/commit", "{}", {}}; };
+    out.watch = [](std::uint64_t, core::milliseconds) { return control::http_call{"GET", "/watch", {}, {}}; };
+    out.commit = [](const control::kv_transaction&) {
+        return control::http_call{"POST", "/commit", "{}", {}};
+    };
     out.read_era = [](const control::http_answer&) { return core::store_era{}; };
     out.read_page = [item](const control::http_answer& it) -> control::kv_result<control::kv_page>
     {
