Routing: an instance that lacks a known newer configuration admits nothing by its own

Callers were sent by an older configuration for as long as the instance lacked the newer one: the age of the table bounded refusals (401, 403, 404) and keys, but no send of a request without a key. Cause: an instance did not keep that others have a newer version in force, though replies of relays say so. Change: each message of a relay, each question to it and each batch of prompts carries the version in force at the sender; routing::newer_versions keeps since when a newer one is known; after 0.7 of the time within which a configuration must be in force, requests are refused as not run (cut_off) and the instance is not ready. A later proof that its own is the newest clears what was known before. Without contact nobody knows of a newer one, and all serve on. Breaking on the wire between instances: one more field (ignored by earlier builds).

--- a/include/runlink/control/relay.hpp
+++ b/include/runlink/control/relay.hpp
@@ -36,6 +36,7 @@
     core::store_revision store_revision;
     /// The sender has no view of the store yet, or only parts of the receiver's view.
     bool is_joining = false;
+    std::uint64_t configuration_version = 0; ///< in force at the sender; 0: not told
 };
 
 /// A relay's reply. With number 0 it was sent without a request and is no proof.
--- a/include/runlink/gateway/gateway_daemon.hpp
+++ b/include/runlink/gateway/gateway_daemon.hpp
@@ -83,6 +83,10 @@
     void log_outdated_table(core::time_point now, const routing::routing_table& it);
     void apply_endpoint(core::time_point now, const routing::endpoint_entry& it);
     void on_datagram(const proto::datagram& it);
+    /// Version of the configuration in force; 0 without one.
+    std::uint64_t version_in_force() const;
+    /// Another instance has this version of the configuration in force.
+    void note_version(core::time_point now, std::uint64_t version);
     void on_gossip(core::time_point now, const routing::gossip_message& it);
     control::join_hooks join_hooks();
     /// Instances to contact at the start; empty if this instance is one of the seeds.
--- a/include/runlink/gateway/gossip_link.hpp
+++ b/include/runlink/gateway/gossip_link.hpp
@@ -50,6 +50,9 @@
     /// Sets the address of an instance that is not yet a peer. It receives only messages sent to its id.
     void put_address(const core::instance_id& id, const std::string& host, std::uint16_t port);
 
+    /// Sets the version of the configuration in force, which some messages carry.
+    void set_configuration_version(std::uint64_t it) { configuration_version_ = it; }
+
     void send_to(const std::vector<core::instance_id>& to, const proto::datagram& it);
     // `broadcast` sends to all peers. Session runs, prompts and answers are batched for a short time; prompts
     // and answers may be restricted to the own failure domain.
@@ -98,6 +101,7 @@
     QByteArray bytes_of(const proto::datagram& it);
     void send_runs();
     void send_prompts();
+    routing::gossip_message new_message() const;
     void start_prompt_timer();
     void send_to_all(const proto::datagram& it, bool own_domain_only);
     void receive();
@@ -112,6 +116,7 @@
     /// and 0.36 GB between failure domains on a quiet day. Sending within the failure domain, with sums
     /// between domains, took 276 s and 0.14 GB (processor time and bytes of a day as the platform charges
     /// them).
+    std::uint64_t configuration_version_ = 0;
     std::size_t max_peers_for_all_domains_ = 128;
     QUdpSocket socket_;
     QTimer run_timer_;
--- a/include/runlink/routing/forwarder_options.hpp
+++ b/include/runlink/routing/forwarder_options.hpp
@@ -38,6 +38,9 @@
     milliseconds key_grace{4500};
     /// Oldest proof of the configuration with which an unknown route or key gets a final 404 or 401.
     milliseconds max_denial_age{1900};
+    /// Time for which requests are still admitted by an older configuration than another instance has in
+    /// force.
+    milliseconds max_outdated_time{1400};
     milliseconds session_ttl{5000};
     /// Most sends of one request, including those that endpoints refused.
     std::uint32_t max_sends = 4;
--- a/include/runlink/routing/gossip_messages.hpp
+++ b/include/runlink/routing/gossip_messages.hpp
@@ -67,6 +67,7 @@
     std::vector<prompt_answered> answers;
     std::vector<load::stream_ended> ended;
     std::vector<load::request_counts> counts; ///< replaces what the sender announced before
+    std::uint64_t configuration_version = 0;  ///< in force at the sender; 0: not told
 };
 
 } // namespace runlink::routing
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -18,6 +18,7 @@
 #include "runlink/routing/forwarder_hooks.hpp"
 #include "runlink/routing/forwarder_options.hpp"
 #include "runlink/routing/messages.hpp"
+#include "runlink/routing/newer_versions.hpp"
 #include "runlink/routing/place_queue.hpp"
 #include "runlink/routing/repeated_news.hpp"
 #include "runlink/routing/routing_table.hpp"
@@ -55,6 +56,12 @@
     /// Time since the table was last proven to be current; nothing without a proof.
     std::optional<core::duration> proof_age(time_point now) const;
 
+    /// Another instance has this version of the routing table in force. Returns whether that is news.
+    bool on_version_known(time_point now, std::uint64_t version);
+    /// Whether a newer routing table has been known for so long that no request is admitted by this one.
+    bool is_outdated(time_point now) const;
+    const newer_versions& known_versions() const { return newer_versions_; }
+
     /// Processes an endpoint entry of the store.
     endpoint_directory::change on_endpoint(time_point now, const endpoint_entry& it);
     /// Processes the complete list of readable entries. Endpoints that are missing from it are removed; those
@@ -542,6 +549,7 @@
     forwarder_hooks hooks_;
     routing_table_ptr table_;
     load::active_load load_active_; ///< by `options_.load` and the engines of `table_`
+    newer_versions newer_versions_;
     std::optional<time_point> proven_at_;
     struct stop_times
     {
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -22,6 +22,9 @@
 /// Subtracted from the allowed key age to allow for network delay and timers that fire late.
 constexpr core::milliseconds key_margin{400};
 constexpr core::milliseconds denial_margin{100};
+/// Part of the time within which a configuration must be in force during which an older one is still used
+/// once the newer one is known. The rest is the time in which it becomes known.
+constexpr int outdated_percent = 70;
 /// An endpoint that shuts down is sent no requests for this long before it may end, because connections take
 /// time to establish.
 constexpr core::milliseconds drain_margin{600};
@@ -122,6 +125,7 @@
     out.max_key_age = max_key_age();
     out.key_grace = settings_.key_revocation - key_margin;
     out.max_denial_age = settings_.configuration_apply - denial_margin;
+    out.max_outdated_time = settings_.configuration_apply * outdated_percent / 100;
     out.session_ttl = settings_.session_ttl;
     out.retries = {settings_.retry_window, settings_.retry_ratio, settings_.retry_slack};
     const auto& tuning = settings_.tuning;
@@ -180,7 +184,10 @@
 {
     if (stop_began_ || !forwarder_.table() || forwarder_.endpoints().size() == 0)
         return false;
-    const auto age = forwarder_.proof_age(clock_());
+    const auto now = clock_();
+    if (forwarder_.is_outdated(now))
+        return false;
+    const auto age = forwarder_.proof_age(now);
     const auto oldest = max_key_age();
     return age && (!oldest || *age < *oldest);
 }
--- a/src/runlink/gateway/gateway_daemon_peers.cpp
+++ b/src/runlink/gateway/gateway_daemon_peers.cpp
@@ -38,9 +38,26 @@
 void gateway_daemon::send_sync_request(const core::instance_id& to, control::sync_request it)
 {
     it.sender = own_entry();
+    it.configuration_version = version_in_force();
     gossip_.send_to({to}, it);
 }
 
+std::uint64_t gateway_daemon::version_in_force() const
+{
+    return forwarder_.table() ? forwarder_.table()->version() : 0;
+}
+
+void gateway_daemon::note_version(core::time_point now, std::uint64_t version)
+{
+    if (!forwarder_.on_version_known(now, version))
+        return;
+    log_.write(now,
+               observe::log_line{"configuration_known"}
+                   .number("table", static_cast<std::int64_t>(version))
+                   .number("in_force", static_cast<std::int64_t>(version_in_force())),
+               observe::log_rank::notable);
+}
+
 control::join_hooks gateway_daemon::join_hooks()
 {
     control::join_hooks out;
@@ -70,6 +87,7 @@
 void gateway_daemon::on_sync_request(core::time_point now, const control::sync_request& it)
 {
     gossip_.put_address(it.sender.id, it.sender.host, it.sender.port);
+    note_version(now, it.configuration_version);
     if (relay_.is_direct())
         registry_.announce(now, it.sender);
     relay_.on_request(now, it);
@@ -170,6 +188,7 @@
         forwarder_.on_limits_told(now, *limits);
     else if (const auto* reply = std::get_if<control::sync_reply>(&it))
     {
+        note_version(now, reply->configuration_version);
         if (join_.is_asking())
             join_.on_reply(now, *reply);
         else
@@ -189,7 +208,7 @@
     {
         control::store_view it;
         it.store_revision = follower_.revision();
-        it.configuration_version = forwarder_.table() ? forwarder_.table()->version() : 0;
+        it.configuration_version = version_in_force();
         it.is_recovering = follower_.is_connected() && follower_.is_recovering(now);
         if (configuration_proven_at_)
             it.proof_age = now - *configuration_proven_at_;
@@ -257,6 +276,7 @@
 
 void gateway_daemon::on_gossip(core::time_point now, const routing::gossip_message& it)
 {
+    note_version(now, it.configuration_version);
     for (const auto& e : it.runs)
         forwarder_.on_peer_run(now, e);
     for (const auto& e : it.prompts)
--- a/src/runlink/gateway/gateway_daemon_store.cpp
+++ b/src/runlink/gateway/gateway_daemon_store.cpp
@@ -219,6 +219,7 @@
     if (forwarder_.table() && it->version() < forwarder_.table()->version())
         return log_outdated_table(now, *it);
     forwarder_.apply(it);
+    gossip_.set_configuration_version(it->version());
     net::listener_limits limits;
     limits.message.max_header_bytes = it->limits().max_header_bytes;
     limits.message.max_body_bytes = it->limits().max_body_bytes;
--- a/src/runlink/gateway/gateway_test.cpp
+++ b/src/runlink/gateway/gateway_test.cpp
@@ -367,11 +367,13 @@
     request.number = 3;
     request.store_revision = 99;
     request.is_joining = true;
+    request.configuration_version = 20;
     const auto asked = std::get<control::sync_request>(proto::decode_datagram(proto::encode(request)));
     CHECK(asked.sender == request.sender);
     CHECK(asked.number == 3);
     CHECK(asked.store_revision == 99);
     CHECK(asked.is_joining);
+    CHECK(asked.configuration_version == 20);
     control::sync_reply reply;
     reply.proof_age = core::milliseconds{0};
     reply.events = {{{"k", std::string{"v\0w", 3}, 7}, true}};
--- a/src/runlink/gateway/gossip_link.cpp
+++ b/src/runlink/gateway/gossip_link.cpp
@@ -168,6 +168,13 @@
     start_prompt_timer();
 }
 
+routing::gossip_message gossip_link::new_message() const
+{
+    routing::gossip_message out;
+    out.configuration_version = configuration_version_;
+    return out;
+}
+
 void gossip_link::start_prompt_timer()
 {
     if (!prompt_timer_.isActive())
@@ -176,7 +183,7 @@
 
 void gossip_link::send_prompts()
 {
-    routing::gossip_message out;
+    auto out = new_message();
     out.prompts = std::exchange(pending_prompts_, {});
     out.answers = std::exchange(pending_answers_, {});
     out.ended = std::exchange(pending_ends_, {});
@@ -194,7 +201,7 @@
 void gossip_link::send_runs()
 {
     run_timer_.stop();
-    routing::gossip_message out;
+    auto out = new_message();
     out.sender = self_;
     out.runs = std::exchange(pending_runs_, {});
     send_to_all(out, false);
@@ -202,7 +209,7 @@
 
 void gossip_link::broadcast(std::vector<routing::version_evidence> it)
 {
-    routing::gossip_message out;
+    auto out = new_message();
     out.sender = self_;
     out.evidence = std::move(it);
     send_to_all(out, false);
@@ -210,7 +217,7 @@
 
 void gossip_link::broadcast(const std::vector<load::request_counts>& it)
 {
-    routing::gossip_message out;
+    auto out = new_message();
     out.sender = self_;
     out.counts = it;
     send_to_all(out, !sends_prompts_to_all_domains());
--- a/src/runlink/proto/gossip_codec.cpp
+++ b/src/runlink/proto/gossip_codec.cpp
@@ -95,6 +95,7 @@
     }
     for (const auto& e : message.counts)
         to_wire(e, *out.add_counts());
+    out.set_configuration_version(message.configuration_version);
 }
 
 void to_wire(const control::sync_request& it, wire::Datagram& to)
@@ -108,6 +109,7 @@
     out.set_number(it.number);
     to_wire(it.store_revision, *out.mutable_store_at());
     out.set_joining(it.is_joining);
+    out.set_configuration_version(it.configuration_version);
 }
 
 void to_wire(const control::sync_reply& it, wire::Datagram& to)
@@ -440,6 +442,7 @@
         out.ended.push_back({load::endpoint_hash{e.endpoint()}, load::stream_hash{e.stream()}});
     for (const auto& e : in.counts())
         out.counts.push_back(from_wire(e));
+    out.configuration_version = in.configuration_version();
     return out;
 }
 
@@ -454,6 +457,7 @@
     out.number = in.number();
     out.store_revision = from_wire(in.store_at());
     out.is_joining = in.joining();
+    out.configuration_version = in.configuration_version();
     return out;
 }
 
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -54,6 +54,7 @@
     for (const auto& it : table->services())
         bounds_.warm_up().set_limit(it.id, it.cold);
     table_ = std::move(table);
+    newer_versions_.on_applied(table_->version());
     apply_load_switches();
     for (const auto& it : table_->services())
         if (const auto* group = endpoints_.index().group(it.id))
@@ -71,9 +72,21 @@
 void request_forwarder::proven_current(time_point sent_at)
 {
     proven_at_ = std::max(proven_at_.value_or(sent_at), sent_at);
+    newer_versions_.on_proven(sent_at);
     is_start_queue_ready_ = true;
 }
 
+bool request_forwarder::on_version_known(time_point now, std::uint64_t version)
+{
+    return newer_versions_.on_known(now, version);
+}
+
+bool request_forwarder::is_outdated(time_point now) const
+{
+    const auto since = newer_versions_.since();
+    return since && now - *since >= options_.max_outdated_time;
+}
+
 std::optional<core::duration> request_forwarder::proof_age(time_point now) const
 {
     return proven_at_ ? std::optional{now - *proven_at_} : std::nullopt;
--- a/src/runlink/routing/request_forwarder_arrival.cpp
+++ b/src/runlink/routing/request_forwarder_arrival.cpp
@@ -105,6 +105,8 @@
     };
     if (!table_)
         return unavailable(core::errc::not_ready, "configuration");
+    if (is_outdated(now))
+        return unavailable(core::errc::cut_off, "newer configuration");
     request_flow.matched_route = table_->find_route(request_flow.request.host, request_flow.request.path);
     if (request_flow.matched_route == nullptr)
     {
