Control: relays hand a large value on in parts

Callers' requests were late or refused while each instance read a large configuration from the store itself. Cause: relays left out values above 256 KiB, so that they did not help just where it counts: 58 times 1.4 MB through the links of the store and of 52 instances at 10 Mbit/s; at 985 instances 1.4 GB through the store's 1 Gbit/s, 11 s. Change: a change without its value names its revision; the follower asks the sender for the compressed value in parts of 16 KiB, four at once, each lost one again; after two timeouts another relay, then the store. Parts go out at 0.8 of the sender's link, each once while it waits. An instance that starts takes a view without the configuration and gets it the same way. Values above 48 KiB go so, since what fits a datagram must not depend on how well it compresses. Breaking on the wire between instances: two more messages, omitted values.

Checks changed: relay_test "a large value ..." expects the question to the relay in place of the read of the store; gateway_test's omitted value has a revision.

--- a/include/runlink/control/change_history.hpp
+++ b/include/runlink/control/change_history.hpp
@@ -23,20 +23,29 @@
     /// Number of deletions that are always remembered. Beyond it, as many are remembered as the store has
     /// items: a roll-out or a lost failure domain deletes a share of all entries within seconds.
     std::size_t min_deletions = 1000;
-    /// Maximum uncompressed size of a value that is sent to others. Compression reduces JSON to a fifth or
-    /// less.
-    std::size_t max_value_bytes = 256 * 1024;
+    /// Maximum uncompressed size of a value that is sent with other changes. It fits a datagram even if it
+    /// can't be compressed.
+    std::size_t max_value_bytes = 48 * 1024;
     /// Maximum uncompressed size of the keys and values in one part.
     std::size_t max_part_bytes = 256 * 1024;
 };
 
+/// A change without its value.
+struct omitted_value
+{
+    std::string key;
+    core::store_revision revision;
+
+    friend bool operator==(const omitted_value&, const omitted_value&) = default;
+};
+
 /// Changes after a revision, oldest first.
 struct history_part
 {
     std::vector<kv_event> events;
-    std::vector<std::string> omitted; ///< changed keys whose values are too large
-    core::store_revision revision;    ///< of the last change in this part
-    bool has_more = false;            ///< later changes follow in another part
+    std::vector<omitted_value> omitted; ///< changes whose values are too large
+    core::store_revision revision;      ///< of the last change in this part
+    bool has_more = false;              ///< later changes follow in another part
 };
 
 /// The current items of the store and its most recent deletions.
@@ -48,6 +57,8 @@
     /// Replaces the contents by the store's items at the given revision. Earlier deletions are unknown.
     void reset(const std::vector<kv_item>& items, const core::store_revision& revision);
     void remember(const kv_event& it);
+    /// The item of the key; null without one.
+    const kv_item* item(const std::string& key) const;
     /// Whether the key is known to have an item.
     bool has_item(const std::string& key) const;
     /// All changes up to the revision have been remembered.
--- a/include/runlink/control/fleet_join.hpp
+++ b/include/runlink/control/fleet_join.hpp
@@ -42,6 +42,7 @@
     std::vector<kv_event> events;
     core::store_revision revision;
     core::store_revision complete_since; ///< all deletions after this revision are included
+    std::vector<omitted_value> omitted;  ///< changes whose values are too large
 };
 
 /// Actions that the start-up triggers.
@@ -52,6 +53,10 @@
     std::function<void()> list;
     /// Takes over the complete view of another instance.
     std::function<void(time_point, const joined_view&)> take_view;
+    /// Whether a view without the value of this key can be taken over. If not, the store is read.
+    std::function<bool(const std::string& key)> may_omit = [](const auto&) { return false; };
+    /// Gets values that the view lacks from the instance that has sent it.
+    std::function<void(time_point, const std::vector<omitted_value>&, const instance_id& from)> fetch;
     /// Sets the instance that is asked for changes until relays are chosen. The own id means the store
     /// itself.
     std::function<void(time_point, const instance_id&)> set_initial_source;
--- a/include/runlink/control/relay.hpp
+++ b/include/runlink/control/relay.hpp
@@ -57,7 +57,7 @@
     bool is_queued = false;
     bool history_gone = false; ///< the relay doesn't know all changes after the requested revision
     std::vector<kv_event> events;
-    std::vector<std::string> omitted; ///< changed keys whose values are too large
+    std::vector<omitted_value> omitted; ///< changes whose values are too large
 };
 
 /// Parameters of the relays.
@@ -99,6 +99,8 @@
     milliseconds forget_jitter{10000};
     /// Interval at which instances that follow the store without being relays report to the relay.
     milliseconds heartbeat{5000};
+    /// Instances that are asked for a large value before it is read from the store.
+    std::size_t max_value_sources = 2;
     /// Consecutive replies that prove a configuration which this instance lacks; then it reads the
     /// configuration from the store.
     std::uint32_t max_mismatches = 3;
@@ -133,8 +135,11 @@
     std::function<void(time_point, bool direct)> set_direct;
     /// Applies all changes after the own revision, up to the given one.
     std::function<void(time_point, const std::vector<kv_event>&, const core::store_revision&)> apply;
-    /// Reads the values of these keys from the store; with no keys, the configuration.
-    std::function<void(time_point, const std::vector<std::string>& keys)> fetch;
+    /// Reads the configuration from the store.
+    std::function<void(time_point)> fetch;
+    /// Gets these values, which are too large for a reply, from the first of the instances that has them.
+    std::function<void(time_point, const std::vector<omitted_value>&, const std::vector<instance_id>& from)>
+        fetch_from;
     /// Reads the whole store again.
     std::function<void()> list_again;
     /// Requests one proof from the store itself, since no relay has a valid one.
@@ -218,6 +223,8 @@
     std::map<core::failure_domain_id, std::vector<instance_id>> choose_relays() const;
     /// Instances to ask, in order: the relays of the own failure domain, then the first of each other one.
     std::vector<instance_id> sources() const;
+    /// Instances that may have a value which `first` has, this one first.
+    std::vector<instance_id> sources_from(const instance_id& first) const;
     bool follows_store() const;
     bool has_proof(time_point now) const;
     void begin_round(time_point now);
--- a/include/runlink/control/store_follower.hpp
+++ b/include/runlink/control/store_follower.hpp
@@ -94,6 +94,8 @@
     void set_gather_delay(milliseconds it) { options_.gather_delay = it; }
     /// Applies the changes received from a relay, which are complete up to the revision.
     void apply(time_point now, const std::vector<kv_event>& events, const core::store_revision& revision);
+    /// The configuration that another instance has sent. An older one than is known is ignored.
+    void take_configuration(time_point now, const kv_item& it);
     /// Reads the whole store again.
     void list_again() { list(); }
     /// Schedules a proof. If the store has a newer configuration, the proof returns it.
--- a/include/runlink/gateway/gateway_daemon.hpp
+++ b/include/runlink/gateway/gateway_daemon.hpp
@@ -17,6 +17,7 @@
 #include "runlink/control/member_registry.hpp"
 #include "runlink/control/relay.hpp"
 #include "runlink/control/store_follower.hpp"
+#include "runlink/control/value_download.hpp"
 #include "runlink/gateway/duty_runner.hpp"
 #include "runlink/gateway/gateway.hpp"
 #include "runlink/gateway/gateway_settings.hpp"
@@ -127,6 +128,15 @@
     /// Sends the load of this failure domain to the relays of the others, and the load of the others to the
     /// instances of this one.
     void exchange_loads(core::time_point now);
+    control::part_source_options part_options() const;
+    control::part_source_hooks part_hooks();
+    control::download_hooks download_hooks();
+    /// Another instance has sent a large value.
+    void on_value(core::time_point now, const control::received_value& it);
+    /// Gets values that were too large for a reply from other instances.
+    void fetch_values(core::time_point now, const std::vector<control::omitted_value>& all,
+                      const std::vector<core::instance_id>& from);
+    void read_configuration_soon(core::time_point now);
     void on_load_digest(core::time_point now, const load::load_digest& it);
     /// A call to the store sent at `sent_at` proved that the configuration was the newest.
     void note_proof(core::time_point sent_at);
@@ -168,6 +178,8 @@
     control::relay relay_;
     control::member_registry registry_;
     control::finding_registry findings_;
+    control::part_source parts_;
+    control::value_download download_;
     control::fleet_join join_;
     duty_runner duties_;
     net::http_listener readiness_;
--- a/include/runlink/proto/gossip_codec.hpp
+++ b/include/runlink/proto/gossip_codec.hpp
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "runlink/control/relay.hpp"
+#include "runlink/control/value_parts.hpp"
 #include "runlink/crashes/crash_messages.hpp"
 #include "runlink/duties/usage_messages.hpp"
 #include "runlink/load/load_digest.hpp"
@@ -21,7 +22,8 @@
 using datagram =
     std::variant<std::monostate, routing::gossip_message, control::sync_request, control::sync_reply,
                  load::load_digest, crashes::crash_message, places::limit_reports, routing::leaving_notices,
-                 duties::usage_report, paths::reach_query, paths::reach_reply>;
+                 duties::usage_report, paths::reach_query, paths::reach_reply, control::part_request,
+                 control::value_part>;
 
 std::string encode(const datagram& it);
 /// Returns `std::monostate` if the bytes are not a valid datagram or carry no message.
--- a/src/runlink/control/change_history.cpp
+++ b/src/runlink/control/change_history.cpp
@@ -79,10 +79,15 @@
     return found == revisions_.end() ? nullptr : &changes_.at({found->second, key});
 }
 
-bool change_history::has_item(const std::string& key) const
+const kv_item* change_history::item(const std::string& key) const
 {
     const auto* it = find(key);
-    return it != nullptr && !it->is_deleted;
+    return it == nullptr || it->is_deleted ? nullptr : &it->item;
+}
+
+bool change_history::has_item(const std::string& key) const
+{
+    return item(key) != nullptr;
 }
 
 std::uint64_t change_history::last_of_copy(const std::vector<kv_item>& listed) const
@@ -175,7 +180,7 @@
         }
         out.revision = item.revision;
         if (is_large)
-            out.omitted.push_back(item.key);
+            out.omitted.push_back({item.key, item.revision});
         else
             out.events.push_back(it->second);
     }
--- a/src/runlink/control/fleet_join.cpp
+++ b/src/runlink/control/fleet_join.cpp
@@ -69,6 +69,7 @@
         events_[e.item.key] = e;
     view_.revision = it.store_revision;
     view_.complete_since = it.complete_since;
+    view_.omitted.insert(view_.omitted.end(), it.omitted.begin(), it.omitted.end());
 }
 
 void fleet_join::on_reply(time_point now, const sync_reply& it)
@@ -80,10 +81,14 @@
     const bool is_next = it.since == view_.revision && (it.since.is_none() || it.sender == source_);
     if (phase_ != phase::asking || it.store_revision.is_none() || (!is_complete && !is_next))
         return;
-    if (!it.omitted.empty())
-        return read_store(now); // a value is too large for a datagram
+    if (!std::all_of(it.omitted.begin(), it.omitted.end(),
+                     [this](const auto& e) { return hooks_.may_omit(e.key); }))
+        return read_store(now);
     if (is_complete)
+    {
         events_.clear();
+        view_.omitted.clear();
+    }
     take_part(it);
     part_requests_ = 0;
     is_queued_ = false;
@@ -93,9 +98,12 @@
     for (auto& [key, e] : events_)
         view_.events.push_back(std::move(e));
     events_.clear();
-    hooks_.take_view(now, std::exchange(view_, {}));
+    const auto view = std::exchange(view_, {});
+    hooks_.take_view(now, view);
     begin_settling(now);
     hooks_.set_initial_source(now, it.sender);
+    if (!view.omitted.empty())
+        hooks_.fetch(now, view.omitted, it.sender);
 }
 
 void fleet_join::read_store(time_point now)
--- a/src/runlink/control/relay.cpp
+++ b/src/runlink/control/relay.cpp
@@ -123,6 +123,15 @@
     return out;
 }
 
+std::vector<instance_id> relay::sources_from(const instance_id& first) const
+{
+    std::vector<instance_id> out{first};
+    for (const auto& it : sources())
+        if (it != first && out.size() < options_.max_value_sources)
+            out.push_back(it);
+    return out;
+}
+
 std::vector<instance_id> relay::other_relays() const
 {
     relays(domain_); // brings the choice up to date
@@ -319,7 +328,7 @@
         if (++mismatches_ < options_.max_mismatches)
             return;
         mismatches_ = 0;
-        return hooks_.fetch(now, {});
+        return hooks_.fetch(now);
     }
     mismatches_ = 0;
     next_ = it.has_more ? now : now + options_.ask_interval;
@@ -349,7 +358,7 @@
     if (it.store_revision > own)
         hooks_.apply(now, fresh, it.store_revision);
     if (!it.omitted.empty())
-        hooks_.fetch(now, it.omitted);
+        hooks_.fetch_from(now, it.omitted, sources_from(it.sender));
     return true;
 }
 
--- a/src/runlink/control/relay_test.cpp
+++ b/src/runlink/control/relay_test.cpp
@@ -28,7 +28,7 @@
     CHECK(f.follower().view.store_revision == 11);
 }
 
-TEST_CASE("a large value is read from the store, and there is no proof before it arrives")
+TEST_CASE("a large value is asked of the relay, and there is no proof before it arrives")
 {
     relayed f{{"n1", "n2", "n3", "n4"}};
     f.advance(3000);
@@ -36,7 +36,7 @@
     for (const auto& name : f.direct())
         f.members.at(name).view.configuration_version = 11;
     f.change("conf", 11, std::string(relay_options{}.history.max_value_bytes + 1, 'x'));
-    CHECK(follower.told == std::vector<std::string>{"fetch conf"});
+    CHECK(follower.told == std::vector<std::string>{"fetch conf from " + f.direct().at(0)});
     follower.proven.reset();
     f.advance(400);
     CHECK_FALSE(follower.proven);
--- a/src/runlink/control/relayed_fixture.hpp
+++ b/src/runlink/control/relayed_fixture.hpp
@@ -98,8 +98,10 @@
             for (const auto& e : events)
                 self.told.push_back(e.item.key);
         };
-        out.fetch = [&self](core::time_point, const std::vector<std::string>& keys)
-        { self.told.push_back("fetch " + (keys.empty() ? std::string{} : keys.front())); };
+        out.fetch = [&self](core::time_point) { self.told.emplace_back("fetch "); };
+        out.fetch_from = [&self](core::time_point, const std::vector<omitted_value>& values,
+                                 const std::vector<instance_id>& from)
+        { self.told.push_back("fetch " + values.front().key + " from " + from.front().str()); };
         out.list_again = [&self] { self.told.push_back("list"); };
         out.proven = [&self](core::time_point at) { self.proven = at; };
         out.forget = [&self](core::time_point, const instance_id& id) { self.forgotten.push_back(id.str()); };
--- a/src/runlink/control/store_follower.cpp
+++ b/src/runlink/control/store_follower.cpp
@@ -141,6 +141,12 @@
     hooks_.caught_up(now, revision_);
 }
 
+void store_follower::take_configuration(time_point now, const kv_item& it)
+{
+    if (it.key == options_.configuration_key && it.revision > configuration_revision_)
+        report(now, {it});
+}
+
 // Era
 
 void store_follower::on_era(core::store_era era)
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -58,6 +58,7 @@
              settings_.failure_domain, settings_.link_mbps, relay_hooks()},
       registry_{{}, [this](const auto& it, auto done) { write_members(it, std::move(done)); }},
       findings_{{}, [this](const auto& it, auto done) { write_findings(it, std::move(done)); }},
+      parts_{part_options(), settings_.id, part_hooks()}, download_{{}, settings_.id, download_hooks()},
       join_{{}, settings_.id, seeds(), join_hooks()}, duties_{settings_.duties, settings_.id, binding_.duties,
                                                               binding_.documents, duty_hooks()},
       readiness_{[this](const auto& from, const auto&, const std::string&) { on_readiness(from); },
@@ -221,7 +222,8 @@
         due = std::min(due, *stop_began_ + settings_.stop_grace - stop_reserve);
     for (const auto& it : {forwarder_.next_due(), follower_.next_due(), forwarder_.rollouts().next_due(),
                            forwarder_.rollouts().evidence_due(), relay_.next_due(), next_digest_,
-                           registry_.next_due(), findings_.next_due(), join_.next_due(), duties_.next_due()})
+                           registry_.next_due(), findings_.next_due(), join_.next_due(), duties_.next_due(),
+                           parts_.next_due(), download_.next_due()})
         if (it)
             due = std::min(due, *it);
     // A timer that fires too early is harmless, so it is restarted only for an earlier time.
@@ -265,6 +267,8 @@
     registry_.tick(now);
     findings_.tick(now);
     join_.tick(now);
+    parts_.tick(now);
+    download_.tick(now);
     duties_.set_candidate(relay_.is_direct());
     duties_.tick(now);
     if (next_digest_ && now >= *next_digest_)
--- a/src/runlink/gateway/gateway_daemon_peers.cpp
+++ b/src/runlink/gateway/gateway_daemon_peers.cpp
@@ -9,15 +9,6 @@
 
 namespace runlink::gateway
 {
-namespace
-{
-
-/// Followers fetch a new configuration within this time of its announcement, well within the time by which it
-/// must be in force.
-constexpr std::uint64_t max_fetch_delay_ms = 300;
-
-} // namespace
-
 std::vector<core::instance_id> gateway_daemon::seeds() const
 {
     std::vector<core::instance_id> out;
@@ -73,6 +64,9 @@
         follower_.start_with(std::move(items), it.revision);
         relay_.remember_view(it.events, it.complete_since);
     };
+    out.may_omit = [this](const std::string& key) { return key == binding_.documents.configuration_key; };
+    out.fetch = [this](core::time_point now, const std::vector<control::omitted_value>& all,
+                       const core::instance_id& from) { fetch_values(now, all, {from}); };
     out.set_initial_source = [this](core::time_point now, const core::instance_id& by)
     { relay_.set_initial_source(now, by); };
     out.settle = [this](core::time_point now)
@@ -186,6 +180,10 @@
         on_reach_reply(now, *reached);
     else if (const auto* limits = std::get_if<places::limit_reports>(&it))
         forwarder_.on_limits_told(now, *limits);
+    else if (const auto* asked = std::get_if<control::part_request>(&it))
+        parts_.on_request(now, *asked);
+    else if (const auto* part = std::get_if<control::value_part>(&it))
+        download_.on_part(now, *part);
     else if (const auto* reply = std::get_if<control::sync_reply>(&it))
     {
         note_version(now, reply->configuration_version);
@@ -222,18 +220,13 @@
     };
     out.apply = [this](core::time_point now, const std::vector<control::kv_event>& events,
                        const core::store_revision& revision) { follower_.apply(now, events, revision); };
-    out.fetch = [this](core::time_point now, const std::vector<std::string>& keys)
+    out.fetch = [this](core::time_point now)
     {
-        const bool is_configuration =
-            std::all_of(keys.begin(), keys.end(),
-                        [this](const auto& it) { return it == binding_.documents.configuration_key; });
-        if (is_configuration)
-            // Followers fetch at different times because the store limits its calls per second.
-            follower_.prove_soon(now, core::milliseconds{static_cast<core::milliseconds::rep>(
-                                          core::stable_hash(settings_.id.str()) % max_fetch_delay_ms)});
-        else
-            follower_.list_again();
+        if (!download_.is_active())
+            read_configuration_soon(now);
     };
+    out.fetch_from = [this](core::time_point now, const std::vector<control::omitted_value>& all,
+                            const std::vector<core::instance_id>& from) { fetch_values(now, all, from); };
     out.list_again = [this] { follower_.list_again(); };
     out.probe = [this](core::time_point now) { follower_.prove_soon(now, core::milliseconds{0}); };
     out.proven = [this](core::time_point sent_at)
--- a/src/runlink/gateway/gateway_test.cpp
+++ b/src/runlink/gateway/gateway_test.cpp
@@ -377,7 +377,7 @@
     control::sync_reply reply;
     reply.proof_age = core::milliseconds{0};
     reply.events = {{{"k", std::string{"v\0w", 3}, 7}, true}};
-    reply.omitted = {"big"};
+    reply.omitted = {{"big", 5}};
     reply.complete_since = 4;
     const auto back = std::get<control::sync_reply>(proto::decode_datagram(proto::encode(reply)));
     CHECK(back.proof_age == core::milliseconds{0});
--- a/src/runlink/proto/gossip_codec.cpp
+++ b/src/runlink/proto/gossip_codec.cpp
@@ -112,6 +112,27 @@
     out.set_configuration_version(it.configuration_version);
 }
 
+void to_wire(const control::part_request& it, wire::Datagram& to)
+{
+    auto& out = *to.mutable_part_request();
+    out.set_sender(it.sender.str());
+    out.set_key(it.key);
+    for (const auto n : it.parts)
+        out.add_parts(n);
+}
+
+void to_wire(const control::value_part& it, wire::Datagram& to)
+{
+    auto& out = *to.mutable_part();
+    out.set_sender(it.sender.str());
+    out.set_key(it.key);
+    to_wire(it.revision, *out.mutable_at());
+    out.set_index(it.index);
+    out.set_count(it.count);
+    out.set_data(it.bytes);
+    out.set_queued(it.is_queued);
+}
+
 void to_wire(const control::sync_reply& it, wire::Datagram& to)
 {
     auto& out = *to.mutable_reply();
@@ -137,7 +158,11 @@
         event->set_from_copy(e.is_from_copy);
     }
     for (const auto& e : it.omitted)
-        out.add_omitted(e);
+    {
+        auto* omitted = out.add_omitted();
+        omitted->set_key(e.key);
+        to_wire(e.revision, *omitted->mutable_at());
+    }
 }
 
 void to_wire(const load::load_digest& it, wire::Datagram& to)
@@ -478,7 +503,30 @@
     out.has_more = in.has_more();
     for (const auto& e : in.events())
         out.events.push_back({{e.key(), e.value(), from_wire(e.at())}, e.deleted(), e.from_copy()});
-    out.omitted = {in.omitted().begin(), in.omitted().end()};
+    for (const auto& e : in.omitted())
+        out.omitted.push_back({e.key(), from_wire(e.at())});
+    return out;
+}
+
+datagram from_wire(const wire::PartRequest& in)
+{
+    control::part_request out;
+    out.sender = core::instance_id{in.sender()};
+    out.key = in.key();
+    out.parts = {in.parts().begin(), in.parts().end()};
+    return out;
+}
+
+datagram from_wire(const wire::ValuePart& in)
+{
+    control::value_part out;
+    out.sender = core::instance_id{in.sender()};
+    out.key = in.key();
+    out.revision = from_wire(in.at());
+    out.index = in.index();
+    out.count = in.count();
+    out.bytes = in.data();
+    out.is_queued = in.queued();
     return out;
 }
 
@@ -508,6 +556,8 @@
     case wire::Datagram::kUsage: return from_wire(in.usage());
     case wire::Datagram::kReachQuery: return from_wire(in.reach_query());
     case wire::Datagram::kReachReply: return from_wire(in.reach_reply());
+    case wire::Datagram::kPartRequest: return from_wire(in.part_request());
+    case wire::Datagram::kPart: return from_wire(in.part());
     case wire::Datagram::MESSAGE_NOT_SET: break;
     }
     return {};
--- a/tests/support/store_fleet.cpp
+++ b/tests/support/store_fleet.cpp
@@ -123,13 +123,10 @@
     out.set_direct = [this](core::time_point now, bool direct) { follower_.set_direct(now, direct); };
     out.apply = [this](core::time_point now, const std::vector<control::kv_event>& events,
                        const core::store_revision& revision) { follower_.apply(now, events, revision); };
-    out.fetch = [this](core::time_point now, const std::vector<std::string>& keys)
-    {
-        if (keys.empty())
-            follower_.prove_soon(now, core::milliseconds{0});
-        else
-            follower_.list_again();
-    };
+    out.fetch = [this](core::time_point now) { follower_.prove_soon(now, core::milliseconds{0}); };
+    out.fetch_from = [this](core::time_point now, const std::vector<control::omitted_value>&,
+                            const std::vector<core::instance_id>&)
+    { follower_.prove_soon(now, core::milliseconds{0}); };
     out.list_again = [this] { follower_.list_again(); };
     out.probe = [this](core::time_point now) { follower_.prove_soon(now, core::milliseconds{0}); };
     out.proven = [this](core::time_point sent_at)
