Roll-outs: slow versions of plain services with few requests are found

Callers of a plain service got answers several times slower: a bad version was declared good, and its old endpoints were stopped. Causes: (1) with the full share only failed and very slow answers counted, since new engines have empty caches; a plain endpoint has none. (2) A route has no typical time before 12 answers at an instance: with few requests most answers could not be slow. (3) The slack of the exposure was one request an instance, though the fleet's number is 30; the sample was a third of what is accepted. (4) A version in doubt was held at the first share, then declared good untried. (5) At the deadline, evidence below 4 declared it good. Change: all flaws count for plain services in both parts; a route without a typical time takes that of the service; exposure_slack is a setting and shared by all instances, and lengthens the last part where requests are few; a version still in doubt without the full share is rejected; deadline_evidence 4 -> 3.

Checks changed: none; exposure_test takes the slack from its case, at the same number.

--- a/include/runlink/gateway/gateway_settings.hpp
+++ b/include/runlink/gateway/gateway_settings.hpp
@@ -76,6 +76,7 @@
     double retry_ratio = 0.9;     ///< retries per request, over all instances
     double retry_slack = 0;       ///< further retries in any window, over all instances
     double exposure_share = 0.15; ///< largest share of requests that a bad version may receive
+    double exposure_slack = 1;    ///< further requests that it may receive, from all instances together
     places::region_map regions;   ///< region of each failure domain
     duty_settings duties;
     std::uint32_t log_lines_per_second = 400;
--- a/include/runlink/routing/answer_times.hpp
+++ b/include/runlink/routing/answer_times.hpp
@@ -39,7 +39,11 @@
     void learn(const version_sample& it);
 
 private:
+    /// The time to the first byte that a sample is compared with.
+    std::optional<core::duration> expected_first(const version_sample& it) const;
+
     std::map<answer_group, typical_time> first_; ///< time to first byte, where no estimate is available
+    typical_time first_of_all_routes_;           ///< likewise, of answers without a model
     std::map<core::model_id, typical_time> pace_;
 };
 
--- a/include/runlink/routing/rollout_control.hpp
+++ b/include/runlink/routing/rollout_control.hpp
@@ -154,6 +154,8 @@
 
     /// Whether this instance follows the store directly rather than through peers.
     void set_follows_store(bool it) { follows_store_ = it; }
+    /// Sets the number of instances, including this one.
+    void set_instances(std::size_t it) { instances_ = it; }
     /// The records that this instance should write to the store now.
     std::vector<rollout_record> due(time_point now);
     /// When `due` should be called next.
@@ -187,6 +189,7 @@
         std::uint32_t answers_before_step = 0; ///< answers of the new version before the current step
         std::uint64_t sent = 0;                ///< requests of this instance since the order
         std::uint64_t sent_to_new = 0;         ///< of these, sent to the new version
+        double requests_per_s = 0;             ///< estimated, over all instances
         version_trial trial;
         std::optional<time_point> evidence_due_at; ///< when evidence is sent to peers
         bool is_repeat_scheduled = false;          ///< evidence is sent twice, as datagrams may be lost
@@ -217,6 +220,8 @@
     bool must_hold(time_point now, rollout& it);
     /// Whether the version has the full share, but fewer than `least_answers` answers since.
     bool has_too_few_answers(const rollout& it) const;
+    /// Estimates the rate of the service's requests from the answers that are known.
+    void estimate_rate(time_point now, rollout& it) const;
     /// Schedules sending evidence to peers, at the latest at `at`.
     void schedule_evidence(rollout& it, time_point at);
     /// Delay between the due time of a step and its write by this instance.
@@ -228,6 +233,7 @@
     rollout_schedule schedule_;
     std::uint64_t seed_;
     bool follows_store_ = true;
+    std::size_t instances_ = 1;
     std::map<service_id, rollout> rollouts_;
     std::map<service_id, answer_times> times_;
 };
--- a/include/runlink/routing/rollout_schedule.hpp
+++ b/include/runlink/routing/rollout_schedule.hpp
@@ -2,6 +2,7 @@
 /// Schedule of a roll-out's steps, and the limit on requests to a version without a verdict.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -37,9 +38,8 @@
     /// Fraction of `exposure_share` that the schedule uses; the rest covers traffic that rises towards the
     /// end.
     double planned_fraction = 0.85;
-    /// Requests above the planned share that one instance may send, without which it could never send the
-    /// first one.
-    std::uint32_t exposure_slack = 1;
+    /// Requests above the share that a faulty version may get from all instances together.
+    double exposure_slack = 1;
 };
 
 /// Progress of a roll-out.
@@ -49,6 +49,15 @@
     core::milliseconds allowed{};  ///< time for the whole roll-out
     core::time_point step_began{};
     std::uint32_t share_percent = 0;
+    double requests_per_s = 0; ///< of the service, over all instances; 0: not known
+};
+
+/// Requests of one instance to a service since the order of its roll-out.
+struct exposure_counts
+{
+    std::uint64_t to_new_version = 0;
+    std::uint64_t all = 0;
+    std::size_t instances = 1; ///< that share the exposure slack
 };
 
 /// Computes the times of the steps backwards from the deadline. The new version gets all requests only for as
@@ -66,10 +75,10 @@
     /// Whether the new version has no more than the first share.
     bool in_first_part(std::uint32_t percent) const { return percent <= options_.first_share_percent; }
     /// Length of the last part, in which the share grows to all requests.
-    core::milliseconds last_part(core::milliseconds allowed) const;
-    /// Whether one more request may go to the new version, given the requests sent to it and in total. Leaves
-    /// room for the requests between declaring the version good and the deadline.
-    bool may_expose(core::milliseconds allowed, std::uint64_t to_new_version, std::uint64_t all) const;
+    core::milliseconds last_part(core::milliseconds allowed, double requests_per_s) const;
+    /// Whether one more request may go to the new version. Leaves room for the requests between declaring the
+    /// version good and the deadline.
+    bool may_expose(core::milliseconds allowed, const exposure_counts& sent) const;
 
 private:
     core::milliseconds settle(core::milliseconds allowed) const;
--- a/include/runlink/routing/version_trial.hpp
+++ b/include/runlink/routing/version_trial.hpp
@@ -50,7 +50,7 @@
     double hold_evidence = 2;
     /// Evidence above which a version is rejected when no time is left. One comparison in 50 is wrong by
     /// chance.
-    double deadline_evidence = 4;
+    double deadline_evidence = 3;
     /// Lengths of the time windows that are examined in addition to the total since the order: the longer for
     /// a fault that begins late, the shorter for one that begins with the step to all requests.
     std::array<std::size_t, 2> latest_seconds{5, 2};
@@ -130,6 +130,7 @@
     {
         std::string route;
         core::model_id model;
+        bool runs_models = false;
         std::vector<const group*> groups;
     };
 
@@ -141,8 +142,9 @@
     /// Counts of the latest `seconds`, or since the order if not given.
     answer_pair pair_of(const group& it, core::time_point now, std::optional<std::size_t> seconds) const;
     flaw_options options_of(answer_flaw flaw, trial_phase phase) const;
-    /// Whether a flaw is tested in a phase.
-    static bool counts_in(answer_flaw flaw, trial_phase phase);
+    /// Whether a flaw is tested in a phase. New endpoints that run models answer slowly while their caches of
+    /// prompts are empty.
+    static bool counts_in(answer_flaw flaw, trial_phase phase, bool runs_models);
     /// The fault with the most evidence over all views and windows, if it exceeds the required evidence.
     std::optional<version_fault> strongest(core::time_point now, trial_phase phase, double required,
                                            double required_alone) const;
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -148,6 +148,7 @@
     out.stall_after = tuning.stall_after;
     constexpr double percent = 100;
     out.rollouts.schedule.exposure_share = settings_.exposure_share;
+    out.rollouts.schedule.exposure_slack = settings_.exposure_slack;
     out.rollouts.schedule.first_share_percent =
         static_cast<std::uint32_t>(settings_.exposure_share * first_exposure_fraction * percent);
     return out;
--- a/src/runlink/gateway/gateway_settings.cpp
+++ b/src/runlink/gateway/gateway_settings.cpp
@@ -100,6 +100,7 @@
     out.retry_ratio = in.required_number("retry_ratio", 0, max_ratio);
     out.retry_slack = in.required_number("retry_slack", 0, max_slack);
     out.exposure_share = in.optional_number("exposure_share", out.exposure_share, 0, 1);
+    out.exposure_slack = in.optional_number("exposure_slack", out.exposure_slack, 0, max_slack);
 }
 
 void read_duties(json_object_reader& in, duty_settings& out)
--- a/src/runlink/routing/answer_times.cpp
+++ b/src/runlink/routing/answer_times.cpp
@@ -31,13 +31,20 @@
 
 } // namespace
 
+std::optional<core::duration> answer_times::expected_first(const version_sample& it) const
+{
+    if (it.expected.count() > 0)
+        return std::max(it.expected, std::chrono::duration_cast<core::duration>(least_expected));
+    const auto of_route = median_of(first_, it.group);
+    // With few requests a route has no median for long. Both versions are compared with the same time.
+    if (of_route || !it.group.model.empty())
+        return of_route;
+    return first_of_all_routes_.median();
+}
+
 answer_counts answer_times::classify(const version_sample& it) const
 {
-    const auto expected =
-        it.expected.count() > 0
-            ? std::optional{std::max(it.expected, std::chrono::duration_cast<core::duration>(least_expected))}
-            : median_of(first_, it.group);
-    const auto first = multiple(it.first, expected);
+    const auto first = multiple(it.first, expected_first(it));
     const auto pace = multiple(it.pace, median_of(pace_, it.group.model));
     const auto slowest = std::max(first, pace);
     answer_counts out{1, {}};
@@ -57,6 +64,8 @@
         return;
     if (it.first.count() > 0 && it.expected.count() == 0)
         first_[it.group].add(it.first);
+    if (it.first.count() > 0 && it.group.model.empty())
+        first_of_all_routes_.add(it.first);
     if (it.pace.count() > 0)
         pace_[it.group.model].add(it.pace);
 }
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -137,6 +137,7 @@
     bounds_.expire(now, [this](const endpoint_id& id) { return endpoints_.find(id) == nullptr; });
     attribution_.watch(now, endpoints_.size());
     attribution_.expire(now);
+    rollouts_.set_instances(bounds_.warm_up().instances().size());
 }
 
 // Attempts
--- a/src/runlink/routing/rollout_control.cpp
+++ b/src/runlink/routing/rollout_control.cpp
@@ -254,7 +254,7 @@
     const auto share = it.record.share_percent;
     if (session.value() % whole_percent >= share || (ran_on_old && schedule_.in_first_part(share)))
         return false;
-    return schedule_.may_expose(it.order.allowed, it.sent_to_new, it.sent);
+    return schedule_.may_expose(it.order.allowed, {it.sent_to_new, it.sent, instances_});
 }
 
 // Steps
@@ -290,7 +290,8 @@
 {
     if (it.is_bad)
         return it.verdict_due.value_or(it.ordered_at);
-    return schedule_.next_step({it.ordered_at, it.order.allowed, it.step_began, it.record.share_percent});
+    return schedule_.next_step(
+        {it.ordered_at, it.order.allowed, it.step_began, it.record.share_percent, it.requests_per_s});
 }
 
 std::vector<rollout_record> rollout_control::due(time_point now)
--- a/src/runlink/routing/rollout_evidence.cpp
+++ b/src/runlink/routing/rollout_evidence.cpp
@@ -2,6 +2,7 @@
 // it.
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "runlink/routing/rollout_control.hpp"
@@ -26,6 +27,7 @@
     if (it == nullptr || more == answer_counts{})
         return;
     it->trial.count(now, sample.group, is_new, sample.endpoint, more);
+    estimate_rate(now, *it);
     if (!is_new)
         return;
     schedule_evidence(*it, now + options_.evidence_delay);
@@ -43,6 +45,16 @@
         ++it.sent_to_new;
 }
 
+void rollout_control::estimate_rate(time_point now, rollout& it) const
+{
+    // Peers report what they have seen of the old version only together with answers of the new one.
+    const auto own = static_cast<double>(it.sent) * static_cast<double>(instances_);
+    const auto reported = static_cast<double>(it.trial.fresh().all) + it.trial.old().all;
+    const std::chrono::duration<double> elapsed = now - it.ordered_at;
+    if (elapsed >= core::seconds{1})
+        it.requests_per_s = std::max(own, reported) / elapsed.count();
+}
+
 trial_phase rollout_control::phase_of(const rollout& it) const
 {
     return schedule_.in_first_part(it.record.share_percent) ? trial_phase::first_share
@@ -70,7 +82,9 @@
     const auto why = it.trial.doubt(now, phase_of(it));
     if (now < it.ordered_at + it.order.allowed - options_.decision_margin)
         return why || has_too_few_answers(it);
-    if (why && why->evidence >= options_.trial.deadline_evidence)
+    // Without the full share, the version has not been tried under load.
+    const bool is_untried = phase_of(it) == trial_phase::first_share;
+    if (why && (is_untried || why->evidence >= options_.trial.deadline_evidence))
         reject(it, *why);
     return false;
 }
--- a/src/runlink/routing/version_trial.cpp
+++ b/src/runlink/routing/version_trial.cpp
@@ -119,11 +119,14 @@
         if (it.fresh.pooled.total().all == 0)
             continue;
         all.groups.push_back(&it);
+        all.runs_models = all.runs_models || !name.model.empty();
         auto& route = by_route[name.route];
         route.route = name.route;
+        route.runs_models = route.runs_models || !name.model.empty();
         route.groups.push_back(&it);
         auto& model = by_model[name.model];
         model.model = name.model;
+        model.runs_models = !name.model.empty();
         model.groups.push_back(&it);
     }
     std::vector<view> out{std::move(all)};
@@ -146,9 +149,10 @@
             old.all < options_.least_old ? it.old.pooled.total() : old};
 }
 
-bool version_trial::counts_in(answer_flaw flaw, trial_phase phase)
+bool version_trial::counts_in(answer_flaw flaw, trial_phase phase, bool runs_models)
 {
-    return phase == trial_phase::first_share || flaw == answer_flaw::failed || flaw == answer_flaw::very_slow;
+    return phase == trial_phase::first_share || !runs_models || flaw == answer_flaw::failed ||
+           flaw == answer_flaw::very_slow;
 }
 
 flaw_options version_trial::options_of(answer_flaw flaw, trial_phase phase) const
@@ -222,7 +226,7 @@
     std::optional<version_fault> out;
     for (const auto flaw : all_answer_flaws)
     {
-        if (!counts_in(flaw, phase) || fresh[flaw] < options_.least_flawed)
+        if (!counts_in(flaw, phase, it.runs_models) || fresh[flaw] < options_.least_flawed)
             continue;
         const auto evidence = evidence_of(pairs, flaw, options_of(flaw, phase), options_.comparison);
         if (evidence > (out ? out->evidence : 0))
--- a/src/runlink/routing/version_trial_test.cpp
+++ b/src/runlink/routing/version_trial_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "runlink/routing/answer_times.hpp"
+#include "runlink/routing/rollout_schedule.hpp"
 #include "runlink/routing/version_trial.hpp"
 
 using namespace runlink;
@@ -182,3 +183,47 @@
     sample.is_stalled = true;
     CHECK(it.classify(sample) == answer_counts{1, {0, 1, 1, 1}});
 }
+
+TEST_CASE("all instances together keep the exposure slack")
+{
+    schedule_options options;
+    options.exposure_slack = 30;
+    const rollout_schedule it{options};
+    const core::milliseconds allowed{15000};
+    constexpr std::size_t instances = 91;
+    // One request each would be three times the slack.
+    CHECK_FALSE(it.may_expose(allowed, {0, 0, instances}));
+    CHECK(it.may_expose(allowed, {0, 0, 7}));
+    CHECK(it.may_expose(allowed, {3, 0, 7}));
+    CHECK_FALSE(it.may_expose(allowed, {4, 0, 7}));
+}
+
+TEST_CASE("with few requests the new version gets all of them for longer, as the exposure slack allows")
+{
+    schedule_options options;
+    options.exposure_slack = 30;
+    const rollout_schedule it{options};
+    const core::milliseconds allowed{14100};
+    const auto many = it.last_part(allowed, 1000);
+    const auto few = it.last_part(allowed, 10);
+    CHECK(few >= many + core::milliseconds{2000});
+    CHECK(it.last_part(allowed, 0) <= many);                       // not known
+    CHECK(it.last_part(allowed, 0.1) <= core::milliseconds{6768}); // not in the first half
+}
+
+TEST_CASE("a route of a plain service with few answers is compared with all routes of the service")
+{
+    answer_times it;
+    version_sample sample;
+    sample.first = core::milliseconds{30};
+    for (int n = 0; n < 12; ++n)
+    {
+        sample.group.route = "r" + std::to_string(n);
+        it.learn(sample);
+    }
+    sample.group.route = "new";
+    sample.first = core::milliseconds{100};
+    CHECK(it.classify(sample)[answer_flaw::slow] == 1);
+    sample.group.model = core::model_id{"m"};
+    CHECK(it.classify(sample)[answer_flaw::slow] == 0);
+}
--- a/tests/exposure_test.cpp
+++ b/tests/exposure_test.cpp
@@ -23,8 +23,6 @@
 {
 
 constexpr int default_seeds = 2;
-/// Requests sent to a bad version beyond its share that are accepted.
-constexpr double exposure_slack = 30;
 
 int seed_count()
 {
@@ -53,7 +51,7 @@
         INFO("seed " << n << ": " << summary(seen));
         CHECK(seen.late == 0);
         CHECK(static_cast<double>(seen.exposed) <=
-              scenario.exposure_share * static_cast<double>(seen.requests) + exposure_slack);
+              scenario.exposure_share * static_cast<double>(seen.requests) + scenario.exposure_slack);
         CHECK(seen.state == routing::rollout_state::rolled_back);
     }
 }
@@ -182,6 +180,40 @@
     check_taken_out(it);
 }
 
+namespace
+{
+
+/// A plain service with little traffic, and a short roll-out.
+rollout_case quiet_plain_service()
+{
+    rollout_case out;
+    out.is_plain = true;
+    out.instances = 7;
+    out.endpoints = 4;
+    out.requests_per_s = 10;
+    out.allowed = milliseconds{14100};
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("a version of a plain service with few requests is taken out of which half is four times slower")
+{
+    auto it = quiet_plain_service();
+    it.fresh.slow = 0.5;
+    it.fresh.times = 4;
+    check_taken_out(it);
+}
+
+TEST_CASE("a good version of a plain service with few requests is brought in")
+{
+    check_brought_in(quiet_plain_service());
+    auto it = quiet_plain_service();
+    it.fresh.slow = it.old.slow = 0.05;
+    it.fresh.times = it.old.times = 4;
+    check_brought_in(it);
+}
+
 TEST_CASE("a good version is brought in")
 {
     check_brought_in({});
--- a/tests/support/rollout_fleet.cpp
+++ b/tests/support/rollout_fleet.cpp
@@ -59,6 +59,28 @@
                                       static_cast<std::uint64_t>(kind.subjects));
 }
 
+routing_table_ptr make_plain_table()
+{
+    std::vector<route> routes;
+    for (const auto& it : kinds())
+    {
+        route out;
+        out.name = it.name;
+        out.host = "h";
+        out.path_prefix = it.path;
+        out.kind = route_kind::safe;
+        out.timeout = milliseconds{5000};
+        out.target_latency = milliseconds{300};
+        out.max_attempts = 2;
+        out.services = {{service, 1}};
+        routes.push_back(out);
+    }
+    routing::service plain;
+    plain.id = service;
+    return std::make_shared<const routing_table>(1, routes, std::vector<routing::service>{plain},
+                                                 std::vector<account>{}, caller_limits{});
+}
+
 routing_table_ptr make_table()
 {
     std::vector<route> routes;
@@ -98,8 +120,9 @@
         it.forwarder->rollouts().set_follows_store(n < 3);
         it.forwarder->rollouts().on_verdict = [this](const auto&, const routing::version_fault& why)
         { outcome_.why.insert(to_string(why)); };
-        it.forwarder->apply(make_table());
+        it.forwarder->apply(case_.is_plain ? make_plain_table() : make_table());
         it.forwarder->proven_current(now_);
+        it.forwarder->rollouts().set_instances(static_cast<std::size_t>(case_.instances));
         instances_.push_back(std::move(it));
     }
     put_endpoints("v1");
@@ -110,6 +133,7 @@
     forwarder_options out;
     out.session_ttl = case_.session_ttl;
     out.rollouts.schedule.exposure_share = case_.exposure_share;
+    out.rollouts.schedule.exposure_slack = case_.exposure_slack;
     out.rollouts.schedule.first_share_percent = case_.first_share_percent;
     return out;
 }
@@ -205,6 +229,8 @@
     in.time_left = milliseconds{20000};
     in.session = core::session_id{std::to_string(random_() % sessions)};
     session_of_[flow] = in.session;
+    if (case_.is_plain)
+        return by.forwarder->on_request(now_, flow, in);
     in.model = core::model_id{"m"};
     in.prompt = {{subject_of(flow), of.shared}, {in.id.str(), of.own}};
     in.prompt_tokens = of.shared + of.own;
@@ -256,6 +282,10 @@
 
 milliseconds rollout_fleet::prefill_time(const send& of)
 {
+    constexpr double plain_ms = 30;
+    if (case_.is_plain)
+        return milliseconds{
+            static_cast<milliseconds::rep>(1 + plain_ms * std::lognormal_distribution<>{0, 0.4}(random_))};
     const auto& kind = kind_of(of.order.flow);
     auto& cached = cached_prompts_[of.order.endpoint.id.str()];
     const bool is_cached = !cached.insert(subject_of(of.order.flow)).second;
@@ -315,6 +345,8 @@
     const auto factor = fault.all_slow * (is_slow ? fault.times : 1);
     const auto slowed = [&](milliseconds of)
     { return milliseconds{static_cast<milliseconds::rep>(static_cast<double>(of.count()) * factor)}; };
+    if (case_.is_plain)
+        return answer_plain(n, it, slowed(time), factor > 1);
     constexpr milliseconds pace{20};
     later(slowed(time),
           [this, n, &by, it, pace = slowed(pace), is_bad = factor > 1]
@@ -326,6 +358,22 @@
           });
 }
 
+void rollout_fleet::answer_plain(int n, const std::shared_ptr<send>& it, milliseconds time, bool is_bad)
+{
+    later(time,
+          [this, n, it, is_bad]
+          {
+              if (is_bad)
+                  note_bad(*it);
+              if (it->is_cancelled)
+                  return;
+              auto& by = instances_[static_cast<std::size_t>(n)];
+              by.sends.erase(it->order.id);
+              by.forwarder->on_answer(now_, it->order.id, {200, false, true, false, {}});
+              note_ended(it->order.flow);
+          });
+}
+
 void rollout_fleet::stream(int n, const std::shared_ptr<send>& it, milliseconds pace, std::uint64_t event,
                            bool is_bad)
 {
--- a/tests/support/rollout_fleet.hpp
+++ b/tests/support/rollout_fleet.hpp
@@ -44,7 +44,9 @@
     milliseconds length{32000};  ///< since the roll-out order
     milliseconds session_ttl{5000};
     double exposure_share = 0.15;
+    double exposure_slack = 30;
     std::uint32_t first_share_percent = 8;
+    bool is_plain = false; ///< the service runs no models; its requests have no prompts
     version_trouble fresh;
     version_trouble old;       ///< faults of the old version, at the same time
     double datagrams_lost = 0; ///< share
@@ -108,6 +110,7 @@
     void note_sent(const routing::attempt_order& order);
     void note_ended(routing::flow_id flow);
     void answer(int n, const std::shared_ptr<send>& it);
+    void answer_plain(int n, const std::shared_ptr<send>& it, milliseconds time, bool is_bad);
     void stream(int n, const std::shared_ptr<send>& it, milliseconds pace, std::uint64_t event, bool is_bad);
     milliseconds prefill_time(const send& of);
     const version_trouble* fault_of(const send& of) const;
