--- a/include/runlink/control/value_download.hpp
+++ b/include/runlink/control/value_download.hpp
@@ -23,7 +23,7 @@
     /// After this time without a part, those that are due are asked for again.
     milliseconds part_timeout{250};
     std::uint32_t max_timeouts = 2; ///< in a row, after which the next instance is asked
-    /// Longest time without a part at an instance that has a queue.
+    /// Longest time without a part at an instance that has a queue. Reading the store is then quicker.
     milliseconds queue_timeout{1000};
     /// Number of parts beyond which an announcement is not believed.
     std::uint32_t max_parts = 1024;
@@ -74,6 +74,7 @@
     std::optional<time_point> next_due() const { return wanted_ ? due_ : std::nullopt; }
 
 private:
+    void ask_source(time_point now);
     void ask_next_source(time_point now, std::string_view why);
     /// Asks for the parts that are due, and as many more as the window has room for.
     void ask(time_point now);
@@ -94,6 +95,8 @@
     std::map<std::uint32_t, std::string> parts_;
     std::set<std::uint32_t> pending_; ///< asked for and not yet received
     std::uint32_t timeouts_ = 0;
+    bool is_queued_ = false;    ///< the instance that is asked has a queue
+    time_point last_part_at_{}; ///< or when the instance was first asked
     std::optional<time_point> due_;
 };
 
--- a/include/runlink/control/value_parts.hpp
+++ b/include/runlink/control/value_parts.hpp
@@ -51,8 +51,9 @@
     std::size_t part_bytes = 16 * 1024;
     /// Part of the own link that parts may use. A full link loses datagrams.
     double link_share = 0.8;
-    /// Requests that wait at most; more are answered as if the value were missing.
-    std::size_t max_waiting = 20'000;
+    /// With a longer wait, requests are answered as if the value were missing: reading it from the store is
+    /// then quicker.
+    milliseconds max_wait{700};
     /// A receiver whose parts wait for longer than this is told so.
     milliseconds told_wait{100};
     std::uint32_t link_mbps = 0; ///< of this instance; 0: unknown, parts are sent at once
@@ -99,6 +100,8 @@
     const compressed_value* value(const std::string& key);
     void send_missing(const instance_id& to, const std::string& key);
     void send(time_point now, const waiting_part& it);
+    /// Time until all parts that wait are sent.
+    duration wait(time_point now) const;
     /// Time that the link takes to send this many bytes.
     duration time_to_send(std::size_t bytes) const;
 
--- a/src/runlink/control/value_download.cpp
+++ b/src/runlink/control/value_download.cpp
@@ -27,17 +27,23 @@
     wanted_ = it;
     sources_ = std::move(sources);
     source_ = 0;
-    timeouts_ = 0;
     if (sources_.empty())
         return ask_next_source(now, "no_source");
+    ask_source(now);
+}
+
+void value_download::ask_source(time_point now)
+{
+    timeouts_ = 0;
+    is_queued_ = false;
+    last_part_at_ = now;
     ask(now);
 }
 
 void value_download::ask_next_source(time_point now, std::string_view why)
 {
-    timeouts_ = 0;
     if (++source_ < sources_.size())
-        return ask(now);
+        return ask_source(now);
     due_.reset();
     const auto wanted = *std::exchange(wanted_, std::nullopt);
     hooks_.failed(now, wanted, why);
@@ -75,8 +81,9 @@
     const bool is_from_source = it.sender == sources_[source_];
     if (it.is_queued)
     {
+        is_queued_ = is_queued_ || is_from_source;
         if (is_from_source)
-            due_ = now + options_.queue_timeout;
+            due_ = last_part_at_ + options_.queue_timeout;
         return;
     }
     // The sender may not have the change yet.
@@ -103,6 +110,8 @@
     pending_.erase(it.index);
     std::erase_if(pending_, [&](auto n) { return n >= count_; });
     timeouts_ = 0;
+    is_queued_ = false;
+    last_part_at_ = now;
     if (parts_.size() == count_)
         return finish(now);
     const auto asked = pending_;
@@ -131,6 +140,8 @@
 {
     if (!wanted_ || !due_ || now < *due_)
         return;
+    if (is_queued_)
+        return ask_next_source(now, "queued");
     if (++timeouts_ >= options_.max_timeouts)
         return ask_next_source(now, "silent");
     ask(now);
--- a/src/runlink/control/value_download_test.cpp
+++ b/src/runlink/control/value_download_test.cpp
@@ -121,14 +121,16 @@
     CHECK(it.received.empty());
 }
 
-TEST_CASE("a receiver that waits in a queue does not ask again at once")
+TEST_CASE("a receiver that waits in a queue does not ask again, but asks another instance in time")
 {
     receiver it;
     it.download.on_part(start, {relay_id, "conf", {}, 0, 0, {}, true});
+    it.download.on_part(start + milliseconds{600}, {relay_id, "conf", {}, 0, 0, {}, true});
     it.download.tick(start + milliseconds{999});
     CHECK(it.asked.size() == 1);
     it.download.tick(start + milliseconds{1000});
-    CHECK(it.asked.size() == 2);
+    REQUIRE(it.asked.size() == 2);
+    CHECK(it.asked.back().first == stand_by);
 }
 
 namespace
@@ -193,6 +195,19 @@
     CHECK(of.sent.back().second.is_queued);
 }
 
+TEST_CASE("receivers are sent elsewhere if the queue is longer than reading the value from the store takes")
+{
+    sender of{1};
+    part_source it{of.options, relay_id, of.hooks()};
+    it.on_request(start, {self, "conf", {0, 1, 2, 3, 4, 5}});
+    of.sent.clear();
+    it.on_request(start, {stand_by, "conf", {0}});
+    REQUIRE(of.sent.size() == 1);
+    CHECK(of.sent[0].first == stand_by);
+    CHECK(of.sent[0].second.count == 0);
+    CHECK_FALSE(of.sent[0].second.is_queued);
+}
+
 TEST_CASE("a new value is compressed once for all receivers")
 {
     sender of{0};
--- a/src/runlink/control/value_parts.cpp
+++ b/src/runlink/control/value_parts.cpp
@@ -32,6 +32,12 @@
                                                (options_.link_mbps * options_.link_share))};
 }
 
+duration part_source::wait(time_point now) const
+{
+    return std::max(free_at_ - now, duration{}) +
+           time_to_send(options_.part_bytes) * static_cast<duration::rep>(waiting_.size());
+}
+
 void part_source::send_missing(const instance_id& to, const std::string& key)
 {
     value_part out;
@@ -42,7 +48,7 @@
 
 void part_source::on_request(time_point now, const part_request& it)
 {
-    if (value(it.key) == nullptr || waiting_.size() >= options_.max_waiting)
+    if (value(it.key) == nullptr || wait(now) > options_.max_wait)
         return send_missing(it.sender, it.key);
     for (const auto index : it.parts)
     {
@@ -50,9 +56,7 @@
         if (std::find(waiting_.begin(), waiting_.end(), part) == waiting_.end())
             waiting_.push_back(std::move(part));
     }
-    const auto wait = std::max(free_at_ - now, duration{}) +
-                      time_to_send(options_.part_bytes) * static_cast<duration::rep>(waiting_.size());
-    if (wait > options_.told_wait)
+    if (wait(now) > options_.told_wait)
     {
         value_part out;
         out.sender = self_;
