--- a/include/runlink/control/value_download.hpp
+++ b/include/runlink/control/value_download.hpp
@@ -74,11 +74,14 @@
     std::optional<time_point> next_due() const { return wanted_ ? due_ : std::nullopt; }
 
 private:
+    /// Asks the instance at `source_` for the first time.
     void ask_source(time_point now);
+    /// Gives the present instance up; after the last one, the download has failed.
     void ask_next_source(time_point now, std::string_view why);
     /// Asks for the parts that are due, and as many more as the window has room for.
     void ask(time_point now);
     void request(time_point now, const std::vector<std::uint32_t>& parts);
+    /// Adds missing parts to those that are due until the window is full.
     void fill_window();
     void take(time_point now, const value_part& it);
     void finish(time_point now);
--- a/include/runlink/control/value_parts.hpp
+++ b/include/runlink/control/value_parts.hpp
@@ -98,6 +98,7 @@
 
     /// The compressed value of the key; null without one.
     const compressed_value* value(const std::string& key);
+    /// Tells the receiver that it gets the value elsewhere.
     void send_missing(const instance_id& to, const std::string& key);
     void send(time_point now, const waiting_part& it);
     /// Time until all parts that wait are sent.
