review: cases 1 and 3 inside the limits of the site, and their counts

Case 1 resets answers for 4 s only, as the site does. Case 3 has a roll-out of 24 s, so that the rule is broken before the deadline too.

--- a/review/standins/bad_version.cpp
+++ b/review/standins/bad_version.cpp
@@ -19,12 +19,12 @@
 constexpr int clients = 12;
 constexpr long client_pause_ms = 60;
 constexpr long work_ms = 15;
-constexpr double roll_out_s = 16;
+constexpr double roll_out_s = 24;
 constexpr double exposure_share = 0.15;
 constexpr int exposure_slack = 30;
 constexpr long roll_back_ms = 5000;
 constexpr int bad_answers_counted = 50;
-constexpr long length_ms = 28000; ///< from the order
+constexpr long length_ms = 32000; ///< from the order
 constexpr long deadline_ms = 1500;
 
 const std::string host_name = "desk.example";
@@ -37,6 +37,7 @@
 std::atomic<int> bad_answers = 0;
 std::atomic<long> counted_at = 0;        ///< when the 50th bad answer was given
 std::atomic<int> late = 0;               ///< requests that reached v2 more than `roll_back_ms` after that
+std::atomic<int> late_in_time = 0;       ///< those of them until the deadline of the roll-out
 std::atomic<bool> has_succeeded = false; ///< the platform has stopped the workers of v1
 
 void serve(channel it, const std::string& instance, bool is_new)
@@ -60,7 +61,11 @@
             ++(is_new ? at_new : at_old);
         const long counted = counted_at;
         if (is_new && counted > 0 && now > counted + roll_back_ms)
+        {
             ++late;
+            if (now < ordered + static_cast<long>(roll_out_s * 1000))
+                ++late_in_time;
+        }
         sleep_ms(work_ms);
         const bool is_bad = has_trouble && is_new && ++answers % 2 == 0;
         if (is_bad && ++bad_answers == bad_answers_counted)
@@ -189,8 +194,8 @@
     const auto status = platform.value("status/rollout/notices");
     note("until the deadline: " + std::to_string(at_new) + " of " + std::to_string(reached) +
          " requests reached v2 (allowed: " + std::to_string(allowed) + "); bad answers " +
-         std::to_string(bad_answers) +
-         "; requests to v2 later than 5 s after its 50th bad answer: " + std::to_string(late) + "; status " +
+         std::to_string(bad_answers) + "; requests to v2 later than 5 s after its 50th bad answer: " +
+         std::to_string(late) + ", until the deadline " + std::to_string(late_in_time) + "; status " +
          status.dump() + "; served " + std::to_string(served) + ", failed " + std::to_string(failed));
     if (failed_before > 0 || at_old == 0)
         finish(2, "requests failed before the roll-out");
@@ -199,6 +204,7 @@
                                           " requests failed as the workers of v1 stopped");
     if (late > 0 || at_new > allowed)
         finish(1, "the bad version got " + std::to_string(late) +
-                      " requests later than 5 s after its 50th bad answer; status " + status.dump());
+                      " requests later than 5 s after its 50th bad answer, " + std::to_string(late_in_time) +
+                      " of them until the deadline; status " + status.dump());
     finish(0, "the bad version was kept within its bounds; status " + status.dump());
 }
--- a/review/standins/cut_answer.cpp
+++ b/review/standins/cut_answer.cpp
@@ -20,6 +20,7 @@
 constexpr int every = 20;         ///< they reset one in so many of their answers
 constexpr std::size_t request_bytes = 2 * 1024 * 1024;
 constexpr long deadline_ms = 6000;
+constexpr long trouble_ms = 4000; ///< how long answers are reset, from the first request
 
 const std::string host_name = "desk.example";
 const std::string key = "k5f0c2e8d1a";
@@ -27,6 +28,7 @@
 bool has_trouble = true;
 std::atomic<int> runs = 0;
 std::atomic<int> resets = 0;
+std::atomic<long> began_at = 0; ///< when the first request was sent
 
 std::string first_part(const std::string& id)
 {
@@ -53,7 +55,7 @@
                             {"Content-Type", "text/plain"},
                             {"Connection", "close"}},
                            first_part(id)));
-    if (has_trouble && n != nullptr && ++*n % every == 0)
+    if (has_trouble && n != nullptr && elapsed_ms() < began_at + trouble_ms && ++*n % every == 0)
     {
         ++resets;
         note("worker resets the channel in the middle of the answer to " + id);
@@ -127,6 +129,7 @@
             finish(2, "a gateway did not become ready");
     sleep_ms(1000);
 
+    began_at = elapsed_ms();
     int served = 0;
     int cut = 0;
     int other = 0;
