--- a/review/standins/cut_answer.cpp
+++ b/review/standins/cut_answer.cpp
@@ -14,11 +14,15 @@
 namespace
 {
 
-constexpr int requests = 600;
+constexpr int clients = 4;
+constexpr int requests_of_client = 100;
+constexpr int requests = clients * requests_of_client;
 constexpr int workers = 5;
 constexpr int faulty_workers = 3; ///< a share of 0.6
-constexpr int every = 20;         ///< they reset one in so many of their answers
+constexpr int every = 3;          ///< they reset one in so many of their answers
 constexpr std::size_t request_bytes = 2 * 1024 * 1024;
+constexpr std::size_t line_bytes = 100; ///< of a part of an answer
+constexpr std::size_t part_lines = 500;
 constexpr long deadline_ms = 6000;
 constexpr long trouble_ms = 4000; ///< how long answers are reset, from the first request
 
@@ -30,14 +34,19 @@
 std::atomic<int> resets = 0;
 std::atomic<long> began_at = 0; ///< when the first request was sent
 
-std::string first_part(const std::string& id)
+std::string part(const std::string& id, int page)
 {
-    return "receipt " + id + ", page 1 of 2\n";
+    auto line = "receipt " + id + ", page " + std::to_string(page) + " of 2 ";
+    line.resize(line_bytes - 1, '.');
+    std::string out;
+    for (std::size_t n = 0; n < part_lines; ++n)
+        out += line + "\n";
+    return out;
 }
 
 std::string whole_body(const std::string& id)
 {
-    return first_part(id) + "receipt " + id + ", page 2 of 2\n";
+    return part(id, 1) + part(id, 2);
 }
 
 /// Serves one channel of a worker; `n` counts the answers of a faulty one, and is null for a sound one.
@@ -54,7 +63,7 @@
                             {"X-Runlink-Server-Seal", "3e1b.07.5a2." + id},
                             {"Content-Type", "text/plain"},
                             {"Connection", "close"}},
-                           first_part(id)));
+                           part(id, 1)));
     if (has_trouble && n != nullptr && elapsed_ms() < began_at + trouble_ms && ++*n % every == 0)
     {
         ++resets;
@@ -70,7 +79,7 @@
             return;
         read += it.rest().size();
     }
-    it.write(whole_body(id).substr(first_part(id).size()));
+    it.write(part(id, 2));
     note("worker ends the answer to " + id);
 }
 
@@ -130,31 +139,40 @@
     sleep_ms(1000);
 
     began_at = elapsed_ms();
-    int served = 0;
-    int cut = 0;
-    int other = 0;
-    for (int n = 0; n < requests; ++n)
-    {
-        const auto id = new_id();
-        const auto& to = n % 2 == 0 ? one : two;
-        const auto request = make_request("POST", "/receipts/" + id,
-                                          {{"Host", host_name},
-                                           {"X-Runlink-Attempt-Id", id},
-                                           {"X-Runlink-Deadline-Ms", std::to_string(deadline_ms)},
-                                           {"X-Api-Key", key}},
-                                          std::string(request_bytes, 'x'));
-        note("client sends " + id + " to gateway " + (n % 2 == 0 ? "1" : "2"));
-        const auto it = call(to.ip(), to.front(), request, deadline_ms + 1000);
-        const bool is_success = it.status >= 200 && it.status < 300;
-        const bool is_cut = is_success && it.is_whole && it.answer.body != whole_body(id);
-        served += is_success && it.answer.body == whole_body(id) ? 1 : 0;
-        cut += is_cut ? 1 : 0;
-        other += is_success ? 0 : 1;
-        note("client got " + std::to_string(it.status) + " for " + id + ", " +
-             (it.is_whole ? "complete by its length, " : "incomplete, ") +
-             std::to_string(it.answer.body.size()) + " of " + std::to_string(whole_body(id).size()) +
-             " bytes" + (is_cut ? "  <-- a part, as a whole answer" : ""));
-    }
+    std::atomic<int> served = 0;
+    std::atomic<int> cut = 0;
+    std::atomic<int> other = 0;
+    std::vector<std::thread> threads;
+    for (int n = 0; n < clients; ++n)
+        threads.emplace_back(
+            [&, n]
+            {
+                const auto& to = n % 2 == 0 ? one : two;
+                for (int k = 0; k < requests_of_client; ++k)
+                {
+                    const auto id = new_id();
+                    const auto request = make_request("POST", "/receipts/" + id,
+                                                      {{"Host", host_name},
+                                                       {"X-Runlink-Attempt-Id", id},
+                                                       {"X-Runlink-Deadline-Ms", std::to_string(deadline_ms)},
+                                                       {"X-Api-Key", key}},
+                                                      std::string(request_bytes, 'x'));
+                    note("client sends " + id + " to gateway " + (n % 2 == 0 ? "1" : "2"));
+                    const auto it = call(to.ip(), to.front(), request, deadline_ms + 1000);
+                    const bool is_success = it.status >= 200 && it.status < 300;
+                    const bool is_cut = is_success && it.is_whole && it.answer.body != whole_body(id);
+                    served += is_success && it.answer.body == whole_body(id) ? 1 : 0;
+                    cut += is_cut ? 1 : 0;
+                    other += is_success ? 0 : 1;
+                    note("client got " + std::to_string(it.status) + " for " + id + ", " +
+                         (it.is_whole ? "complete by its length, " : "incomplete, ") +
+                         std::to_string(it.answer.body.size()) + " of " +
+                         std::to_string(whole_body(id).size()) + " bytes" +
+                         (is_cut ? "  <-- a part, as a whole answer" : ""));
+                }
+            });
+    for (auto& it : threads)
+        it.join();
     note("requests " + std::to_string(requests) + ", runs " + std::to_string(runs) + ", answers reset " +
          std::to_string(resets) + ", whole answers " + std::to_string(served) + ", parts as whole answers " +
          std::to_string(cut) + ", failures " + std::to_string(other));
