--- a/review/standins/cut_answer.cpp
+++ b/review/standins/cut_answer.cpp
@@ -15,7 +15,7 @@
 {
 
 constexpr int clients = 4;
-constexpr int requests_of_client = 100;
+constexpr int requests_of_client = 200;
 constexpr int requests = clients * requests_of_client;
 constexpr int workers = 5;
 constexpr int faulty_workers = 3; ///< a share of 0.6
