--- a/review/standins/late_bytes.cpp
+++ b/review/standins/late_bytes.cpp
@@ -19,6 +19,7 @@
 constexpr int faulty_workers = 3; ///< a share of 0.6
 constexpr int every = 34;         ///< they send more after one in so many of their whole answers
 constexpr long deadline_ms = 3000;
+constexpr long trouble_ms = 5000; ///< how long surplus bytes are sent, from the first request
 
 const std::string host_name = "desk.example";
 const std::string key = "k5f0c2e8d1a";
@@ -27,6 +28,7 @@
 bool has_trouble = true;
 std::atomic<int> runs = 0;
 std::atomic<int> spoiled = 0;
+std::atomic<long> began_at = 0; ///< when the first request was sent
 
 std::string body_of(const std::string& id)
 {
@@ -52,7 +54,7 @@
         note("worker runs and answers " + id);
         answer(it, 200, {{"X-Runlink-Attempt-Id", id}, {"X-Runlink-Server-Seal", "3e1b.07." + id}},
                body_of(id));
-        if (has_trouble && n != nullptr && ++*n % every == 0)
+        if (has_trouble && n != nullptr && elapsed_ms() < began_at + trouble_ms && ++*n % every == 0)
             extra = extra_bytes;
     }
 }
@@ -111,6 +113,7 @@
             finish(2, "a gateway did not become ready");
     sleep_ms(4000); // both are in touch
 
+    began_at = elapsed_ms();
     int served = 0;
     int denied = 0;
     int other = 0;
