Gateway: log how a response ended and the first error of its connection

attempt_lost says broken for a reset, a close and malformed bytes alike, and nothing tells an answer that is complete by its length from one that ends with its connection. response_ended does, with the first error that a system call on the connection returned. review/1 on this commit, beside a build: 24 logged answers complete after 50,000 of 100,000 bytes, each with ECONNRESET; 126 reset; 517 whole, without an error.

--- a/include/runlink/gateway/gateway.hpp
+++ b/include/runlink/gateway/gateway.hpp
@@ -108,6 +108,7 @@
         net::http_response_head head;
         routing::attempt_head parsed_head;
         std::string body;
+        std::uint64_t body_bytes = 0; ///< received, whether or not they are kept in `body`
         std::unique_ptr<net::event_reader> events;
     };
     using attempt_ptr = std::shared_ptr<attempt>;
@@ -124,6 +125,8 @@
     void on_body(const attempt_ptr& it, std::string_view bytes);
     void on_end(const attempt_ptr& it);
     void on_failed(const attempt_ptr& it, net::exchange_failure why);
+    /// Logs how the response to an attempt ended, and the first error of its connection.
+    void log_response_end(const attempt& it, std::string_view how, observe::log_rank rank);
     /// Checks whether the endpoint accepts connections, and reports the result to the forwarder.
     void probe(const routing::endpoint_entry& endpoint, const core::instance_id& via);
     /// Checks whether this instance reaches the endpoint again.
--- a/include/runlink/net/http_exchange.hpp
+++ b/include/runlink/net/http_exchange.hpp
@@ -84,6 +84,8 @@
     const endpoint_path& path() const { return path_; }
     /// See `tcp_stream::silence_timeout`.
     std::optional<core::milliseconds> silence_timeout() const { return stream_.silence_timeout(); }
+    /// See `path_stream::error`.
+    std::error_code error() const { return stream_.error(); }
 
     /// Called when an exchange or `open` has ended, before its last callback, whether or not the connection
     /// is reusable.
--- a/include/runlink/net/path_stream.hpp
+++ b/include/runlink/net/path_stream.hpp
@@ -29,6 +29,8 @@
     /// Whether the last attempt to connect ended at the carrier: the endpoint may be reachable.
     bool has_carrier_failed() const { return is_carried_ && !is_verdict_known_; }
     std::optional<core::milliseconds> silence_timeout() const { return stream_.silence_timeout(); }
+    /// See `tcp_stream::error`. Of a carried connection, the error on the way to its carrier.
+    std::error_code error() const { return stream_.error(); }
     void set_silence_timeout(core::milliseconds timeout) { stream_.set_silence_timeout(timeout); }
 
 private:
--- a/include/runlink/net/tcp_stream.hpp
+++ b/include/runlink/net/tcp_stream.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <system_error>
 
 #include <QSocketNotifier>
 
@@ -63,6 +64,9 @@
     bool is_open() const { return fd_ >= 0 && connected_; }
     /// Bytes that the socket has not taken yet.
     std::size_t unsent_bytes() const { return unsent_.size(); }
+    /// The first error that a call on the socket returned since `connect`. The kernel reports an error only
+    /// once, to whichever call comes first.
+    std::error_code error() const { return {error_, std::generic_category()}; }
     /// See the function of this name. A connection may die without a reset, also while this side only waits
     /// for a response.
     void set_silence_timeout(core::milliseconds timeout) { net::set_silence_timeout(fd_, timeout); }
@@ -75,10 +79,13 @@
     bool read_connect_result();
     void on_readable();
     void flush();
+    /// Keeps the first error of a connection.
+    void note_error(int error);
     void end(stream_end how);
 
     handlers handlers_;
     int fd_ = -1;
+    int error_ = 0; ///< an `errno` value
     bool connected_ = false;
     bool was_refused_ = false;
     std::string unsent_;
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -24,6 +24,17 @@
     }
 }
 
+std::string_view to_string(net::body_framing it)
+{
+    switch (it)
+    {
+    case net::body_framing::length: return "length";
+    case net::body_framing::chunked: return "chunked";
+    case net::body_framing::until_close: return "until_close";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 gateway::gateway(gateway_options options, header_names names, observe::decision_log& log,
@@ -199,6 +210,7 @@
 
 void gateway::on_body(const attempt_ptr& it, std::string_view bytes)
 {
+    it->body_bytes += bytes.size();
     if (!it->events)
     {
         it->body.append(bytes);
@@ -215,6 +227,8 @@
 void gateway::on_end(const attempt_ptr& it)
 {
     const auto now = clock_();
+    if (it->head.framing == net::body_framing::until_close)
+        log_response_end(*it, "complete", observe::log_rank::routine);
     if (!it->events)
         forwarder_->on_answer(now, it->id, it->parsed_head);
     else if (!it->events->rest().empty())
@@ -227,11 +241,29 @@
 
 void gateway::on_failed(const attempt_ptr& it, net::exchange_failure why)
 {
+    if (loss_of(why) == routing::attempt_loss::broken)
+        log_response_end(*it, to_string(why), observe::log_rank::notable);
     attempts_.erase(it->id);
     forwarder_->on_lost(clock_(), it->id, loss_of(why));
     on_activity();
 }
 
+void gateway::log_response_end(const attempt& it, std::string_view how, observe::log_rank rank)
+{
+    observe::log_line line{"response_ended"};
+    line.text("request", it.request.str())
+        .text("endpoint", it.endpoint.str())
+        .text("reason", how)
+        .number("status", it.head.status)
+        .number("body_bytes", static_cast<std::int64_t>(it.body_bytes));
+    if (it.head.status != 0)
+        line.text("framing", to_string(it.head.framing));
+    const auto connection = it.exchange.lock();
+    if (connection && connection->error())
+        line.text("error", connection->error().message());
+    log_.write(clock_(), line, rank);
+}
+
 net::endpoint_path gateway::path_to(const routing::endpoint_entry& endpoint,
                                     const core::instance_id& via) const
 {
--- a/src/runlink/net/tcp_stream.cpp
+++ b/src/runlink/net/tcp_stream.cpp
@@ -31,6 +31,7 @@
 bool tcp_stream::connect(const std::string& host, std::uint16_t port)
 {
     was_refused_ = false;
+    error_ = 0;
     sockaddr_in to{};
     to.sin_family = AF_INET;
     to.sin_port = htons(port);
@@ -106,9 +107,16 @@
     socklen_t size = sizeof error;
     getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
     was_refused_ = error == ECONNREFUSED;
+    note_error(error);
     return error == 0;
 }
 
+void tcp_stream::note_error(int error)
+{
+    if (error_ == 0 && !would_block(error))
+        error_ = error;
+}
+
 void tcp_stream::on_writable()
 {
     if (connected_)
@@ -140,7 +148,10 @@
     {
         const auto n = send(fd_, unsent_.data(), unsent_.size(), MSG_NOSIGNAL);
         if (n < 0)
+        {
+            note_error(errno);
             break; // the read side reports a broken connection
+        }
         unsent_.erase(0, static_cast<std::size_t>(n));
     }
     writable_->setEnabled(!unsent_.empty() && would_block(errno));
@@ -154,8 +165,10 @@
         return handlers_.bytes({buf.data(), static_cast<std::size_t>(n)});
     if (n == 0)
         return end(stream_end::closed);
-    if (!would_block(errno))
-        end(stream_end::reset);
+    if (would_block(errno))
+        return;
+    note_error(errno);
+    end(stream_end::reset);
 }
 
 void tcp_stream::end(stream_end how)
