Net: a reset that a send meets first does not end a response in order

Cause: the kernel tells the error of a connection once, to whichever call comes first. tcp_stream::flush took it with send() and dropped it; the next recv() returned 0, which counted as an orderly end. Evidence: strace shows send with ECONNRESET, then recv with 0, on just the connections whose answers were cut; response_ended has ECONNRESET with the reason complete.

The stream now keeps the first error of any call. Received bytes are still read to their end, so that an answer that was whole before the reset is delivered; then the error decides. EPIPE as the first error means that the peer's FIN came before the reset, which is an orderly end. Timeouts (ETIMEDOUT) that a send meets first are covered likewise.

--- a/include/runlink/net/tcp_stream.hpp
+++ b/include/runlink/net/tcp_stream.hpp
@@ -61,7 +61,8 @@
     /// Whether the last attempt to connect was refused: the host is reachable, but nothing listens on the
     /// port.
     bool was_refused() const { return was_refused_; }
-    bool is_open() const { return fd_ >= 0 && connected_; }
+    /// Whether the connection is established and no call on the socket has failed.
+    bool is_open() const { return fd_ >= 0 && connected_ && error_ == 0; }
     /// Bytes that the socket has not taken yet.
     std::size_t unsent_bytes() const { return unsent_.size(); }
     /// The first error that a call on the socket returned since `connect`. The kernel reports an error only
@@ -79,6 +80,8 @@
     bool read_connect_result();
     void on_readable();
     void flush();
+    /// Whether the peer had closed the connection in order, once no received bytes are left to read.
+    bool ended_in_order() const;
     /// Keeps the first error of a connection.
     void note_error(int error);
     void end(stream_end how);
--- a/src/runlink/net/tcp_stream.cpp
+++ b/src/runlink/net/tcp_stream.cpp
@@ -134,7 +134,7 @@
 
 void tcp_stream::write(std::string_view bytes)
 {
-    if (fd_ < 0)
+    if (fd_ < 0 || error_ != 0)
         return;
     const bool was_empty = unsent_.empty();
     unsent_.append(bytes);
@@ -150,11 +150,14 @@
         if (n < 0)
         {
             note_error(errno);
-            break; // the read side reports a broken connection
+            break;
         }
         unsent_.erase(0, static_cast<std::size_t>(n));
     }
-    writable_->setEnabled(!unsent_.empty() && would_block(errno));
+    // After an error, bytes that were received before it can still be read: the read side reports the end.
+    if (error_ != 0)
+        unsent_.clear();
+    writable_->setEnabled(!unsent_.empty());
 }
 
 void tcp_stream::on_readable()
@@ -163,12 +166,17 @@
     const auto n = recv(fd_, buf.data(), buf.size(), 0);
     if (n > 0)
         return handlers_.bytes({buf.data(), static_cast<std::size_t>(n)});
-    if (n == 0)
-        return end(stream_end::closed);
-    if (would_block(errno))
+    if (n < 0 && would_block(errno))
         return;
-    note_error(errno);
-    end(stream_end::reset);
+    if (n < 0)
+        note_error(errno);
+    end(ended_in_order() ? stream_end::closed : stream_end::reset);
+}
+
+bool tcp_stream::ended_in_order() const
+{
+    // A reset that follows the peer's FIN is reported as EPIPE, any other one as ECONNRESET.
+    return error_ == 0 || error_ == EPIPE;
 }
 
 void tcp_stream::end(stream_end how)
