Net: what an endpoint sent before a reset arrives over a carrier

An instance that carries a connection dropped it with all bytes that waited for the other instance when the endpoint reset it, and closed it at once after its last frame, which resets it if bytes of the request are unread. A whole answer, or the events of a stream before the reset, could be lost on the way.

The carrier now sends what waits, then a frame that tells the end (rejected, which instances already read as a reset once connected), and lets the instance close the connection; after 3 s without progress it closes it itself.

--- a/include/runlink/net/carry_frames.hpp
+++ b/include/runlink/net/carry_frames.hpp
@@ -3,8 +3,9 @@
 ///
 /// The instance that opens it sends one line, `TICKET ENDPOINT\n`, and after the frame `connected` the bytes
 /// for the endpoint as they are. In the other direction go frames: a type in one byte, a length in four (big
-/// endian) and that many bytes. A connection that ends without the frame `closed` was broken, since an answer
-/// without a length is complete only if the endpoint itself closed its connection.
+/// endian) and that many bytes. The instance closes the connection after the frame that reports its end; an
+/// end without such a frame means that the connection was broken. An answer without a length is complete only
+/// if the endpoint itself closed its connection.
 #pragma once
 
 #include <cstddef>
@@ -22,9 +23,11 @@
     connected = 1, ///< the endpoint accepted the connection
     refused = 2,   ///< the endpoint refused the connection
     silent = 3,    ///< the endpoint did not answer
-    rejected = 4,  ///< the connection is not carried: wrong ticket, unknown endpoint, or no room
-    data = 5,      ///< bytes of the endpoint
-    closed = 6,    ///< the endpoint closed the connection in order
+    /// The connection is not carried: wrong ticket, unknown endpoint, or no room. After `connected`: the
+    /// connection to the endpoint was broken.
+    rejected = 4,
+    data = 5,   ///< bytes of the endpoint
+    closed = 6, ///< the endpoint closed the connection in order
 };
 
 /// What the instance that opens a connection sends first.
--- a/include/runlink/net/connection_carrier.hpp
+++ b/include/runlink/net/connection_carrier.hpp
@@ -31,6 +31,8 @@
     std::size_t max_unsent_bytes = 4 * 1024 * 1024;
     core::milliseconds opening_timeout{1000};
     core::milliseconds connect_timeout{250};
+    /// After its last frame a connection is closed when the instance has taken no bytes for this long.
+    core::milliseconds closing_timeout{3000};
     /// The kernel drops a connection when the peer acknowledges nothing for this long.
     core::milliseconds silence_timeout{3000};
 };
@@ -67,7 +69,7 @@
     {
         std::unique_ptr<QTcpSocket> instance;
         std::unique_ptr<tcp_stream> endpoint;
-        std::unique_ptr<QTimer> timer; ///< bounds the opening, then the attempt to connect
+        std::unique_ptr<QTimer> timer; ///< bounds the opening, the attempt to connect, and the closing
         std::string opening;
         bool is_open = false;     ///< the endpoint has accepted the connection
         bool is_finished = false; ///< the last frame has been written
@@ -82,8 +84,10 @@
     void on_endpoint_connected(const connection_ptr& it);
     void on_endpoint_bytes(const connection_ptr& it, std::string_view bytes);
     void on_endpoint_ended(const connection_ptr& it, stream_end how);
-    /// Sends a last frame and closes the connection.
+    /// Sends a last frame. The instance then closes the connection, if it was established: a close with
+    /// received bytes unread resets it, and the bytes that wait would be lost.
     void finish(const connection_ptr& it, carry_frame type);
+    void on_timeout(const connection_ptr& it);
     void reject(const connection_ptr& it);
     /// Closes both sides. The event loop destroys them later, because one of them may be emitting a signal.
     void drop(const connection_ptr& it);
--- a/src/runlink/net/connection_carrier.cpp
+++ b/src/runlink/net/connection_carrier.cpp
@@ -61,23 +61,30 @@
         QObject::connect(it->timer.get(), &QTimer::timeout, it->timer.get(),
                          [this, weak]
                          {
-                             const auto self = weak.lock();
-                             if (!self)
-                                 return;
-                             if (self->endpoint)
-                                 on_endpoint_ended(self, stream_end::not_connected);
-                             else
-                                 reject(self);
+                             if (const auto self = weak.lock())
+                                 on_timeout(self);
                          });
         it->timer->start(limits_.opening_timeout);
         on_instance_bytes(it);
     }
 }
 
+void connection_carrier::on_timeout(const connection_ptr& it)
+{
+    if (it->is_finished)
+        return drop(it);
+    if (it->endpoint)
+        return on_endpoint_ended(it, stream_end::not_connected);
+    reject(it);
+}
+
 void connection_carrier::on_instance_bytes(const connection_ptr& it)
 {
     if (it->is_finished)
+    {
+        it->instance->readAll();
         return;
+    }
     if (!it->endpoint)
         return read_opening_line(it);
     const auto bytes = it->instance->readAll();
@@ -155,7 +162,7 @@
     if (how == stream_end::closed)
         return finish(it, carry_frame::closed);
     if (it->is_open)
-        return drop(it);
+        return finish(it, carry_frame::rejected);
     ++counters_.unreached;
     finish(it, it->endpoint->was_refused() ? carry_frame::refused : carry_frame::silent);
 }
@@ -168,7 +175,12 @@
         it->endpoint->abort();
     const auto frame = write_frame(type);
     it->instance->write(frame.data(), static_cast<qint64>(frame.size()));
-    it->instance->disconnectFromHost(); // after the bytes that wait have been sent
+    if (!it->is_open)
+        return it->instance->disconnectFromHost(); // after the bytes that wait have been sent
+    it->instance->readAll();
+    it->timer->start(limits_.closing_timeout);
+    QObject::connect(it->instance.get(), &QTcpSocket::bytesWritten, it->timer.get(),
+                     [this, timer = it->timer.get()] { timer->start(limits_.closing_timeout); });
 }
 
 void connection_carrier::reject(const connection_ptr& it)
--- a/src/runlink/net/connection_carrier_test.cpp
+++ b/src/runlink/net/connection_carrier_test.cpp
@@ -3,9 +3,11 @@
 #include <memory>
 
 #include "runlink/net/connection_carrier.hpp"
+#include "support/blocking_peer.hpp"
 #include "support/raw_peer.hpp"
 #include "support/wait_for.hpp"
 
+using runlink::tests::blocking_peer;
 using runlink::tests::outcome;
 using runlink::tests::raw_peer;
 using runlink::tests::request;
@@ -187,3 +189,98 @@
     REQUIRE(wait_for([&] { return result.has_value(); }));
     CHECK(result == core::contact::refused);
 }
+
+TEST_CASE("what an endpoint sent before its connection was reset arrives over the carrier")
+{
+    // More than the socket buffers of the endpoint hold, so that the carrier has bytes left to send.
+    const std::string body(3 * 1024 * 1024, 'x');
+    const auto long_request =
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    // Longer than the socket buffers between the carrier and the instance hold.
+    const std::string text(3 * 1024 * 1024, 'a');
+    carried_endpoint it;
+    blocking_peer endpoint;
+    it.address = endpoint.address();
+    outcome out;
+    it.pool.send(it.path(), long_request, {}, out.hooks());
+    REQUIRE(wait_for([&] { return out.sent; }));
+    endpoint.accept();
+    std::thread sender;
+    const auto script = [&](const std::string& response, bool is_in_order)
+    {
+        sender = std::thread{[&endpoint, response, is_in_order]
+                             {
+                                 endpoint.send(response);
+                                 if (is_in_order)
+                                     endpoint.finish();
+                                 endpoint.reset();
+                             }};
+        CHECK(wait_for([&] { return out.over(); }));
+        sender.join();
+    };
+    SECTION("a part of a response without a length")
+    {
+        script(head + "\r\n" + text, false);
+        CHECK(out.failure == exchange_failure::reset);
+    }
+    SECTION("a whole response with a length")
+    {
+        script(head + "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text, false);
+        CHECK(out.ended);
+    }
+    SECTION("a whole response without a length")
+    {
+        script(head + "\r\n" + text, true);
+        CHECK(out.ended);
+    }
+    CHECK((out.body == text));
+    CHECK(wait_for([&] { return it.carrier->connection_count() == 0; }));
+}
+
+TEST_CASE("an instance that reads late gets all that an endpoint sent before a reset, then the way it ended")
+{
+    const auto is_in_order = GENERATE(false, true);
+    const std::string text(3 * 1024 * 1024, 'a');
+    carried_endpoint it;
+    blocking_peer endpoint;
+    it.address = endpoint.address();
+    QTcpSocket instance;
+    instance.setReadBufferSize(1);
+    instance.connectToHost(QHostAddress::LocalHost, it.port);
+    const auto opening = write_opening({"t", "e1"}) + "a request that the endpoint does not read";
+    instance.write(opening.data(), static_cast<qint64>(opening.size()));
+    REQUIRE(wait_for([&] { return it.carrier->counters().carried == 1; }));
+    endpoint.accept();
+    std::thread sender{[&]
+                       {
+                           endpoint.send(text);
+                           if (is_in_order)
+                               endpoint.finish();
+                           endpoint.reset();
+                       }};
+    const bool is_sent = wait_for([&] { return it.carrier->counters().bytes == text.size(); });
+    sender.join();
+    REQUIRE(is_sent);
+    wait_for([] { return false; }, std::chrono::milliseconds{100});
+    instance.setReadBufferSize(0);
+    carry_frame_reader reader;
+    std::string received;
+    std::vector<carry_frame> types;
+    const auto read_all = [&]
+    {
+        const auto bytes = instance.readAll();
+        reader.feed({bytes.data(), static_cast<std::size_t>(bytes.size())});
+        while (const auto frame = reader.next())
+        {
+            received += frame->bytes;
+            if (frame->type != carry_frame::data)
+                types.push_back(frame->type);
+        }
+        return types.size() == 2;
+    };
+    CHECK(wait_for(read_all));
+    CHECK((received == text));
+    CHECK(types ==
+          std::vector{carry_frame::connected, is_in_order ? carry_frame::closed : carry_frame::rejected});
+}
