Gateway: events that came before a stream broke reach the caller

When a stream broke, its caller's connection was aborted with the bytes that Qt had not written yet: whole events that had arrived before the break were lost on the way, and a resumed request ran them again. The connection is now closed after what was written, without the last chunk, so that the answer is incomplete as before.

gateway_answers_test sends requests through a gateway over real sockets.

--- a/include/runlink/net/http_listener.hpp
+++ b/include/runlink/net/http_listener.hpp
@@ -54,6 +54,9 @@
     /// Marks the response as complete. With `close`, or if the request does not allow keep-alive, the
     /// connection closes once all bytes are sent.
     void finish(bool close);
+    /// Ends a chunked response without its last chunk: sends what was written and closes the connection, so
+    /// that the caller has all bytes and cannot take them for a complete response.
+    void break_off();
     /// Aborts the connection at once, so that the caller cannot take a partial response for a complete one.
     void reset();
 
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -76,7 +76,7 @@
     out.break_off = [this](routing::flow_id flow)
     {
         if (const auto it = take_call(flow))
-            it->connection->reset();
+            it->connection->break_off();
     };
     out.refuse = [this](routing::flow_id flow, const routing::refusal& why)
     {
--- a/src/runlink/net/http_listener.cpp
+++ b/src/runlink/net/http_listener.cpp
@@ -100,6 +100,14 @@
     socket_->disconnectFromHost();
 }
 
+void caller_connection::break_off()
+{
+    busy_ = false;
+    on_left = nullptr;
+    if (!closed_)
+        end_after_flush();
+}
+
 void caller_connection::reset()
 {
     busy_ = false;
