HTTP: chunk extensions, trailers and interim heads without end are rejected

A message may hold as much besides its body as its header may: 64 KiB in a response, the configured limit in a request; and 16 bytes more for each byte of the body, since a chunk of one byte needs five. Above it the reader reports header_too_large.

--- a/include/runlink/net/http_codec.hpp
+++ b/include/runlink/net/http_codec.hpp
@@ -71,15 +71,39 @@
     body_framing framing = body_framing::length;
 };
 
+/// The length of the body that `Content-Length` states; nothing without it.
+std::optional<std::uint64_t> announced_length(const http_response_head& it);
+
 /// Why a reader rejected its input.
 enum class codec_error
 {
     none,
     malformed,
-    header_too_large,
+    header_too_large, ///< all bytes of the message that are not its body; see `framing_limit`
     body_too_large,
 };
 
+/// Bounds what a message may hold besides its body: interim heads, its head, sizes and extensions of chunks,
+/// and trailers. Chunks of one byte need five bytes more each, so the limit grows with the body.
+class framing_limit
+{
+public:
+    explicit framing_limit(std::size_t max_bytes) : max_bytes_{max_bytes} {}
+
+    /// `consumed` bytes of the message were parsed, `body` of them as its body.
+    void add(std::size_t consumed, std::uint64_t body);
+    /// Whether the limit is exceeded if `unparsed` further bytes belong to the message's framing.
+    bool is_exceeded(std::size_t unparsed) const;
+
+private:
+    std::size_t max_bytes_;
+    std::uint64_t framing_bytes_ = 0;
+    std::uint64_t body_bytes_ = 0;
+};
+
+/// What a response may hold besides its body, not counting the allowance for chunks.
+inline constexpr std::size_t max_response_framing_bytes = 64 * 1024;
+
 /// Size limits of one message.
 struct codec_limits
 {
@@ -118,6 +142,7 @@
     handlers handlers_;
     codec_limits limits_;
     std::unique_ptr<parser> parser_;
+    framing_limit framing_{limits_.max_header_bytes};
     std::string rest_;
     bool complete_ = false;
 };
@@ -148,8 +173,8 @@
     codec_error run();
 
     handlers handlers_;
-    codec_limits limits_;
     std::unique_ptr<parser> parser_;
+    framing_limit framing_{max_response_framing_bytes};
     std::string rest_;
 };
 
--- a/src/runlink/gateway/http_caller.cpp
+++ b/src/runlink/gateway/http_caller.cpp
@@ -1,25 +1,11 @@
 #include "runlink/gateway/http_caller.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <utility>
 
 namespace runlink::gateway
 {
-namespace
-{
-
-std::optional<std::uint64_t> announced_length(const net::http_response_head& it)
-{
-    const auto* text = it.fields.find("Content-Length");
-    std::uint64_t out = 0;
-    if (text == nullptr || std::from_chars(text->data(), text->data() + text->size(), out).ec != std::errc{})
-        return std::nullopt;
-    return out;
-}
-
-} // namespace
 
 struct http_caller::call
 {
@@ -77,7 +63,7 @@
         it->answer.status = e.status;
         for (const auto& field : e.fields)
             it->answer.fields.emplace_back(field.name, field.value);
-        it->deadline.on_head(clock(), announced_length(e));
+        it->deadline.on_head(clock(), net::announced_length(e));
         check_deadline(it);
     };
     out.body = [this, it](std::string_view e)
--- a/src/runlink/net/http_codec.cpp
+++ b/src/runlink/net/http_codec.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
 #include <limits>
 
 #include <boost/asio/buffer.hpp>
@@ -18,7 +19,8 @@
 using boost::beast::string_view;
 using error_code = boost::beast::error_code;
 
-constexpr std::size_t max_response_header_bytes = 64 * 1024;
+/// Bytes besides the body that each byte of a body may bring along.
+constexpr std::uint64_t max_framing_ratio = 16;
 constexpr int first_final_status = 200;
 
 std::string text(string_view it)
@@ -59,6 +61,7 @@
 public:
     http_fields fields;
     std::function<void(std::string_view)> body;
+    std::uint64_t body_bytes = 0;
 
 protected:
     void on_field_impl(http::field, string_view name, string_view value, error_code&) override
@@ -68,12 +71,14 @@
     void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code&) override {}
     std::size_t on_body_impl(string_view it, error_code&) override
     {
+        body_bytes += it.size();
         body({it.data(), it.size()});
         return it.size();
     }
     void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
     std::size_t on_chunk_body_impl(std::uint64_t, string_view it, error_code&) override
     {
+        body_bytes += it.size();
         body({it.data(), it.size()});
         return it.size();
     }
@@ -82,6 +87,17 @@
 
 } // namespace
 
+void framing_limit::add(std::size_t consumed, std::uint64_t body)
+{
+    framing_bytes_ += consumed - body;
+    body_bytes_ += body;
+}
+
+bool framing_limit::is_exceeded(std::size_t unparsed) const
+{
+    return framing_bytes_ + unparsed > max_bytes_ + max_framing_ratio * body_bytes_;
+}
+
 bool same_name(std::string_view a, std::string_view b)
 {
     const auto same = [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); };
@@ -182,6 +198,7 @@
         if (!parser_)
         {
             parser_ = std::make_unique<parser>();
+            framing_ = framing_limit{limits_.max_header_bytes};
             parser_->eager(true);
             parser_->header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
             parser_->body_limit(limits_.max_body_bytes);
@@ -191,17 +208,22 @@
         if (!parser_->is_header_done() && has_folded_line(rest_))
             return codec_error::malformed;
         error_code ec;
+        const auto body_before = parser_->body_bytes;
         const auto used = parser_->put(boost::asio::buffer(rest_), ec);
         rest_.erase(0, used);
         if (ec && ec != http::error::need_more)
             return to_codec_error(ec);
+        framing_.add(used, parser_->body_bytes - body_before);
+        const bool needs_more = !parser_->is_done() && (ec == http::error::need_more || used == 0);
+        if (framing_.is_exceeded(needs_more ? rest_.size() : 0))
+            return codec_error::header_too_large;
         if (parser_->is_done())
         {
             complete_ = true;
             handlers_.end();
             return codec_error::none;
         }
-        if (ec == http::error::need_more || used == 0)
+        if (needs_more)
             return codec_error::none;
     }
     return codec_error::none;
@@ -209,6 +231,15 @@
 
 // Responses
 
+std::optional<std::uint64_t> announced_length(const http_response_head& it)
+{
+    const auto* text = it.fields.find("Content-Length");
+    std::uint64_t out = 0;
+    if (text == nullptr || std::from_chars(text->data(), text->data() + text->size(), out).ec != std::errc{})
+        return std::nullopt;
+    return out;
+}
+
 struct http_response_reader::parser : callback_parser<false>
 {
     http_response_head head;
@@ -256,26 +287,33 @@
         {
             parser_ = std::make_unique<parser>();
             parser_->eager(true);
-            parser_->header_limit(max_response_header_bytes);
+            parser_->header_limit(max_response_framing_bytes);
             parser_->body_limit(
                 std::numeric_limits<std::uint64_t>::max()); // the receiver of the body limits its size
             parser_->on_head = handlers_.head;
             parser_->body = handlers_.body;
         }
         error_code ec;
+        const auto body_before = parser_->body_bytes;
         const auto used = parser_->put(boost::asio::buffer(rest_), ec);
         rest_.erase(0, used);
         if (ec && ec != http::error::need_more)
             return to_codec_error(ec);
+        framing_.add(used, parser_->body_bytes - body_before);
+        const bool needs_more = !parser_->is_done() && (ec == http::error::need_more || used == 0);
+        if (framing_.is_exceeded(needs_more ? rest_.size() : 0))
+            return codec_error::header_too_large;
         if (parser_->is_done())
         {
             const bool interim = parser_->is_interim();
             parser_.reset();
-            if (!interim)
-                handlers_.end();
+            if (interim)
+                continue;
+            framing_ = framing_limit{max_response_framing_bytes};
+            handlers_.end();
             continue;
         }
-        if (ec == http::error::need_more || used == 0)
+        if (needs_more)
             return codec_error::none;
     }
     return codec_error::none;
--- a/src/runlink/net/http_codec_test.cpp
+++ b/src/runlink/net/http_codec_test.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <random>
+
 #include "runlink/net/event_reader.hpp"
 #include "runlink/net/http_codec.hpp"
 
@@ -168,3 +170,125 @@
     CHECK(write_chunk(std::string(26, 'a')).starts_with("1a\r\n"));
     CHECK(write_chunk("") == "0\r\n\r\n");
 }
+
+namespace
+{
+
+/// Bytes that begin as a message and never end: `first`, then `repeated` again and again.
+struct endless_bytes
+{
+    const char* place;
+    std::string first;
+    std::string repeated;
+};
+
+const std::string chunked_response = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string chunked_request = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::vector<endless_bytes> endless_parts_of(const std::string& start_line, const std::string& chunked)
+{
+    return {
+        {"start line", start_line, "a"},
+        {"a field's line", start_line + "\r\nX: ", "a"},
+        {"fields", start_line + "\r\n", "X: a\r\n"},
+        {"size of a chunk", chunked, "0"},
+        {"extension of a chunk", chunked + "1;", "a"},
+        {"extensions of many chunks", chunked, "1;" + std::string(2000, 'a') + "\r\nx\r\n"},
+        {"a trailer's line", chunked + "0\r\nX: ", "a"},
+        {"trailers", chunked + "0\r\n", "X: a\r\n"},
+    };
+}
+
+/// The bytes of a body, and 16 bytes of framing for each.
+std::size_t allowance_of(const std::string& body)
+{
+    return 17 * body.size();
+}
+
+/// Feeds endless bytes in pieces of random sizes until the reader rejects them, at most up to `limit`.
+/// Returns how many bytes it took.
+template <class Reader>
+std::size_t bytes_until_rejected(Reader& reader, const endless_bytes& it, std::mt19937& random,
+                                 std::size_t limit)
+{
+    std::string bytes = it.first;
+    std::size_t fed = 0;
+    const std::size_t max_piece = std::uniform_int_distribution<std::size_t>{0, 1}(random) == 0 ? 40 : 40'000;
+    while (fed < limit)
+    {
+        const auto n = std::uniform_int_distribution<std::size_t>{1, max_piece}(random);
+        while (bytes.size() < n)
+            bytes += it.repeated;
+        fed += n;
+        if (reader.feed(std::string_view{bytes}.substr(0, n)) != codec_error::none)
+            return fed - n; // the bytes before the last piece were accepted
+        bytes.erase(0, n);
+    }
+    return fed;
+}
+
+} // namespace
+
+TEST_CASE("responses that go on without end in any place but the body are rejected at their limit")
+{
+    auto places = endless_parts_of("HTTP/1.1 200 OK", chunked_response);
+    places.push_back({"interim heads", "", "HTTP/1.1 100 Continue\r\n\r\n"});
+    places.push_back({"interim heads with fields", "", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"});
+    for (unsigned seed = 1; seed <= 20; ++seed)
+        for (const auto& place : places)
+        {
+            INFO(place.place << ", seed " << seed);
+            std::mt19937 random{seed};
+            read_response it;
+            const auto n = bytes_until_rejected(it.reader, place, random, 1'000'000);
+            CHECK(n <= max_response_framing_bytes + allowance_of(it.body));
+            CHECK(it.ends == 0);
+        }
+}
+
+TEST_CASE("requests that go on without end in any place but the body are rejected at their limit")
+{
+    const codec_limits limits;
+    for (unsigned seed = 1; seed <= 20; ++seed)
+        for (const auto& place : endless_parts_of("POST / HTTP/1.1", chunked_request))
+        {
+            INFO(place.place << ", seed " << seed);
+            std::mt19937 random{seed};
+            read_request it;
+            const auto n = bytes_until_rejected(it.reader, place, random, 1'000'000);
+            CHECK(n <= limits.max_header_bytes + allowance_of(it.body));
+            CHECK(it.ends == 0);
+        }
+}
+
+TEST_CASE("chunks of one byte, with extensions and trailers, are read however their bytes are split")
+{
+    std::string bytes;
+    std::string body;
+    for (int n = 0; n < 20'000; ++n)
+    {
+        bytes += n % 100 == 0 ? "1;name=value\r\nx\r\n" : "1\r\nx\r\n";
+        body += 'x';
+    }
+    bytes += "0\r\nX-Sum: 1\r\nX-Time: 2\r\n\r\n";
+    for (unsigned seed = 1; seed <= 5; ++seed)
+    {
+        std::mt19937 random{seed};
+        read_response response;
+        read_request request;
+        const auto feed = [&](auto& to, std::string rest)
+        {
+            while (!rest.empty())
+            {
+                const auto n =
+                    std::min(rest.size(), std::uniform_int_distribution<std::size_t>{1, 3000}(random));
+                REQUIRE(to.reader.feed(std::string_view{rest}.substr(0, n)) == codec_error::none);
+                rest.erase(0, n);
+            }
+            CHECK(to.ends == 1);
+            CHECK((to.body == body));
+        };
+        feed(response, chunked_response + bytes);
+        feed(request, chunked_request + bytes);
+    }
+}
