HTTP: responses to other requests are not skipped without end

The exchange now fails once 1 MiB came before the head that is due, or at once if a surplus response has no length or announces more. Its request gets its end, or its next attempt, and the connection is closed.

--- a/include/runlink/net/http_exchange.hpp
+++ b/include/runlink/net/http_exchange.hpp
@@ -24,14 +24,19 @@
 /// Why an exchange ended without a complete response.
 enum class exchange_failure
 {
-    not_connected, ///< the connection was not established; no byte of the request was sent
-    not_carried,   ///< as above, because of the instance that was to carry the connection
-    withheld,      ///< `may_send` returned false; no byte of the request was sent
-    reset,         ///< the connection failed after request bytes may have been sent
-    closed,        ///< the peer closed the connection without a reset before its response was complete
-    malformed,     ///< the peer sent bytes that are not a valid HTTP response
+    not_connected,     ///< the connection was not established; no byte of the request was sent
+    not_carried,       ///< as above, because of the instance that was to carry the connection
+    withheld,          ///< `may_send` returned false; no byte of the request was sent
+    reset,             ///< the connection failed after request bytes may have been sent
+    closed,            ///< the peer closed the connection without a reset before its response was complete
+    malformed,         ///< the peer sent bytes that are not a valid HTTP response
+    head_too_large,    ///< the response has too many bytes besides its body; see `framing_limit`
+    surplus_too_large, ///< too many bytes of responses that are not due came before the one that is
 };
 
+/// Bytes of responses that are not due, after which the one that is due is no longer waited for.
+inline constexpr std::size_t max_surplus_bytes = 1024 * 1024;
+
 /// Name of the failure, as written to logs.
 std::string_view to_string(exchange_failure it);
 
@@ -100,6 +105,9 @@
     void finish();
     void on_head(const http_response_head& it);
     void on_end();
+    /// Whether no more than the allowed surplus bytes come before the response that is due, as far as is
+    /// known.
+    bool is_surplus_bounded(const http_response_head& surplus) const;
     void fail(exchange_failure why);
     exchange_failure not_connected_failure() const;
 
@@ -117,6 +125,8 @@
     core::milliseconds peer_keep_alive_{}; ///< how long the peer keeps an idle connection open
     bool reusable_ = true;
     bool skipping_response_ = false; ///< the response being read belongs to another request
+    bool has_head_ = false;          ///< the head of the response that is due has been read
+    std::size_t surplus_bytes_ = 0;  ///< received since the request was sent, before that head
     bool response_complete_ = false; ///< the response to the current request is complete
 };
 
--- a/src/runlink/net/http_exchange.cpp
+++ b/src/runlink/net/http_exchange.cpp
@@ -43,6 +43,8 @@
     case exchange_failure::reset: return "reset";
     case exchange_failure::closed: return "closed";
     case exchange_failure::malformed: return "malformed";
+    case exchange_failure::head_too_large: return "head_too_large";
+    case exchange_failure::surplus_too_large: return "surplus_too_large";
     }
     return "unknown";
 }
@@ -75,6 +77,8 @@
     hooks_ = std::make_unique<exchange_hooks>(std::move(hooks));
     skipping_response_ = false;
     response_complete_ = false;
+    has_head_ = false;
+    surplus_bytes_ = 0;
     if (stream_.is_open())
     {
         stream_.write(request);
@@ -128,11 +132,16 @@
         on_idle_lost();
         return;
     }
+    if (!has_head_)
+        surplus_bytes_ += bytes.size();
     const auto ec = reader_.feed(bytes);
     if (!hooks_)
         return;
     if (ec != codec_error::none && !response_complete_)
-        return fail(exchange_failure::malformed);
+        return fail(ec == codec_error::malformed ? exchange_failure::malformed
+                                                 : exchange_failure::head_too_large);
+    if (!has_head_ && surplus_bytes_ > max_surplus_bytes)
+        return fail(exchange_failure::surplus_too_large);
     // Bytes after the complete response make the connection unusable for further requests.
     if (ec != codec_error::none || reader_.in_message())
         reusable_ = reusable_ && !response_complete_;
@@ -160,8 +169,18 @@
     peer_keep_alive_ = keep_alive_of(it);
     if (skipping_response_ || !it.keep_alive || it.framing == body_framing::until_close)
         reusable_ = false;
-    if (!skipping_response_)
-        hooks_->head(it);
+    if (skipping_response_ && !is_surplus_bounded(it))
+        return fail(exchange_failure::surplus_too_large);
+    if (skipping_response_)
+        return;
+    has_head_ = true;
+    hooks_->head(it);
+}
+
+bool client_connection::is_surplus_bounded(const http_response_head& surplus) const
+{
+    return surplus.framing != body_framing::until_close &&
+           announced_length(surplus).value_or(0) <= max_surplus_bytes;
 }
 
 void client_connection::on_end()
--- a/src/runlink/net/http_exchange_test.cpp
+++ b/src/runlink/net/http_exchange_test.cpp
@@ -225,3 +225,55 @@
     CHECK(it->silence_timeout() == exchange_options{}.silence_timeout);
     it->detach();
 }
+
+TEST_CASE("responses to other requests that come without end are given up, and the connection is closed")
+{
+    const std::string other = "HTTP/1.1 200 OK\r\nId: old\r\n";
+    const std::string piece(64 * 1024, 'x');
+    const auto size = std::to_string(piece.size());
+    const auto [first, repeated] = GENERATE_COPY(table<std::string, std::string>(
+        {{other + "\r\n", piece},
+         {other + "Content-Length: 99999999999\r\n\r\n", piece},
+         {other + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + piece + "\r\n"},
+         {"", other + "Content-Length: " + size + "\r\n\r\n" + piece}}));
+    raw_peer peer;
+    connection_pool pool;
+    std::size_t sent = 0;
+    QTimer pour;
+    const auto is_open = [&] { return peer.socket->state() == QTcpSocket::ConnectedState; };
+    QObject::connect(&pour, &QTimer::timeout, &pour,
+                     [&]
+                     {
+                         if (!is_open() || peer.socket->bytesToWrite() > 0)
+                             return;
+                         peer.send(sent == 0 ? first + repeated : repeated);
+                         sent += repeated.size();
+                     });
+    peer.on_bytes = [&] { pour.start(0); };
+    outcome it;
+    auto hooks = it.hooks();
+    hooks.is_due = [](const http_response_head& head) { return *head.fields.find("Id") == "new"; };
+    pool.send(peer.address(), request, {}, hooks);
+    CHECK(wait_for([&] { return it.over(); }, std::chrono::seconds{2}));
+    CHECK(it.failure == exchange_failure::surplus_too_large);
+    CHECK(wait_for([&] { return !is_open(); }, std::chrono::seconds{1}));
+    CHECK(pool.busy_count() == 0);
+}
+
+TEST_CASE("a surplus response of a length that answers have is skipped")
+{
+    raw_peer peer;
+    connection_pool pool;
+    const std::string old(500'000, 'x');
+    peer.on_bytes = [&]
+    {
+        peer.send("HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: " + std::to_string(old.size()) + "\r\n\r\n" +
+                  old + "HTTP/1.1 200 OK\r\nId: new\r\nContent-Length: 3\r\n\r\nnew");
+    };
+    outcome it;
+    auto hooks = it.hooks();
+    hooks.is_due = [](const http_response_head& head) { return *head.fields.find("Id") == "new"; };
+    pool.send(peer.address(), request, {}, hooks);
+    REQUIRE(wait_for([&] { return it.over(); }));
+    CHECK(it.body == "new");
+}
