Gateway: answers without end do not take the memory of an instance

Now one answer may have 16 MiB and all that are held together a quarter of the process's memory (instance.memory_mb, from the platform's limits; 64 MiB without it). An answer above its limit, or the largest when the sum is exceeded, is given up at once: the connection is closed, response_ended says which limit, the request is tried again or gets its truthful end.

--- a/include/runlink/gateway/gateway.hpp
+++ b/include/runlink/gateway/gateway.hpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "runlink/gateway/header_names.hpp"
+#include "runlink/gateway/held_answers.hpp"
 #include "runlink/gateway/translation.hpp"
 #include "runlink/net/event_reader.hpp"
 #include "runlink/net/http_exchange.hpp"
@@ -33,6 +34,7 @@
     /// far above the round-trip time; a lost packet is retransmitted only after a second.
     core::milliseconds probe_timeout{600};
     core::milliseconds max_rest{1500}; ///< longest idle time after which a connection is reused
+    answer_limits answers;
 };
 
 /// Accepts requests from callers, passes them to a forwarder, and sends its attempts to endpoints.
@@ -99,6 +101,8 @@
     };
     struct attempt
     {
+        explicit attempt(std::size_t& held_total) : held{held_total} {}
+
         core::attempt_id id{};
         routing::flow_id flow{};
         core::endpoint_id endpoint;
@@ -110,6 +114,7 @@
         std::string body;
         std::uint64_t body_bytes = 0; ///< received, whether or not they are kept in `body`
         std::unique_ptr<net::event_reader> events;
+        held_bytes held; ///< of `body`, or of the incomplete event
     };
     using attempt_ptr = std::shared_ptr<attempt>;
 
@@ -124,6 +129,10 @@
     void forward_statement(const attempt& from, const net::http_response_head& head);
     void on_body(const attempt_ptr& it, std::string_view bytes);
     void on_end(const attempt_ptr& it);
+    /// Records what the attempt holds, and ends attempts whose answers exceed the limits.
+    void hold(const attempt_ptr& it);
+    /// Closes the attempt's connection and reports the attempt as lost.
+    void give_up(const attempt_ptr& it, std::string_view limit);
     void on_failed(const attempt_ptr& it, net::exchange_failure why);
     /// Logs how the response to an attempt ended, and the first error of its connection.
     void log_response_end(const attempt& it, std::string_view how, observe::log_rank rank);
@@ -148,6 +157,7 @@
     observe::decision_log& log_;
     observe::metrics& metrics_;
     clock_source clock_;
+    std::size_t held_bytes_ = 0; ///< of all attempts
     net::connection_pool pool_;
     net::http_listener listener_;
     routing::request_forwarder* forwarder_ = nullptr;
--- a/include/runlink/gateway/gateway_settings.hpp
+++ b/include/runlink/gateway/gateway_settings.hpp
@@ -56,6 +56,7 @@
     core::instance_id id;
     core::failure_domain_id failure_domain;
     std::uint32_t link_mbps = 0; ///< bandwidth of the instance's link; 0: unknown
+    std::uint32_t memory_mb = 0; ///< memory that the process may use; 0: unknown
     net::peer_address callers;
     net::peer_address readiness;
     net::peer_address peers; ///< receives datagrams from other instances
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "runlink/gateway/gateway.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "runlink/gateway/statement_reader.hpp"
@@ -155,7 +156,7 @@
 {
     const auto flow = order.flow;
     const auto& from = calls_.at(flow);
-    auto it = std::make_shared<attempt>();
+    auto it = std::make_shared<attempt>(held_bytes_);
     it->id = order.id;
     it->flow = flow;
     it->endpoint = order.endpoint.id;
@@ -200,7 +201,11 @@
     it->head = head;
     it->parsed_head = read_attempt_head(names_, head);
     if (!it->parsed_head.is_event_stream)
+    {
+        if (net::announced_length(head).value_or(0) > options_.answers.max_answer_bytes)
+            give_up(it, "answer_too_large");
         return;
+    }
     it->events = std::make_unique<net::event_reader>(
         [this, it = it.get()](std::string_view event, std::optional<std::uint64_t> id)
         { forwarder_->on_stream_event(clock_(), it->id, event, id); });
@@ -214,13 +219,35 @@
     if (!it->events)
     {
         it->body.append(bytes);
-        return;
+        return hold(it);
     }
     if (!it->events->feed(bytes))
-    {
-        cancel(it->id);
-        forwarder_->on_lost(clock_(), it->id, routing::attempt_loss::broken);
-    }
+        return give_up(it, "event_too_large");
+    hold(it);
+    on_activity();
+}
+
+void gateway::hold(const attempt_ptr& it)
+{
+    it->held.set(it->events ? it->events->rest().size() : it->body.size());
+    if (it->body.size() > options_.answers.max_answer_bytes)
+        return give_up(it, "answer_too_large");
+    if (held_bytes_ <= options_.answers.max_total_bytes)
+        return;
+    const auto less = [](const auto& a, const auto& b)
+    { return a.second->held.get() < b.second->held.get(); };
+    const auto largest = std::max_element(attempts_.begin(), attempts_.end(), less);
+    if (largest != attempts_.end())
+        give_up(attempt_ptr{largest->second}, "answers_too_large");
+}
+
+void gateway::give_up(const attempt_ptr& it, std::string_view limit)
+{
+    log_response_end(*it, limit, observe::log_rank::notable);
+    cancel(it->id);
+    it->body = {};
+    it->held.set(0);
+    forwarder_->on_lost(clock_(), it->id, routing::attempt_loss::broken);
     on_activity();
 }
 
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -36,6 +36,15 @@
 /// The process exits this long before it would be killed.
 constexpr core::milliseconds stop_reserve{300};
 
+gateway_options edge_options(const gateway_settings& settings)
+{
+    constexpr std::size_t bytes_per_mb = 1'000'000;
+    gateway_options out;
+    if (settings.memory_mb > 0)
+        out.answers = answer_limits::for_memory(settings.memory_mb * bytes_per_mb);
+    return out;
+}
+
 } // namespace
 
 std::int64_t gateway_daemon::wall_ms()
@@ -47,9 +56,8 @@
 gateway_daemon::gateway_daemon(gateway_settings settings, deployment_binding binding)
     : settings_{std::move(settings)}, binding_{std::move(binding)}, clock_{[this] { return begin_turn(); }},
       log_{STDOUT_FILENO, {settings_.log_lines_per_second}, settings_.id.str(), wall_ms},
-      gateway_{{}, binding_.headers, log_, metrics_, clock_}, forwarder_{forwarder_options(),
-                                                                         settings_.failure_domain,
-                                                                         settings_.id, gateway_.hooks()},
+      gateway_{edge_options(settings_), binding_.headers, log_, metrics_, clock_},
+      forwarder_{forwarder_options(), settings_.failure_domain, settings_.id, gateway_.hooks()},
       store_{store_options(), settings_.store, binding_.store}, store_port_{store_.port()},
       follower_{{binding_.documents.configuration_key}, store_port_, follower_hooks()},
       gossip_{settings_.id, settings_.failure_domain, [this](const proto::datagram& it) { on_datagram(it); }},
--- a/src/runlink/gateway/gateway_test.cpp
+++ b/src/runlink/gateway/gateway_test.cpp
@@ -4,6 +4,7 @@
 
 #include "runlink/gateway/gateway_settings.hpp"
 #include "runlink/gateway/gossip_link.hpp"
+#include "runlink/gateway/held_answers.hpp"
 #include "runlink/gateway/loop_watch.hpp"
 #include "runlink/gateway/statement_reader.hpp"
 #include "runlink/gateway/translation.hpp"
@@ -235,6 +236,17 @@
         CHECK(bad.error().detail.find(path) != std::string::npos);
 }
 
+TEST_CASE("the memory of a process bounds the answers that it holds")
+{
+    constexpr std::size_t mb = 1'000'000;
+    CHECK(answer_limits::for_memory(260 * mb).max_total_bytes == 65 * mb);
+    CHECK(answer_limits::for_memory(260 * mb).max_answer_bytes == answer_limits{}.max_answer_bytes);
+    CHECK(answer_limits::for_memory(40 * mb).max_answer_bytes == 10 * mb);
+    auto text = settings_text;
+    text.replace(text.find("\"id\""), 4, "\"memory_mb\": 260, \"id\"");
+    CHECK(parse_gateway_settings(text).value().memory_mb == 260);
+}
+
 TEST_CASE("settings without a valid retry budget are rejected")
 {
     const auto good = parse_gateway_settings(settings_text);
