Store: an answer without end is given up at 16 MiB

The body of a store's answer was kept until its deadline, which grows with its length: with bytes until the close, a length of 99,999,999,999 and chunks of 64 KiB a call took 7.9 GB, 8.6 GB and an amount that was not noted, and ended after 18, 35 and 18 s. A body above 16 MiB, or one that is announced longer, is now given up at once as answer_too_large, and its connection is closed.

Before: 'an answer of the store without end ...' failed at each of its three forms; after: passes. The peer that pours is shared with the test of exchanges.

--- a/include/runlink/gateway/http_caller.hpp
+++ b/include/runlink/gateway/http_caller.hpp
@@ -22,7 +22,8 @@
 struct http_caller_options
 {
     core::milliseconds connect_timeout{400};
-    core::milliseconds max_idle_time{10000}; ///< after which a connection is not reused
+    core::milliseconds max_idle_time{10000};         ///< after which a connection is not reused
+    std::size_t max_answer_bytes = 16 * 1024 * 1024; ///< of a body
 };
 
 /// How a call ended.
@@ -61,6 +62,8 @@
     void finish(const call_ptr& it) const;
     /// Reports that there was no whole answer.
     void fail(const call_ptr& it, std::string_view why) const;
+    /// The same, and closes the connection.
+    void give_up(const call_ptr& it, std::string_view why) const;
 
     http_caller_options options_;
     net::peer_address address_;
--- a/src/runlink/gateway/http_caller.cpp
+++ b/src/runlink/gateway/http_caller.cpp
@@ -63,12 +63,17 @@
         it->answer.status = e.status;
         for (const auto& field : e.fields)
             it->answer.fields.emplace_back(field.name, field.value);
-        it->deadline.on_head(clock(), net::announced_length(e));
+        const auto length = net::announced_length(e);
+        if (length.value_or(0) > options_.max_answer_bytes)
+            return give_up(it, "answer_too_large");
+        it->deadline.on_head(clock(), length);
         check_deadline(it);
     };
     out.body = [this, it](std::string_view e)
     {
         it->answer.body.append(e);
+        if (it->answer.body.size() > options_.max_answer_bytes)
+            return give_up(it, "answer_too_large");
         it->deadline.on_bytes(clock());
     };
     out.end = [this, it] { finish(it); };
@@ -81,8 +86,13 @@
     const auto left = std::chrono::ceil<core::milliseconds>(it->deadline.due() - clock());
     if (left > core::milliseconds{0})
         return it->timer.start(left);
+    give_up(it, to_string(it->deadline.reason()));
+}
+
+void http_caller::give_up(const call_ptr& it, std::string_view why) const
+{
     const auto exchange = it->exchange.lock();
-    fail(it, to_string(it->deadline.reason()));
+    fail(it, why);
     if (exchange)
         exchange->abandon();
 }
--- a/src/runlink/net/http_exchange_test.cpp
+++ b/src/runlink/net/http_exchange_test.cpp
@@ -3,9 +3,11 @@
 #include <QCoreApplication>
 
 #include "runlink/net/http_listener.hpp"
+#include "support/endless_peer.hpp"
 #include "support/raw_peer.hpp"
 #include "support/wait_for.hpp"
 
+using runlink::tests::endless_peer;
 using runlink::tests::outcome;
 using runlink::tests::raw_peer;
 using runlink::tests::request;
@@ -236,27 +238,15 @@
          {other + "Content-Length: 99999999999\r\n\r\n", piece},
          {other + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + piece + "\r\n"},
          {"", other + "Content-Length: " + size + "\r\n\r\n" + piece}}));
-    raw_peer peer;
+    endless_peer peer{first, repeated};
     connection_pool pool;
-    std::size_t sent = 0;
-    QTimer pour;
-    const auto is_open = [&] { return peer.socket->state() == QTcpSocket::ConnectedState; };
-    QObject::connect(&pour, &QTimer::timeout, &pour,
-                     [&]
-                     {
-                         if (!is_open() || peer.socket->bytesToWrite() > 0)
-                             return;
-                         peer.send(sent == 0 ? first + repeated : repeated);
-                         sent += repeated.size();
-                     });
-    peer.on_bytes = [&] { pour.start(0); };
     outcome it;
     auto hooks = it.hooks();
     hooks.is_due = [](const http_response_head& head) { return *head.fields.find("Id") == "new"; };
     pool.send(peer.address(), request, {}, hooks);
     CHECK(wait_for([&] { return it.over(); }, std::chrono::seconds{2}));
     CHECK(it.failure == exchange_failure::surplus_too_large);
-    CHECK(wait_for([&] { return !is_open(); }, std::chrono::seconds{1}));
+    CHECK(wait_for([&] { return !peer.is_open(); }, std::chrono::seconds{1}));
     CHECK(pool.busy_count() == 0);
 }
 
--- a/tests/slow_store_test.cpp
+++ b/tests/slow_store_test.cpp
@@ -8,6 +8,7 @@
 #include <QTimer>
 
 #include "runlink/gateway/kv_http_store.hpp"
+#include "support/endless_peer.hpp"
 #include "support/event_loop.hpp"
 #include "support/raw_peer.hpp"
 
@@ -146,3 +147,24 @@
     CHECK(timer.elapsed() >= sending.count());
     CHECK(timer.elapsed() < (sending + noticed_within).count());
 }
+
+TEST_CASE("an answer of the store without end is given up at its limit, and the connection is closed")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string piece(64 * 1024, 'x');
+    const auto [first, repeated] = GENERATE_COPY(table<std::string, std::string>(
+        {{head + "\r\n", piece},
+         {head + "Content-Length: 99999999999\r\n\r\n", piece},
+         {head + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + piece + "\r\n"}}));
+    tests::endless_peer peer{first, repeated};
+    kv_http_store store{{}, peer.address(), plain_wire()};
+    std::optional<control::kv_result<control::kv_page>> result;
+    QElapsedTimer timer;
+    timer.start();
+    store.port().list({}, [&](const auto& it) { result = it; });
+    net::run_until([&] { return result.has_value() && !peer.is_open(); });
+    CHECK(timer.elapsed() < 2000);
+    CHECK(peer.sent < 2 * http_caller_options{}.max_answer_bytes);
+    REQUIRE(result);
+    CHECK(std::holds_alternative<control::kv_error>(*result));
+}
