--- a/src/runlink/net/http_codec.cpp
+++ b/src/runlink/net/http_codec.cpp
@@ -85,6 +85,22 @@
     void on_finish_impl(error_code&) override {}
 };
 
+/// Parses and removes buffered bytes. `needs_more` tells whether what is left continues with later bytes.
+template <class Parser>
+codec_error parse_some(Parser& it, std::string& buffered, framing_limit& framing, bool& needs_more)
+{
+    const auto body_before = it.body_bytes;
+    error_code ec;
+    const auto used = it.put(boost::asio::buffer(buffered), ec);
+    buffered.erase(0, used);
+    if (ec && ec != http::error::need_more)
+        return to_codec_error(ec);
+    framing.add(used, it.body_bytes - body_before);
+    needs_more = !it.is_done() && (ec == http::error::need_more || used == 0);
+    return framing.is_exceeded(needs_more ? buffered.size() : 0) ? codec_error::header_too_large
+                                                                 : codec_error::none;
+}
+
 } // namespace
 
 void framing_limit::add(std::size_t consumed, std::uint64_t body)
@@ -207,16 +223,9 @@
         }
         if (!parser_->is_header_done() && has_folded_line(rest_))
             return codec_error::malformed;
-        error_code ec;
-        const auto body_before = parser_->body_bytes;
-        const auto used = parser_->put(boost::asio::buffer(rest_), ec);
-        rest_.erase(0, used);
-        if (ec && ec != http::error::need_more)
-            return to_codec_error(ec);
-        framing_.add(used, parser_->body_bytes - body_before);
-        const bool needs_more = !parser_->is_done() && (ec == http::error::need_more || used == 0);
-        if (framing_.is_exceeded(needs_more ? rest_.size() : 0))
-            return codec_error::header_too_large;
+        bool needs_more = false;
+        if (const auto ec = parse_some(*parser_, rest_, framing_, needs_more); ec != codec_error::none)
+            return ec;
         if (parser_->is_done())
         {
             complete_ = true;
@@ -293,16 +302,9 @@
             parser_->on_head = handlers_.head;
             parser_->body = handlers_.body;
         }
-        error_code ec;
-        const auto body_before = parser_->body_bytes;
-        const auto used = parser_->put(boost::asio::buffer(rest_), ec);
-        rest_.erase(0, used);
-        if (ec && ec != http::error::need_more)
-            return to_codec_error(ec);
-        framing_.add(used, parser_->body_bytes - body_before);
-        const bool needs_more = !parser_->is_done() && (ec == http::error::need_more || used == 0);
-        if (framing_.is_exceeded(needs_more ? rest_.size() : 0))
-            return codec_error::header_too_large;
+        bool needs_more = false;
+        if (const auto ec = parse_some(*parser_, rest_, framing_, needs_more); ec != codec_error::none)
+            return ec;
         if (parser_->is_done())
         {
             const bool interim = parser_->is_interim();
