Tests: instances of process_test listen where no other process takes their ports

Cause: the test drew ports, freed them, and the instances bound them later, also when they were started again; until then another run, or an outgoing connection of any process, could have them. Two ports of a group could be the same.

The instances of a process now listen on a loopback address of its own (127.64.0.0/10 by its id), where no other process looks for ports, and all ports of a group are drawn before the first is freed.

--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <QTcpServer>
+
 #include "support/event_loop.hpp"
 #include "support/process_group.hpp"
 
@@ -362,3 +364,14 @@
     REQUIRE(it.waitForFinished());
     CHECK(it.exitCode() == 2);
 }
+
+TEST_CASE("an instance starts again though its port was taken on the common loopback address meanwhile")
+{
+    // Guards against ports that are drawn, freed and lost to another test run or to an outgoing connection.
+    process_group it{1};
+    it.kill_instance(0);
+    QTcpServer other;
+    REQUIRE(other.listen(QHostAddress::LocalHost, it.port_of_instance(0)));
+    it.start_instance(0);
+    CHECK(it.get(0, "/healthz")->result.status == 200);
+}
--- a/tests/support/process_group.cpp
+++ b/tests/support/process_group.cpp
@@ -4,6 +4,8 @@
 #include <fstream>
 #include <stdexcept>
 
+#include <unistd.h>
+
 #include <QTcpServer>
 
 #include "runlink/app/caller_request_reader.hpp"
@@ -19,11 +21,26 @@
 
 constexpr const char* local = "127.0.0.1";
 
-std::uint16_t free_port()
+/// A loopback address of this process's own. Ports that are free there stay so while an instance does not
+/// run: other test runs and outgoing connections use other addresses.
+std::string own_address()
+{
+    constexpr std::uint32_t first = 0x7f400000; // 127.64.0.0
+    constexpr std::uint32_t count = 1U << 22U;  // above the largest process id
+    return QHostAddress{first + static_cast<std::uint32_t>(getpid()) % count}.toString().toStdString();
+}
+
+/// Different free ports: all are drawn before the first is released.
+std::vector<std::uint16_t> free_ports(const std::string& address, std::size_t count)
 {
-    QTcpServer it;
-    it.listen(QHostAddress{local});
-    return it.serverPort();
+    std::vector<QTcpServer> servers(count);
+    std::vector<std::uint16_t> out;
+    for (auto& it : servers)
+    {
+        it.listen(QHostAddress{QString::fromStdString(address)});
+        out.push_back(it.serverPort());
+    }
+    return out;
 }
 
 void throw_unless(bool holds, const char* what)
@@ -34,15 +51,16 @@
 
 } // namespace
 
-process_group::process_group(int instances, int engines)
+process_group::process_group(int instances, int engines) : address_{own_address()}
 {
     platform_ = start_standin(RUNLINK_STANDIN_PLATFORM, {});
     service_ = start_standin(RUNLINK_STANDIN_ENDPOINT, {});
     for (int n = 0; n < engines; ++n)
         engines_.push_back(
             start_standin(RUNLINK_STANDIN_ENDPOINT, {"--incarnation", QString::number(100 + n)}));
-    for (int n = 0; n < instances; ++n)
-        instances_.push_back({nullptr, free_port(), free_port()});
+    const auto ports = free_ports(address_, 2 * static_cast<std::size_t>(instances));
+    for (std::size_t n = 0; n < ports.size(); n += 2)
+        instances_.push_back({nullptr, ports[n], ports[n + 1]});
     for (int n = 0; n < instances; ++n)
         start_instance(n);
     apply({{"configuration", first_configuration()}});
@@ -89,14 +107,14 @@
 {
     json seeds = json::array();
     for (const auto& it : instances_)
-        seeds.push_back(std::string{local} + ":" + std::to_string(it.peer_port));
+        seeds.push_back(address_ + ":" + std::to_string(it.peer_port));
     const auto& it = instances_.at(n);
     const json doc{
         {"deployment", "test"},
         {"instance", {{"id", "i" + std::to_string(n)}, {"failure_domain", "d" + std::to_string(n)}}},
         {"listen",
-         {{"callers", std::string{local} + ":" + std::to_string(it.port)},
-          {"peers", std::string{local} + ":" + std::to_string(it.peer_port)}}},
+         {{"callers", address_ + ":" + std::to_string(it.port)},
+          {"peers", address_ + ":" + std::to_string(it.peer_port)}}},
         {"seeds", seeds},
         {"expected_instances", instances_.size()},
         {"store", {{"host", local}, {"port", platform_.port}, {"timeout_ms", 300}}},
@@ -167,25 +185,25 @@
 
 json process_group::control(int endpoint, const json& switches)
 {
-    return json::parse(await(send(port_of(endpoint), "POST", "/control", switches.dump(), {}))->body);
+    return json::parse(await(send(local, port_of(endpoint), "POST", "/control", switches.dump(), {}))->body);
 }
 
 json process_group::counts(int endpoint)
 {
-    return json::parse(await(send(port_of(endpoint), "GET", "/control", "", {}))->body);
+    return json::parse(await(send(local, port_of(endpoint), "GET", "/control", "", {}))->body);
 }
 
 void process_group::list_instances(const json& list)
 {
-    await(send(platform_.port, "POST", "/control/instances", list.dump(), {}));
+    await(send(local, platform_.port, "POST", "/control/instances", list.dump(), {}));
 }
 
-answer_ptr process_group::send(std::uint16_t port, const std::string& method, const std::string& path,
-                               const std::string& body, net::header_list headers)
+answer_ptr process_group::send(const std::string& host, std::uint16_t port, const std::string& method,
+                               const std::string& path, const std::string& body, net::header_list headers)
 {
     net::http_call it;
     it.method = method;
-    it.host = local;
+    it.host = host;
     it.port = port;
     it.path = path;
     it.body = body;
@@ -212,8 +230,7 @@
 {
     headers.emplace_back("Authorization", "Bearer " + key);
     headers.emplace_back("Content-Type", "application/json");
-    return send(instances_.at(static_cast<std::size_t>(instance)).port, "POST", path, body,
-                std::move(headers));
+    return send(address_, port_of_instance(instance), "POST", path, body, std::move(headers));
 }
 
 answer_ptr process_group::call(int instance, const std::string& path, const std::string& body,
@@ -224,8 +241,8 @@
 
 answer_ptr process_group::get(int instance, const std::string& path, const std::string& key)
 {
-    return await(send(instances_.at(static_cast<std::size_t>(instance)).port, "GET", path, "",
-                      {{"Authorization", "Bearer " + key}}));
+    return await(
+        send(address_, port_of_instance(instance), "GET", path, "", {{"Authorization", "Bearer " + key}}));
 }
 
 json process_group::status(int instance)
@@ -284,13 +301,13 @@
     std::map<std::string, std::vector<core::ledger_entry>> out;
     const auto codec = proto::make_ledger_codec();
     const auto keys =
-        json::parse(await(send(platform_.port, "GET", "/control/keys?prefix=ledger/", "", {}))->body);
+        json::parse(await(send(local, platform_.port, "GET", "/control/keys?prefix=ledger/", "", {}))->body);
     for (const auto& key : keys)
     {
         const auto name = key.get<std::string>();
         if (name.find("checkpoint") != std::string::npos)
             continue;
-        const auto value = await(send(platform_.port, "GET", "/v1/kv/" + name, "", {}))->body;
+        const auto value = await(send(local, platform_.port, "GET", "/v1/kv/" + name, "", {}))->body;
         const auto segment = codec.decode_segment(value).value();
         for (const auto& it : segment.entries)
             if (it.kind == core::entry_kind::settle)
--- a/tests/support/process_group.hpp
+++ b/tests/support/process_group.hpp
@@ -39,6 +39,7 @@
     ~process_group();
 
     void start_instance(int n);
+    std::uint16_t port_of_instance(int n) const { return instances_.at(static_cast<std::size_t>(n)).port; }
     QProcess& instance(int n) { return *instances_.at(n).process; }
     void signal_instance(int n, int signal);
     void kill_instance(int n);
@@ -77,14 +78,15 @@
     };
 
     started start_standin(const char* program, const QStringList& arguments);
-    answer_ptr send(std::uint16_t port, const std::string& method, const std::string& path,
-                    const std::string& body, net::header_list headers);
+    answer_ptr send(const std::string& host, std::uint16_t port, const std::string& method,
+                    const std::string& path, const std::string& body, net::header_list headers);
     answer_ptr await(answer_ptr it);
     std::uint16_t port_of(int endpoint) const;
     nlohmann::json first_configuration() const;
     void write_settings(int n);
 
     QTemporaryDir directory_;
+    std::string address_; ///< where the instances listen
     net::http_client client_;
     started platform_;
     started service_;
