--- a/src/runlink/gateway/endless_answers_test.cpp
+++ b/src/runlink/gateway/endless_answers_test.cpp
@@ -1,4 +1,5 @@
-// Endpoints whose answers go on without end, until the gateway closes the connection.
+// Answers of endpoints, and requests of callers, that go on without end until the gateway closes the
+// connection.
 
 #include <catch2/catch.hpp>
 
@@ -181,3 +182,27 @@
     CHECK(small->body == "ok");
     CHECK(it.log().find("answers_too_large") != std::string::npos);
 }
+
+TEST_CASE("a caller's request without end is rejected at its limit, and the connection is closed")
+{
+    const std::string head = "POST /x HTTP/1.1\r\nHost: h\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string piece(piece_bytes, 'x');
+    const auto [first, repeated] = GENERATE_COPY(
+        table<std::string, std::string>({{"", piece},
+                                         {head + "X: ", piece},
+                                         {chunked + "1;", piece},
+                                         {chunked + "0\r\nX: ", piece},
+                                         {chunked, "10000\r\n" + piece + "\r\n"},
+                                         {head + "Content-Length: 99999999999\r\n\r\n", piece}}));
+    served_gateway it{route_of(route_kind::unsafe, 1)};
+    const auto memory = memory_bytes();
+    pourer pour{first, repeated};
+    QTcpSocket caller;
+    caller.connectToHost(QHostAddress::LocalHost, it.port());
+    REQUIRE(wait_for([&] { return caller.state() == QTcpSocket::ConnectedState; }));
+    pour.script()(caller);
+    CHECK(wait_for([&] { return pour.open == 0; }, std::chrono::seconds{2}));
+    CHECK(memory_bytes() < memory + max_memory_growth);
+    CHECK(it.log().find(R"("event":"refused")") != std::string::npos);
+}
