HTTP: requests in a row that are refused at once do not use up the stack

Callers saw: one caller that sends 20,000 small requests in a row, each refused at once, ended the process (SIGSEGV). Cause: finish() began the next request inside the handler of the last, so that each one took another level of the stack; and its answers were written however many lay unread. Why it holds: one loop per connection handles the requests; a response that is finished inside its handler returns to it. It hands over to the event loop after 64 requests, and waits while more than 64 KiB are unread by the caller.

--- a/include/runlink/net/http_listener.hpp
+++ b/include/runlink/net/http_listener.hpp
@@ -80,6 +80,10 @@
 private:
     bool has_unread_bytes() const;
     void on_readable();
+    /// Handles requests in sequence until one waits for its response or no bytes are left.
+    void read_requests();
+    /// Parses what is buffered, or else what has arrived. False if there is nothing.
+    bool read_request();
     void on_disconnected();
     void on_result(codec_error ec);
     void end_after_flush();
@@ -90,6 +94,9 @@
     http_request_head head_;
     std::string body_;
     core::time_point last_activity_;
+    QTimer resume_timer_;
+    bool is_reading_ = false;
+    bool next_is_due_ = false; ///< the last response is finished, and the next request is not begun
     bool busy_ = false;
     bool ending_ = false;
     bool closed_ = false;
--- a/src/runlink/net/http_listener.cpp
+++ b/src/runlink/net/http_listener.cpp
@@ -16,6 +16,10 @@
 /// Room for a burst of new connections, such as all callers of a failed instance reconnecting at once.
 constexpr int listen_backlog = 512;
 constexpr qint64 read_buffer_bytes = 256 * 1024;
+/// Requests of one connection that are handled before the event loop runs again.
+constexpr std::size_t max_requests_a_turn = 64;
+/// While more bytes than this wait for the caller, its next request is not read.
+constexpr std::size_t max_unsent_before_next = 64 * 1024;
 
 } // namespace
 
@@ -36,6 +40,9 @@
     socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
     QObject::connect(socket_.get(), &QTcpSocket::readyRead, socket_.get(), [this] { on_readable(); });
     QObject::connect(socket_.get(), &QTcpSocket::disconnected, socket_.get(), [this] { on_disconnected(); });
+    QObject::connect(socket_.get(), &QTcpSocket::bytesWritten, socket_.get(), [this] { read_requests(); });
+    resume_timer_.setSingleShot(true);
+    QObject::connect(&resume_timer_, &QTimer::timeout, &resume_timer_, [this] { read_requests(); });
 }
 
 caller_connection::~caller_connection()
@@ -50,15 +57,46 @@
 
 void caller_connection::on_readable()
 {
-    // Bytes after a request stay in the socket's bounded buffer until the request has its response.
-    if (busy_)
+    if (!busy_)
+        last_activity_ = core::runtime_clock::now();
+    read_requests();
+}
+
+void caller_connection::read_requests()
+{
+    // A response that is finished inside its handler returns here: the loop below goes on with the next
+    // request.
+    if (is_reading_)
         return;
     const auto self = shared_from_this();
-    last_activity_ = core::runtime_clock::now();
+    is_reading_ = true;
+    std::size_t requests = 0;
+    // Bytes after a request stay in the socket's bounded buffer until the request has its response.
+    while (!busy_ && !closed_ && !ending_ && unsent_bytes() <= max_unsent_before_next)
+    {
+        if (++requests > max_requests_a_turn)
+        {
+            resume_timer_.start(0);
+            break;
+        }
+        if (!read_request())
+            break;
+    }
+    is_reading_ = false;
+}
+
+bool caller_connection::read_request()
+{
+    if (std::exchange(next_is_due_, false))
+    {
+        on_result(reader_.next());
+        return true;
+    }
     const auto bytes = socket_->readAll();
-    if (ending_)
-        return;
+    if (bytes.isEmpty())
+        return false;
     on_result(reader_.feed({bytes.data(), static_cast<std::size_t>(bytes.size())}));
+    return true;
 }
 
 void caller_connection::on_result(codec_error ec)
@@ -88,10 +126,8 @@
     last_activity_ = core::runtime_clock::now();
     if (close || !head_.keep_alive)
         return end_after_flush();
-    const auto self = shared_from_this();
-    on_result(reader_.next());
-    if (!busy_ && !closed_ && socket_->bytesAvailable() > 0)
-        on_readable();
+    next_is_due_ = true;
+    read_requests();
 }
 
 void caller_connection::end_after_flush()
--- a/tests/caller_crowd_test.cpp
+++ b/tests/caller_crowd_test.cpp
@@ -129,6 +129,15 @@
     check_bounds(it);
 }
 
+TEST_CASE("requests in a row that are refused at once, by one caller that reads nothing")
+{
+    constexpr std::size_t requests = 20'000;
+    const std::string request = "GET / HTTP/1.1\r\nHost: none\r\n\r\n";
+    crowded_instance it;
+    it.crowd(1, {[] { return std::string{}; }, request, requests * request.size()});
+    check_bounds(it);
+}
+
 TEST_CASE("more connections than descriptors")
 {
     const std::size_t bytes = GENERATE(as<std::size_t>{}, 0, 15 * kilobyte);
