--- a/include/runlink/core/ids.hpp
+++ b/include/runlink/core/ids.hpp
@@ -66,6 +66,7 @@
 using session_id = strong_string<struct session_tag>;
 using version_id = strong_string<struct version_tag>;
 
+using connection_id = strong_number<struct connection_tag>;
 using attempt_id = strong_number<struct attempt_tag>;
 /// Orders the starts of one endpoint; a later one has a higher number. 0: not reported by the endpoint.
 using endpoint_incarnation = strong_number<struct endpoint_incarnation_tag>;
