Gateway: callers that don't behave do not take the memory and descriptors of an instance

Callers saw: 48 callers with bodies of 4 MiB ended a process on its machine (254 to 484 MB of 96 MB in caller_crowd_test), and 400 connections took all descriptors, after which nobody was answered.

Cause: nothing owned the sum of what is held for callers. Each bound was one of a connection; a growing body took up to twice its content and a sent one its copies; freed blocks stayed with the allocator; a byte now and then renewed the timeout for ever; an unread answer was held to the end.

Now the listener asks core::caller_budget before memory is spent: at the head for a body that tells its length, as it grows for one in chunks. Answers of endpoints, bytes behind a request and unread answers are in the same sum, which follows instance.memory_mb; connections follow instance.descriptors. Without room a request is refused at once (503, not run, Retry-After 1 s), and one that makes no progress gives way. It comes in one commit with what the refusals need: a head must be whole within headerTimeoutMs of its first byte and a body arrives at 1 KiB a second (408, not run; before 400, or never); what still comes after a refusal is read and dropped for 2 s and 4 MiB, so that a reset does not take the refusal; an answer that nobody reads ends after idleTimeoutMs.

Why it holds: what is admitted is counted with all copies that it may need; who gives way releases in the same turn.

--- a/include/runlink/gateway/gateway.hpp
+++ b/include/runlink/gateway/gateway.hpp
@@ -35,6 +35,7 @@
     core::milliseconds probe_timeout{600};
     core::milliseconds max_rest{1500}; ///< longest idle time after which a connection is reused
     answer_limits answers;
+    core::caller_budget_limits callers; ///< of all that is held for callers, answers included
 };
 
 /// Accepts requests from callers, passes them to a forwarder, and sends its attempts to endpoints.
@@ -54,6 +55,7 @@
     /// Returns the port in use, which the system chooses if `port` is 0.
     core::result<std::uint16_t> listen(const std::string& host, std::uint16_t port);
     net::http_listener& listener() { return listener_; }
+    const net::http_listener& listener() const { return listener_; }
     const net::connection_pool& pool() const { return pool_; }
     /// From now on, answers tell callers to close their connections.
     void begin_stop() { is_stopping_ = true; }
@@ -119,7 +121,7 @@
     using attempt_ptr = std::shared_ptr<attempt>;
 
     void on_request(const connection_ptr& from, const net::http_request_head& head, std::string body);
-    void on_bad_request(const connection_ptr& from, net::codec_error ec);
+    void on_bad_request(const connection_ptr& from, net::request_fault fault);
     void refuse(const connection_ptr& to, const routing::refusal& why, const std::string& request);
 
     void start(const routing::attempt_order& order);
@@ -131,6 +133,9 @@
     void on_end(const attempt_ptr& it);
     /// Records what the attempt holds, and ends attempts whose answers exceed the limits.
     void hold(const attempt_ptr& it);
+    /// Drops what the attempt holds of its answer.
+    void release(attempt& it);
+    void update_held_answers();
     /// Closes the attempt's connection and reports the attempt as lost.
     void give_up(const attempt_ptr& it, std::string_view limit);
     void on_failed(const attempt_ptr& it, net::exchange_failure why);
--- a/include/runlink/gateway/gateway_settings.hpp
+++ b/include/runlink/gateway/gateway_settings.hpp
@@ -57,6 +57,8 @@
     core::failure_domain_id failure_domain;
     std::uint32_t link_mbps = 0; ///< bandwidth of the instance's link; 0: unknown
     std::uint32_t memory_mb = 0; ///< memory that the process may use; 0: unknown
+    /// Descriptors that the process may use; 0: as many as its own limit (RLIMIT_NOFILE) allows.
+    std::uint32_t descriptors = 0;
     net::peer_address callers;
     net::peer_address readiness;
     net::peer_address peers; ///< receives datagrams from other instances
--- a/include/runlink/net/http_codec.hpp
+++ b/include/runlink/net/http_codec.hpp
@@ -30,7 +30,7 @@
 class http_fields
 {
 public:
-    void add(std::string name, std::string value) { all_.push_back({std::move(name), std::move(value)}); }
+    void add(std::string name, std::string value);
     /// Returns the value of the first field with this name, or null.
     const std::string* find(std::string_view name) const;
     std::size_t count(std::string_view name) const;
@@ -39,9 +39,12 @@
 
     auto begin() const { return all_.begin(); }
     auto end() const { return all_.end(); }
+    /// Memory that the fields need, at most.
+    std::size_t held_bytes() const { return held_bytes_; }
 
 private:
     std::vector<http_field> all_;
+    std::size_t held_bytes_ = 0;
 };
 
 /// Request line and header fields of a request.
@@ -72,7 +75,7 @@
 };
 
 /// The length of the body that `Content-Length` states; nothing without it.
-std::optional<std::uint64_t> announced_length(const http_response_head& it);
+std::optional<std::uint64_t> announced_length(const http_fields& it);
 
 /// Why a reader rejected its input.
 enum class codec_error
@@ -134,6 +137,10 @@
     codec_error next();
     /// Whether a request has been received in part.
     bool in_message() const;
+    /// Memory of what is buffered and of the fields read so far.
+    std::size_t held_bytes() const;
+    /// Forgets what is buffered. The connection cannot be read on. Not to be called from a handler.
+    void drop();
 
 private:
     struct parser;
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -10,9 +10,13 @@
 namespace
 {
 
+/// A caller with fewer unsent bytes than this is not taken for one that does not read.
+constexpr std::size_t min_unsent_bytes = 64 * 1024;
 constexpr int status_bad_request = 400;
+constexpr int status_request_timeout = 408;
 constexpr int status_body_too_large = 413;
 constexpr int status_header_too_large = 431;
+constexpr int status_unavailable = 503;
 
 routing::attempt_loss loss_of(net::exchange_failure it)
 {
@@ -25,6 +29,25 @@
     }
 }
 
+/// The refusal of a request that was not received to its end. `retry_after` is the time after which callers
+/// without progress give way to others.
+routing::refusal refusal_for(net::request_fault it, core::milliseconds retry_after)
+{
+    switch (it)
+    {
+    case net::request_fault::malformed:
+        return {status_bad_request, true, {core::errc::malformed_request, "bytes"}};
+    case net::request_fault::header_too_large:
+        return {status_header_too_large, true, {core::errc::malformed_request, "header"}};
+    case net::request_fault::body_too_large:
+        return {status_body_too_large, true, {core::errc::body_too_large, "body"}};
+    case net::request_fault::timed_out:
+        return {status_request_timeout, true, {core::errc::deadline_exceeded, "header_timeout"}};
+    case net::request_fault::no_room: break;
+    }
+    return {status_unavailable, true, {core::errc::overloaded, "memory", retry_after}};
+}
+
 std::string_view to_string(net::body_framing it)
 {
     switch (it)
@@ -43,8 +66,14 @@
     : options_{options}, names_{std::move(names)}, log_{log}, metrics_{metrics}, clock_{std::move(clock)},
       listener_{[this](const connection_ptr& from, const net::http_request_head& head, std::string body)
                 { on_request(from, head, std::move(body)); },
-                [this](const connection_ptr& from, net::codec_error ec) { on_bad_request(from, ec); }}
+                [this](const connection_ptr& from, net::request_fault why) { on_bad_request(from, why); },
+                options.callers}
 {
+    listener_.on_connection_refused = [this]
+    {
+        log_.write(clock_(), observe::log_line{"connection_refused"}.text("limit", "connections"),
+                   observe::log_rank::notable);
+    };
 }
 
 core::result<std::uint16_t> gateway::listen(const std::string& host, std::uint16_t port)
@@ -122,19 +151,18 @@
     on_activity();
 }
 
-void gateway::on_bad_request(const connection_ptr& from, net::codec_error ec)
+void gateway::on_bad_request(const connection_ptr& from, net::request_fault fault)
 {
-    routing::refusal why{status_bad_request, true, {core::errc::malformed_request, "bytes"}};
-    if (ec == net::codec_error::header_too_large)
-        why = {status_header_too_large, true, {core::errc::malformed_request, "header"}};
-    if (ec == net::codec_error::body_too_large)
-        why = {status_body_too_large, true, {core::errc::body_too_large, "body"}};
+    const auto why = refusal_for(fault, listener_.budget().limits().stall_time);
     from->write(write_refusal(why, {}, true));
-    from->finish(true);
-    log_.write(
-        clock_(),
-        observe::log_line{"refused"}.text("reason", to_string(why.why.code)).number("status", why.status),
-        observe::log_rank::notable);
+    from->refuse_rest();
+    log_.write(clock_(),
+               observe::log_line{"refused"}
+                   .text("reason", to_string(why.why.code))
+                   .text("limit", why.why.detail)
+                   .number("status", why.status)
+                   .number("held_bytes", static_cast<std::int64_t>(listener_.budget().held_bytes())),
+               observe::log_rank::notable);
 }
 
 void gateway::refuse(const connection_ptr& to, const routing::refusal& why, const std::string& request)
@@ -202,7 +230,7 @@
     it->parsed_head = read_attempt_head(names_, head);
     if (!it->parsed_head.is_event_stream)
     {
-        if (net::announced_length(head).value_or(0) > options_.answers.max_answer_bytes)
+        if (net::announced_length(head.fields).value_or(0) > options_.answers.max_answer_bytes)
             give_up(it, "answer_too_large");
         return;
     }
@@ -232,7 +260,8 @@
     it->held.set(it->events ? it->events->rest().size() : it->body.size());
     if (it->body.size() > options_.answers.max_answer_bytes)
         return give_up(it, "answer_too_large");
-    if (held_bytes_ <= options_.answers.max_total_bytes)
+    const auto share = listener_.budget().share_for(it->held.get());
+    if (held_bytes_ <= options_.answers.max_total_bytes && listener_.hold_answers(held_bytes_, share))
         return;
     const auto less = [](const auto& a, const auto& b)
     { return a.second->held.get() < b.second->held.get(); };
@@ -241,12 +270,24 @@
         give_up(attempt_ptr{largest->second}, "answers_too_large");
 }
 
+void gateway::release(attempt& it)
+{
+    it.body = {};
+    it.held.set(0);
+    update_held_answers();
+}
+
+void gateway::update_held_answers()
+{
+    // Less than before, so there is room.
+    (void)listener_.hold_answers(held_bytes_, core::budget_share::ordinary);
+}
+
 void gateway::give_up(const attempt_ptr& it, std::string_view limit)
 {
     log_response_end(*it, limit, observe::log_rank::notable);
     cancel(it->id);
-    it->body = {};
-    it->held.set(0);
+    release(*it);
     forwarder_->on_lost(clock_(), it->id, routing::attempt_loss::broken);
     on_activity();
 }
@@ -263,6 +304,7 @@
     else
         forwarder_->on_stream_end(now, it->id);
     attempts_.erase(it->id);
+    release(*it);
     on_activity();
 }
 
@@ -271,6 +313,7 @@
     if (loss_of(why) == routing::attempt_loss::broken)
         log_response_end(*it, to_string(why), observe::log_rank::notable);
     attempts_.erase(it->id);
+    release(*it);
     forwarder_->on_lost(clock_(), it->id, loss_of(why));
     on_activity();
 }
@@ -345,6 +388,7 @@
         return;
     if (const auto it = found.mapped()->exchange.lock())
         it->abandon();
+    release(*found.mapped());
 }
 
 // Answers to callers
@@ -354,13 +398,17 @@
     const auto to = take_call(flow);
     if (!to)
         return;
-    const auto& from = *attempts_.at(id);
+    auto& from = *attempts_.at(id);
     auto fields = forwarded_fields(from.head);
     const bool close = is_stopping_ || to->connection->wants_close();
     if (close)
         fields.add("Connection", "close");
     fields.add("Content-Length", std::to_string(from.body.size()));
-    to->connection->write(net::write_response_head(from.head.status, from.head.reason, fields) + from.body);
+    // From here on the answer is held by the connection.
+    const auto body = std::exchange(from.body, {});
+    release(from);
+    to->connection->write(net::write_response_head(from.head.status, from.head.reason, fields));
+    to->connection->write(body);
     to->connection->finish(close);
 }
 
@@ -382,7 +430,8 @@
         return;
     const auto to = found->second.connection;
     to->write(net::write_chunk(bytes));
-    if (to->unsent_bytes() <= options_.max_unsent_bytes)
+    if (to->unsent_bytes() <= options_.max_unsent_bytes &&
+        (to->has_room() || to->unsent_bytes() <= min_unsent_bytes))
         return;
     log_.write(clock_(), observe::log_line{"caller_reads_nothing"}.text("request", found->second.request_id),
                observe::log_rank::notable);
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include "runlink/core/hash.hpp"
@@ -36,12 +37,24 @@
 /// The process exits this long before it would be killed.
 constexpr core::milliseconds stop_reserve{300};
 
+/// Descriptors that this process may open; 0: unknown.
+std::size_t descriptor_limit(const gateway_settings& settings)
+{
+    if (settings.descriptors > 0)
+        return settings.descriptors;
+    rlimit it{};
+    const bool is_known = getrlimit(RLIMIT_NOFILE, &it) == 0 && it.rlim_cur != RLIM_INFINITY;
+    return is_known ? static_cast<std::size_t>(it.rlim_cur) : 0;
+}
+
 gateway_options edge_options(const gateway_settings& settings)
 {
     constexpr std::size_t bytes_per_mb = 1'000'000;
+    const auto memory = settings.memory_mb * bytes_per_mb;
     gateway_options out;
-    if (settings.memory_mb > 0)
-        out.answers = answer_limits::for_memory(settings.memory_mb * bytes_per_mb);
+    if (memory > 0)
+        out.answers = answer_limits::for_memory(memory);
+    out.callers = core::caller_budget_limits::for_process(memory, descriptor_limit(settings));
     return out;
 }
 
@@ -70,9 +83,9 @@
       join_{{}, settings_.id, seeds(), join_hooks()}, duties_{settings_.duties, settings_.id, binding_.duties,
                                                               binding_.documents, duty_hooks()},
       readiness_{[this](const auto& from, const auto&, const std::string&) { on_readiness(from); },
-                 [](const auto& from, net::codec_error) { from->reset(); }},
+                 [](const auto& from, net::request_fault) { from->reset(); }},
       metrics_listener_{[this](const auto& from, const auto&, const std::string&) { on_metrics(from); },
-                        [](const auto& from, net::codec_error) { from->reset(); }}
+                        [](const auto& from, net::request_fault) { from->reset(); }}
 {
     gateway_.attach(forwarder_);
     connect_path_hooks();
--- a/src/runlink/gateway/gateway_daemon_metrics.cpp
+++ b/src/runlink/gateway/gateway_daemon_metrics.cpp
@@ -9,6 +9,7 @@
 {
     const auto& n = forwarder_.counters();
     const auto& calls = store_.counters();
+    const auto& callers = gateway_.listener().budget();
     const auto counter = [](std::string name, std::string help, std::uint64_t value) {
         return observe::plain_metric{std::move(name), std::move(help), true, static_cast<double>(value)};
     };
@@ -84,6 +85,18 @@
                 carrier_.counters().unreached),
         counter("runlink_carrier_bytes_total", "Bytes of endpoints carried for other instances",
                 carrier_.counters().bytes),
+        gauge("runlink_caller_bytes", "Bytes held for callers, of those that the budget allows",
+              static_cast<double>(callers.held_bytes())),
+        gauge("runlink_caller_bytes_limit", "Bytes that may be held for callers",
+              static_cast<double>(callers.limits().max_bytes)),
+        gauge("runlink_caller_connections", "Connections of callers",
+              static_cast<double>(callers.connection_count())),
+        counter("runlink_caller_connections_refused_total", "New connections closed unread for want of room",
+                callers.totals().refused_connections),
+        counter("runlink_caller_requests_refused_total", "Requests refused or cut short for want of memory",
+                callers.totals().refused_requests),
+        counter("runlink_callers_displaced_total", "Connections that gave way to others",
+                callers.totals().displaced),
         gauge("runlink_paths_lost", "Whether the paths to a failure domain are lost",
               forwarder_.paths().is_any_lost() ? 1 : 0),
         counter("runlink_waited_for_place_total", "Requests that waited until an endpoint might be sent to",
--- a/src/runlink/gateway/gateway_settings.cpp
+++ b/src/runlink/gateway/gateway_settings.cpp
@@ -18,6 +18,7 @@
 constexpr std::int64_t max_ms = 600'000;
 constexpr double max_s = 3600;
 constexpr double max_mbps = 1'000'000;
+constexpr std::int64_t max_descriptors = 10'000'000;
 constexpr double max_memory_mb = 1'000'000;
 constexpr std::int64_t max_lines_per_second = 1'000'000;
 
@@ -187,6 +188,8 @@
                  out.failure_domain = core::failure_domain_id{e.required_string("failure_domain")};
                  out.memory_mb =
                      static_cast<std::uint32_t>(e.optional_number("memory_mb", 0, 0, max_memory_mb));
+                 out.descriptors =
+                     static_cast<std::uint32_t>(e.optional_integer("descriptors", 0, 0, max_descriptors));
                  out.link_mbps = static_cast<std::uint32_t>(e.optional_number("link_mbps", 0, 0, max_mbps));
              });
     required("listen",
--- a/src/runlink/gateway/http_caller.cpp
+++ b/src/runlink/gateway/http_caller.cpp
@@ -63,7 +63,7 @@
         it->answer.status = e.status;
         for (const auto& field : e.fields)
             it->answer.fields.emplace_back(field.name, field.value);
-        const auto length = net::announced_length(e);
+        const auto length = net::announced_length(e.fields);
         if (length.value_or(0) > options_.max_answer_bytes)
             return give_up(it, "answer_too_large");
         it->deadline.on_head(clock(), length);
--- a/src/runlink/net/http_codec.cpp
+++ b/src/runlink/net/http_codec.cpp
@@ -120,6 +120,13 @@
     return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), same);
 }
 
+void http_fields::add(std::string name, std::string value)
+{
+    // A vector that grows has room for up to twice its elements.
+    held_bytes_ += 2 * sizeof(http_field) + name.size() + value.size();
+    all_.push_back({std::move(name), std::move(value)});
+}
+
 const std::string* http_fields::find(std::string_view name) const
 {
     for (const auto& it : all_)
@@ -194,6 +201,17 @@
     return !complete_ && (parser_ || !rest_.empty());
 }
 
+std::size_t http_request_reader::held_bytes() const
+{
+    return rest_.capacity() + (parser_ ? parser_->fields.held_bytes() : 0);
+}
+
+void http_request_reader::drop()
+{
+    parser_.reset();
+    rest_ = {};
+}
+
 codec_error http_request_reader::feed(std::string_view bytes)
 {
     rest_.append(bytes);
@@ -229,6 +247,8 @@
         if (parser_->is_done())
         {
             complete_ = true;
+            if (rest_.empty())
+                rest_ = {};
             handlers_.end();
             return codec_error::none;
         }
@@ -240,9 +260,9 @@
 
 // Responses
 
-std::optional<std::uint64_t> announced_length(const http_response_head& it)
+std::optional<std::uint64_t> announced_length(const http_fields& it)
 {
-    const auto* text = it.fields.find("Content-Length");
+    const auto* text = it.find("Content-Length");
     std::uint64_t out = 0;
     if (text == nullptr || std::from_chars(text->data(), text->data() + text->size(), out).ec != std::errc{})
         return std::nullopt;
--- a/src/runlink/net/http_exchange.cpp
+++ b/src/runlink/net/http_exchange.cpp
@@ -180,7 +180,7 @@
 bool client_connection::is_surplus_bounded(const http_response_head& surplus) const
 {
     return surplus.framing != body_framing::until_close &&
-           announced_length(surplus).value_or(0) <= max_surplus_bytes;
+           announced_length(surplus.fields).value_or(0) <= max_surplus_bytes;
 }
 
 void client_connection::on_end()
--- a/src/runlink/net/http_exchange_test.cpp
+++ b/src/runlink/net/http_exchange_test.cpp
@@ -158,7 +158,7 @@
                                targets.push_back(head.target);
                                last = from;
                            },
-                           [](const auto& from, codec_error) { from->reset(); }};
+                           [](const auto& from, request_fault) { from->reset(); }};
     const auto port = listener.listen("127.0.0.1", 0).value();
     QTcpSocket caller;
     caller.connectToHost(QHostAddress::LocalHost, port);
@@ -181,7 +181,7 @@
     std::shared_ptr<caller_connection> kept;
     auto listener = std::make_unique<http_listener>([&](const auto& from, const auto&, const std::string&)
                                                     { kept = from; },
-                                                    [](const auto&, codec_error) {});
+                                                    [](const auto&, request_fault) {});
     const auto port = listener->listen("127.0.0.1", 0).value();
     QTcpSocket caller;
     caller.connectToHost("127.0.0.1", port);
@@ -197,7 +197,7 @@
 {
     int requests = 0;
     http_listener listener{[&](const auto&, const auto&, const auto&) { ++requests; },
-                           [](const auto&, codec_error) {}};
+                           [](const auto&, request_fault) {}};
     QTcpSocket caller;
     caller.connectToHost(QHostAddress::LocalHost, listener.listen("127.0.0.1", 0).value());
     REQUIRE(wait_for([&] { return listener.connection_count() == 1; }));
--- a/src/runlink/net/http_listener.cpp
+++ b/src/runlink/net/http_listener.cpp
@@ -1,9 +1,12 @@
 #include "runlink/net/http_listener.hpp"
 
+#include <algorithm>
+#include <array>
 #include <utility>
 #include <vector>
 
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 
 #include <QHostAddress>
 #include <QNetworkProxy>
@@ -15,24 +18,38 @@
 
 /// Room for a burst of new connections, such as all callers of a failed instance reconnecting at once.
 constexpr int listen_backlog = 512;
-constexpr qint64 read_buffer_bytes = 256 * 1024;
-/// Requests of one connection that are handled before the event loop runs again.
-constexpr std::size_t max_requests_a_turn = 64;
+constexpr qint64 read_buffer_bytes = 64 * 1024;
+/// Bytes that are parsed at a time.
+constexpr std::size_t piece_bytes = 16 * 1024;
+/// Pieces and requests of one connection that are handled before the event loop runs again.
+constexpr std::size_t max_steps_a_turn = 64;
 /// While more bytes than this wait for the caller, its next request is not read.
 constexpr std::size_t max_unsent_before_next = 64 * 1024;
+/// A request is copied for each attempt; two attempts may be under way.
+constexpr std::size_t request_copies = 3;
+/// Room for the unread part of an answer that each request is admitted with.
+constexpr std::size_t answer_allowance_bytes = 16 * 1024;
+/// A body has to arrive at this pace, averaged over the time for a header.
+constexpr std::size_t min_bytes_a_second = 1024;
+constexpr core::milliseconds accept_retry_interval{100};
+
+request_fault fault_of(codec_error it)
+{
+    switch (it)
+    {
+    case codec_error::header_too_large: return request_fault::header_too_large;
+    case codec_error::body_too_large: return request_fault::body_too_large;
+    default: return request_fault::malformed;
+    }
+}
 
 } // namespace
 
-caller_connection::caller_connection(std::unique_ptr<QTcpSocket> socket, const listener_limits& limits,
-                                     handlers to)
-    : socket_{std::move(socket)}, handlers_{std::move(to)},
-      reader_{{[this](const http_request_head& it)
-               {
-                   head_ = it;
-                   if (it.fields.has_token("Expect", "100-continue"))
-                       write("HTTP/1.1 100 Continue\r\n\r\n");
-               },
-               [this](std::string_view it) { body_.append(it); }, [this] { busy_ = true; }}},
+caller_connection::caller_connection(core::connection_id id, std::unique_ptr<QTcpSocket> socket,
+                                     const listener_limits& limits, core::caller_budget& budget, handlers to)
+    : id_{id}, socket_{std::move(socket)}, budget_{budget}, handlers_{std::move(to)}, limits_{limits},
+      reader_{{[this](const http_request_head& it) { on_head(it); },
+               [this](std::string_view it) { on_body(it); }, [this] { busy_ = true; }}},
       last_activity_{core::runtime_clock::now()}
 {
     reader_.set_limits(limits.message);
@@ -40,7 +57,7 @@
     socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
     QObject::connect(socket_.get(), &QTcpSocket::readyRead, socket_.get(), [this] { on_readable(); });
     QObject::connect(socket_.get(), &QTcpSocket::disconnected, socket_.get(), [this] { on_disconnected(); });
-    QObject::connect(socket_.get(), &QTcpSocket::bytesWritten, socket_.get(), [this] { read_requests(); });
+    QObject::connect(socket_.get(), &QTcpSocket::bytesWritten, socket_.get(), [this] { on_bytes_written(); });
     resume_timer_.setSingleShot(true);
     QObject::connect(&resume_timer_, &QTimer::timeout, &resume_timer_, [this] { read_requests(); });
 }
@@ -55,13 +72,31 @@
     return static_cast<std::size_t>(socket_->bytesToWrite());
 }
 
+// Requests
+
 void caller_connection::on_readable()
 {
-    if (!busy_)
-        last_activity_ = core::runtime_clock::now();
+    if (phase_ == core::caller_phase::refused)
+        return drop_arrived();
+    if (busy_)
+        return on_surplus();
     read_requests();
 }
 
+void caller_connection::on_surplus()
+{
+    // A caller that sends so much before it has its answer does not wait for it.
+    if (socket_->bytesAvailable() >= read_buffer_bytes)
+    {
+        const auto left = std::exchange(on_left, nullptr);
+        reset();
+        if (left)
+            left();
+        return;
+    }
+    account();
+}
+
 void caller_connection::read_requests()
 {
     // A response that is finished inside its handler returns here: the loop below goes on with the next
@@ -70,11 +105,11 @@
         return;
     const auto self = shared_from_this();
     is_reading_ = true;
-    std::size_t requests = 0;
+    std::size_t steps = 0;
     // Bytes after a request stay in the socket's bounded buffer until the request has its response.
     while (!busy_ && !closed_ && !ending_ && unsent_bytes() <= max_unsent_before_next)
     {
-        if (++requests > max_requests_a_turn)
+        if (++steps > max_steps_a_turn)
         {
             resume_timer_.start(0);
             break;
@@ -89,32 +124,181 @@
 {
     if (std::exchange(next_is_due_, false))
     {
-        on_result(reader_.next());
+        const auto ec = reader_.next();
+        if (reader_.in_message() || busy_)
+            begin_request();
+        on_result(ec);
         return true;
     }
-    const auto bytes = socket_->readAll();
-    if (bytes.isEmpty())
+    std::array<char, piece_bytes> buf; // NOLINT(cppcoreguidelines-pro-type-member-init): filled by read
+    const auto n = socket_->read(buf.data(), static_cast<qint64>(buf.size()));
+    if (n <= 0)
         return false;
-    on_result(reader_.feed({bytes.data(), static_cast<std::size_t>(bytes.size())}));
+    begin_request();
+    note_progress(static_cast<std::size_t>(n));
+    on_result(reader_.feed({buf.data(), static_cast<std::size_t>(n)}));
     return true;
 }
 
+void caller_connection::begin_request()
+{
+    if (phase_ == core::caller_phase::receiving)
+        return;
+    enter(core::caller_phase::receiving);
+    progress_began_ = core::runtime_clock::now();
+    progress_bytes_ = 0;
+}
+
+void caller_connection::note_progress(std::size_t bytes)
+{
+    constexpr std::size_t ms_per_s = 1000;
+    const auto window_ms = static_cast<std::size_t>(limits_.header_timeout.count());
+    const auto seconds_before = progress_bytes_ / min_bytes_a_second;
+    progress_bytes_ += bytes;
+    if (progress_bytes_ / min_bytes_a_second == seconds_before)
+        return;
+    const auto now = core::runtime_clock::now();
+    budget_.progressed(now, id_);
+    if (!has_head_ || progress_bytes_ < min_bytes_a_second * window_ms / ms_per_s)
+        return;
+    progress_began_ = now;
+    progress_bytes_ = 0;
+}
+
+void caller_connection::on_head(const http_request_head& it)
+{
+    begin_request();
+    head_ = it;
+    has_head_ = true;
+    progress_began_ = core::runtime_clock::now();
+    progress_bytes_ = 0;
+    const auto announced = announced_length(it.fields).value_or(0);
+    has_no_room_ = !hold_request(announced);
+    if (has_no_room_)
+        return;
+    body_.reserve(announced);
+    if (it.fields.has_token("Expect", "100-continue"))
+        write("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+void caller_connection::on_body(std::string_view bytes)
+{
+    const auto needed = body_.size() + bytes.size();
+    if (!has_no_room_ && needed > body_.capacity())
+    {
+        const auto most = std::max<std::size_t>(limits_.message.max_body_bytes, needed);
+        const auto capacity = std::min(std::max(2 * body_.capacity(), needed), most);
+        has_no_room_ = !hold_request(capacity);
+        if (has_no_room_)
+            body_ = {};
+        else
+            body_.reserve(capacity);
+    }
+    if (!has_no_room_)
+        body_.append(bytes);
+}
+
 void caller_connection::on_result(codec_error ec)
 {
     if (ec != codec_error::none)
-    {
-        busy_ = true;
-        handlers_.bad_request(shared_from_this(), ec);
+        return reject(fault_of(ec));
+    if (!has_head_ && !busy_ && reader_.in_message())
+        has_no_room_ = !hold_request(0);
+    if (has_no_room_)
+        return reject(request_fault::no_room);
+    if (!busy_)
         return;
-    }
-    if (busy_)
-        handlers_.request(shared_from_this(), head_, std::exchange(body_, {}));
+    has_head_ = false;
+    enter(core::caller_phase::waiting);
+    handlers_.request(shared_from_this(), head_, std::exchange(body_, {}));
+}
+
+void caller_connection::reject(request_fault why)
+{
+    busy_ = true;
+    enter(core::caller_phase::refused);
+    drop_request();
+    handlers_.bad_request(shared_from_this(), why);
+}
+
+void caller_connection::drop_request()
+{
+    body_ = {};
+    head_.fields = {};
+    reader_.drop();
+    has_head_ = false;
+    has_no_room_ = false;
+    request_bytes_ = 0;
+    account();
+}
+
+// Room
+
+bool caller_connection::hold_request(std::size_t body_capacity)
+{
+    const auto head_bytes = has_head_ ? head_.fields.held_bytes() : 0;
+    const auto needed =
+        request_copies * (head_bytes + body_capacity) + reader_.held_bytes() + answer_allowance_bytes;
+    if (needed > request_bytes_ && !handlers_.hold(id_, needed + unsent_bytes()))
+        return false;
+    request_bytes_ = std::max(needed, request_bytes_);
+    return true;
+}
+
+void caller_connection::account()
+{
+    if (closed_)
+        return;
+    const auto unsent = unsent_bytes();
+    const auto surplus = busy_ ? static_cast<std::size_t>(socket_->bytesAvailable()) : 0;
+    const auto beyond = unsent + surplus;
+    const auto total =
+        request_bytes_ + (request_bytes_ > 0 ? beyond - std::min(beyond, answer_allowance_bytes) : beyond);
+    has_room_ = phase_ != core::caller_phase::refused && handlers_.hold(id_, total);
+    if (!has_room_)
+        budget_.hold_anyway(id_, total);
+}
+
+void caller_connection::enter(core::caller_phase phase)
+{
+    phase_ = phase;
+    budget_.enter(core::runtime_clock::now(), id_, phase);
+}
+
+void caller_connection::give_way()
+{
+    const auto self = shared_from_this();
+    if (phase_ == core::caller_phase::receiving)
+        return reject(request_fault::no_room);
+    reset();
 }
 
+// Responses
+
 void caller_connection::write(std::string_view bytes)
 {
-    if (!closed_)
-        socket_->write(bytes.data(), static_cast<qint64>(bytes.size()));
+    if (closed_)
+        return;
+    socket_->write(bytes.data(), static_cast<qint64>(bytes.size()));
+    account();
+}
+
+void caller_connection::on_bytes_written()
+{
+    const auto self = shared_from_this();
+    const auto now = core::runtime_clock::now();
+    last_activity_ = now;
+    account();
+    if (phase_ == core::caller_phase::refused)
+        return shut_write();
+    if (phase_ == core::caller_phase::sending)
+    {
+        budget_.progressed(now, id_);
+        if (unsent_bytes() == 0)
+            enter(core::caller_phase::idle);
+    }
+    if (!busy_)
+        read_requests();
 }
 
 void caller_connection::finish(bool close)
@@ -123,13 +307,48 @@
     on_left = nullptr;
     if (closed_)
         return;
+    const auto self = shared_from_this();
     last_activity_ = core::runtime_clock::now();
+    head_.fields = {};
+    request_bytes_ = 0;
+    account();
+    enter(unsent_bytes() > 0 ? core::caller_phase::sending : core::caller_phase::idle);
     if (close || !head_.keep_alive)
         return end_after_flush();
     next_is_due_ = true;
     read_requests();
 }
 
+void caller_connection::refuse_rest()
+{
+    on_left = nullptr;
+    if (closed_)
+        return;
+    const auto self = shared_from_this();
+    last_activity_ = core::runtime_clock::now();
+    enter(core::caller_phase::refused);
+    if (unsent_bytes() == 0)
+        shut_write();
+    if (!closed_)
+        drop_arrived();
+}
+
+void caller_connection::shut_write()
+{
+    if (unsent_bytes() > 0 || std::exchange(is_write_shut_, true))
+        return;
+    // The caller then reads the end of the response and closes the connection in turn.
+    if (::shutdown(static_cast<int>(socket_->socketDescriptor()), SHUT_WR) != 0)
+        reset();
+}
+
+void caller_connection::drop_arrived()
+{
+    dropped_bytes_ += static_cast<std::size_t>(socket_->readAll().size());
+    if (dropped_bytes_ > limits_.max_lingering_bytes)
+        reset();
+}
+
 void caller_connection::end_after_flush()
 {
     ending_ = true;
@@ -140,8 +359,19 @@
 {
     busy_ = false;
     on_left = nullptr;
+    if (closed_)
+        return;
+    request_bytes_ = 0;
+    account();
+    enter(core::caller_phase::sending);
+    end_after_flush();
+}
+
+void caller_connection::close_now()
+{
     if (!closed_)
-        end_after_flush();
+        socket_->flush();
+    reset();
 }
 
 void caller_connection::reset()
@@ -155,9 +385,11 @@
 void caller_connection::detach_from_listener()
 {
     handlers_.request = [](const auto&, const auto&, const auto&) {};
-    handlers_.bad_request = [](const auto&, codec_error) {};
-    handlers_.closed = [](const caller_connection*) {};
+    handlers_.bad_request = [](const auto&, request_fault) {};
+    handlers_.closed = [](core::connection_id) {};
+    handlers_.hold = [](core::connection_id, std::size_t) { return true; };
     reset();
+    closed_ = true;
 }
 
 void caller_connection::on_disconnected()
@@ -167,18 +399,37 @@
     const auto self = shared_from_this();
     const auto left = std::exchange(on_left, nullptr);
     busy_ = false;
-    handlers_.closed(this);
+    handlers_.closed(id_);
     if (left)
         left();
 }
 
 void caller_connection::check_timeouts(core::time_point now, const listener_limits& limits)
 {
-    if (busy_ || closed_ || ending_)
+    if (closed_)
         return;
+    const auto self = shared_from_this();
     const auto idle_time = now - last_activity_;
-    if (reader_.in_message() && idle_time >= limits.header_timeout)
-        return on_result(codec_error::malformed);
+    if (phase_ == core::caller_phase::refused)
+    {
+        if (idle_time >= limits.linger)
+            reset();
+        return;
+    }
+    if (busy_)
+        return;
+    if (ending_ || unsent_bytes() > 0)
+    {
+        if (idle_time >= limits.idle_timeout)
+            reset();
+        return;
+    }
+    if (reader_.in_message())
+    {
+        if (now - progress_began_ >= limits.header_timeout && !has_unread_bytes())
+            reject(request_fault::timed_out);
+        return;
+    }
     if (idle_time >= limits.idle_timeout)
         end_after_flush();
 }
@@ -199,15 +450,19 @@
 
 // Listener
 
-http_listener::http_listener(request_handler on_request, bad_request_handler on_bad_request)
-    : on_request_{std::move(on_request)}, on_bad_request_{std::move(on_bad_request)}
+http_listener::http_listener(request_handler on_request, bad_request_handler on_bad_request,
+                             core::caller_budget_limits budget)
+    : on_request_{std::move(on_request)}, on_bad_request_{std::move(on_bad_request)}, budget_{budget}
 {
     server_.setProxy(QNetworkProxy::NoProxy);
     server_.setListenBacklogSize(listen_backlog);
     server_.setMaxPendingConnections(listen_backlog);
     QObject::connect(&server_, &QTcpServer::newConnection, &server_, [this] { accept_all(); });
+    QObject::connect(&server_, &QTcpServer::acceptError, &server_, [this] { on_accept_error(); });
     sweep_timer_.setSingleShot(true);
     QObject::connect(&sweep_timer_, &QTimer::timeout, &sweep_timer_, [this] { retired_.clear(); });
+    accept_timer_.setSingleShot(true);
+    QObject::connect(&accept_timer_, &QTimer::timeout, &accept_timer_, [this] { server_.resumeAccepting(); });
 }
 
 http_listener::~http_listener()
@@ -228,22 +483,73 @@
 
 void http_listener::accept_all()
 {
-    while (auto* socket = server_.nextPendingConnection())
+    while (auto* next = server_.nextPendingConnection())
     {
-        socket->setParent(nullptr);
+        next->setParent(nullptr);
+        std::unique_ptr<QTcpSocket> socket{next};
+        const core::connection_id id{++last_id_};
+        const auto decision = budget_.open(core::runtime_clock::now(), id);
+        close_displaced(decision.displaced);
+        if (!decision.is_granted)
+        {
+            socket->abort();
+            on_connection_refused();
+            continue;
+        }
         caller_connection::handlers to;
         to.request = on_request_;
         to.bad_request = on_bad_request_;
-        to.closed = [this](const caller_connection* it) { retire(it); };
-        auto it =
-            std::make_shared<caller_connection>(std::unique_ptr<QTcpSocket>{socket}, limits_, std::move(to));
-        connections_.emplace(it.get(), it);
+        to.closed = [this](core::connection_id it) { retire(it); };
+        to.hold = [this](core::connection_id it, std::size_t bytes) { return hold(it, bytes); };
+        connections_.emplace(
+            id, std::make_shared<caller_connection>(id, std::move(socket), limits_, budget_, std::move(to)));
+    }
+}
+
+void http_listener::on_accept_error()
+{
+    server_.pauseAccepting();
+    accept_timer_.start(accept_retry_interval);
+}
+
+bool http_listener::hold(core::connection_id id, std::size_t bytes)
+{
+    return carry_out(budget_.hold(core::runtime_clock::now(), id, bytes));
+}
+
+bool http_listener::hold_answers(std::size_t bytes, core::budget_share share)
+{
+    return carry_out(budget_.hold_answers(core::runtime_clock::now(), bytes, share));
+}
+
+bool http_listener::carry_out(const core::caller_budget::decision& it)
+{
+    for (const auto id : it.displaced)
+        if (const auto found = connections_.find(id); found != connections_.end())
+            std::shared_ptr
+            {
+                found->second
+                } -> give_way();
+    return it.is_granted;
+}
+
+void http_listener::close_displaced(const std::vector<core::connection_id>& all)
+{
+    for (const auto id : all)
+    {
+        const auto found = connections_.find(id);
+        if (found == connections_.end())
+            continue;
+        const auto it = found->second;
+        it->give_way();
+        it->close_now();
     }
 }
 
-void http_listener::retire(const caller_connection* connection)
+void http_listener::retire(core::connection_id id)
 {
-    const auto found = connections_.find(connection);
+    budget_.close(id);
+    const auto found = connections_.find(id);
     if (found == connections_.end())
         return;
     retired_.push_back(std::move(found->second));
--- a/standins/kv_standin.cpp
+++ b/standins/kv_standin.cpp
@@ -28,7 +28,7 @@
 kv_standin::kv_standin()
     : listener_{[this](const connection_ptr& from, const net::http_request_head& head,
                        const std::string& body) { on_request(from, head, body); },
-                [](const connection_ptr& from, net::codec_error) { from->reset(); }}
+                [](const connection_ptr& from, net::request_fault) { from->reset(); }}
 {
 }
 
--- a/standins/served_endpoint.cpp
+++ b/standins/served_endpoint.cpp
@@ -41,7 +41,7 @@
     : id_{std::move(id)}, service_{std::move(service)}, version_{std::move(version)},
       listener_{[this](const connection_ptr& from, const net::http_request_head& head, const std::string&)
                 { on_request(from, head); },
-                [](const connection_ptr& from, net::codec_error) { from->reset(); }},
+                [](const connection_ptr& from, net::request_fault) { from->reset(); }},
       port_{listener_.listen("127.0.0.1", 0).value()}
 {
 }
--- a/tests/caller_crowd_test.cpp
+++ b/tests/caller_crowd_test.cpp
@@ -149,6 +149,27 @@
     check_bounds(it);
 }
 
+TEST_CASE("a crowd of all kinds that leaves and comes again")
+{
+    constexpr std::size_t of_each = 12;
+    crowded_instance it;
+    for (int time = 0; time < 3; ++time)
+    {
+        const auto whole = request_script(it, "/pay/hang/x", length_field(full_body));
+        it.crowd(of_each, with_pieces(whole, 64 * kilobyte, full_body));
+        const auto by_length = request_script(it, "/pay/x", length_field(full_body));
+        it.crowd(of_each, with_pieces(by_length, full_body - 1, full_body - 1));
+        const auto in_chunks = request_script(it, "/pay/x", chunked_field);
+        it.crowd(of_each, with_chunks(in_chunks, 8, full_body));
+        it.crowd(of_each, with_chunks(in_chunks, 64 * kilobyte, 2 * full_body));
+        it.crowd(of_each, request_script(it, "/pay/large/x", length_field(0)));
+        it.crowd(more_than_descriptors, {});
+        check_bounds(it);
+        it.leave();
+    }
+    CHECK(it.call("/pay/x", length_field(full_body), std::string(full_body, 'x')) == 200);
+}
+
 TEST_CASE("a single request of the largest allowed size is served in calm")
 {
     crowded_instance it;
--- a/tests/support/caller_crowd.cpp
+++ b/tests/support/caller_crowd.cpp
@@ -123,7 +123,7 @@
     : limits_{limits}, store_port_{store_.listen()}, endpoint_{[this](const auto& from, const auto& head,
                                                                       const std::string&)
                                                                { answer(from, head); },
-                                                               [](const auto& from, net::codec_error)
+                                                               [](const auto& from, net::request_fault)
                                                                { from->reset(); }},
       port_{free_port()}, readiness_port_{free_port()}, peer_port_{free_port()}
 {
@@ -228,9 +228,9 @@
 
 void crowded_instance::crowd(std::size_t count, const crowd_script& script)
 {
-    script_ = script;
+    const auto& own = scripts_.emplace_back(script);
     for (std::size_t n = 0; n < count; ++n)
-        callers_.push_back(std::make_unique<crowd_caller>(port_, script_));
+        callers_.push_back(std::make_unique<crowd_caller>(port_, own));
     constexpr milliseconds quiet{1000};
     auto sent = bytes_sent();
     const auto makes_progress = [&] { return wait_for([&] { return bytes_sent() != sent; }, quiet); };
--- a/tests/support/caller_crowd.hpp
+++ b/tests/support/caller_crowd.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -74,8 +75,10 @@
     explicit crowded_instance(crowded_limits limits = {});
     ~crowded_instance();
 
-    /// Starts `count` callers and waits until none of them makes progress any more.
+    /// Starts `count` callers and waits until none of all makes progress any more.
     void crowd(std::size_t count, const crowd_script& script);
+    /// All callers close their connections.
+    void leave() { callers_.clear(); }
     /// Sends one request on a connection of its own and returns its status, or 0 if the connection ends or
     /// nothing is answered.
     int call(const std::string& path, const std::string& framing_field, const std::string& framed_body);
@@ -108,7 +111,7 @@
     QProcess process_;
     QTimer sampler_;
     usage_peak peak_;
-    crowd_script script_;
+    std::deque<crowd_script> scripts_; ///< that the callers refer to
     std::vector<std::unique_ptr<crowd_caller>> callers_;
     mutable int next_request_ = 1;
 };
