--- a/review/standins-2/garbled_answers.cpp
+++ b/review/standins-2/garbled_answers.cpp
@@ -46,7 +46,7 @@
     int run()
     {
         auto& all =
-            *new deployment{74, "coil", worker_count, worker_slots,
+            *new deployment{mode_ == mode::surplus ? 74 : 76, "coil", worker_count, worker_slots,
                             [this](connection& it, const std::string& id, int n) { serve(it, id, n); }};
         const bool can_run = all.start();
         if (can_run)
@@ -91,7 +91,7 @@
             if (is_due)
                 owed_ = true;
             const bool fits = mode_ != mode::surplus || !previous.empty();
-            if (may_spoil && fits && owed_.exchange(false))
+            if (may_spoil && is_garbling_ && fits && owed_.exchange(false))
             {
                 ++spoilt_;
                 if (!spoil(from, request, previous))
