HTTP: a response whose number is no status is lost, not an answer

Cause: the number in a status line was read and never checked. The reader took every number below 200 as interim, so it reported no head; it still passed the body on, and the end of the connection as the end of the response. The forwarder took every number below 500 for an answer.

core::http_status holds 100 to 599 and nothing else; the reader is the one place that turns a number into one. Other numbers, and 101, which answers an upgrade that is never asked for, end the exchange as invalid_status: the attempt is lost, its connection is closed, and evidence on endpoints and versions counts it. The reader reports head, body, end in this order or nothing, and an error is final.

--- a/include/runlink/gateway/gateway.hpp
+++ b/include/runlink/gateway/gateway.hpp
@@ -111,7 +111,7 @@
         core::request_id request;
         core::time_point sent_at{};
         net::exchange exchange;
-        net::http_response_head head;
+        std::optional<net::http_response_head> head;
         routing::attempt_head parsed_head;
         std::string body;
         std::uint64_t body_bytes = 0; ///< received, whether or not they are kept in `body`
--- a/include/runlink/net/http_codec.hpp
+++ b/include/runlink/net/http_codec.hpp
@@ -13,6 +13,8 @@
 #include <string_view>
 #include <vector>
 
+#include "runlink/core/http_status.hpp"
+
 namespace runlink::net
 {
 
@@ -67,7 +69,7 @@
 /// Status line and header fields of a response.
 struct http_response_head
 {
-    int status = 0;
+    core::http_status status = 500; ///< at the receiver, not interim
     std::string reason;
     http_fields fields;
     bool keep_alive = true;
@@ -82,6 +84,7 @@
 {
     none,
     malformed,
+    invalid_status,   ///< the number in the status line is no status, or none that answers the request
     header_too_large, ///< all bytes of the message that are not its body; see `framing_limit`
     body_too_large,
 };
@@ -154,7 +157,9 @@
     bool complete_ = false;
 };
 
-/// Parses the responses that arrive on one connection. Interim (1xx) responses are skipped.
+/// Parses the responses that arrive on one connection. Interim (1xx) responses are skipped. For each
+/// response, `head` is called once, then `body` for each part of the body, then `end`; nothing is called
+/// after an error.
 class http_response_reader
 {
 public:
@@ -168,6 +173,7 @@
     explicit http_response_reader(handlers to);
     ~http_response_reader();
 
+    /// An error is final: each later call returns it.
     codec_error feed(std::string_view bytes);
     /// Call when the peer has closed the connection without a reset. Completes a response whose body extends
     /// until the close.
@@ -183,6 +189,7 @@
     std::unique_ptr<parser> parser_;
     framing_limit framing_{max_response_framing_bytes};
     std::string rest_;
+    codec_error error_ = codec_error::none;
 };
 
 /// Serializes a request with its body. Adds `Content-Length` when the body is not empty or the method is
@@ -191,16 +198,16 @@
 
 /// Serializes the head of a response. `fields` must include the framing fields (`Content-Length` or
 /// `Transfer-Encoding`).
-std::string write_response_head(int status, std::string_view reason, const http_fields& fields);
+std::string write_response_head(core::http_status status, std::string_view reason, const http_fields& fields);
 
 /// Serializes a complete response and adds `Content-Length`.
-std::string write_response(int status, http_fields fields, std::string_view body);
+std::string write_response(core::http_status status, http_fields fields, std::string_view body);
 
 /// Serializes one chunk of a chunked body. Empty `bytes` give the final chunk.
 std::string write_chunk(std::string_view bytes);
 
 /// The standard reason phrase of a status code.
-std::string_view reason_of(int status);
+std::string_view reason_of(core::http_status status);
 
 /// Whether a proxy must not forward this field, because it is hop-by-hop or sets the body length.
 bool is_hop_by_hop(std::string_view name, const http_fields& fields);
--- a/include/runlink/net/http_exchange.hpp
+++ b/include/runlink/net/http_exchange.hpp
@@ -30,6 +30,7 @@
     reset,             ///< the connection failed after request bytes may have been sent
     closed,            ///< the peer closed the connection without a reset before its response was complete
     malformed,         ///< the peer sent bytes that are not a valid HTTP response
+    invalid_status,    ///< the response has a number that is no status; see `codec_error`
     head_too_large,    ///< the response has too many bytes besides its body; see `framing_limit`
     surplus_too_large, ///< too many bytes of responses that are not due came before the one that is
 };
--- a/include/runlink/routing/messages.hpp
+++ b/include/runlink/routing/messages.hpp
@@ -9,6 +9,7 @@
 
 #include "runlink/core/contact.hpp"
 #include "runlink/core/failure.hpp"
+#include "runlink/core/http_status.hpp"
 #include "runlink/core/ids.hpp"
 #include "runlink/crashes/element_fingerprint.hpp"
 #include "runlink/load/plain_load.hpp"
@@ -74,7 +75,7 @@
 /// The head of an endpoint's answer.
 struct attempt_head
 {
-    int status = 0;
+    core::http_status status = 500;
     bool not_run = false;   ///< the endpoint states that it did not run the request
     bool is_sealed = false; ///< carries the endpoint's digest
     bool is_event_stream = false;
--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -57,7 +57,7 @@
         [this](const net::http_response_head& head)
         {
             const auto names = platform::platform_headers();
-            outcome_.status = head.status;
+            outcome_.status = head.status.value();
             outcome_.has_digest = head.fields.find(names.digest) != nullptr;
             keep_alive_ = head.keep_alive;
             if (head.framing == net::body_framing::chunked)
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -295,7 +295,7 @@
 void gateway::on_end(const attempt_ptr& it)
 {
     const auto now = clock_();
-    if (it->head.framing == net::body_framing::until_close)
+    if (it->head->framing == net::body_framing::until_close)
         log_response_end(*it, "complete", observe::log_rank::routine);
     if (!it->events)
         forwarder_->on_answer(now, it->id, it->parsed_head);
@@ -324,10 +324,10 @@
     line.text("request", it.request.str())
         .text("endpoint", it.endpoint.str())
         .text("reason", how)
-        .number("status", it.head.status)
+        .number("status", it.head ? it.head->status.value() : 0)
         .number("body_bytes", static_cast<std::int64_t>(it.body_bytes));
-    if (it.head.status != 0)
-        line.text("framing", to_string(it.head.framing));
+    if (it.head)
+        line.text("framing", to_string(it.head->framing));
     const auto connection = it.exchange.lock();
     if (connection && connection->error())
         line.text("error", connection->error().message());
@@ -399,7 +399,7 @@
     if (!to)
         return;
     auto& from = *attempts_.at(id);
-    auto fields = forwarded_fields(from.head);
+    auto fields = forwarded_fields(*from.head);
     const bool close = is_stopping_ || to->connection->wants_close();
     if (close)
         fields.add("Connection", "close");
@@ -407,7 +407,7 @@
     // From here on the answer is held by the connection.
     const auto body = std::exchange(from.body, {});
     release(from);
-    to->connection->write(net::write_response_head(from.head.status, from.head.reason, fields));
+    to->connection->write(net::write_response_head(from.head->status, from.head->reason, fields));
     to->connection->write(body);
     to->connection->finish(close);
 }
@@ -416,11 +416,11 @@
 {
     auto& to = calls_.at(flow);
     const auto& from = *attempts_.at(id);
-    auto fields = forwarded_fields(from.head);
+    auto fields = forwarded_fields(*from.head);
     if (is_stopping_ || to.connection->wants_close())
         fields.add("Connection", "close");
     fields.add("Transfer-Encoding", "chunked");
-    to.connection->write(net::write_response_head(from.head.status, from.head.reason, fields));
+    to.connection->write(net::write_response_head(from.head->status, from.head->reason, fields));
 }
 
 void gateway::forward_bytes(routing::flow_id flow, std::string_view bytes)
--- a/src/runlink/gateway/gateway_answers_test.cpp
+++ b/src/runlink/gateway/gateway_answers_test.cpp
@@ -89,3 +89,76 @@
     CHECK(out.status == 200);
     CHECK((out.body == part));
 }
+
+namespace
+{
+
+/// A sealed answer to `request` with this number in the place of its status.
+std::string answer_with(const std::string& status, const std::string& request, const std::string& rest)
+{
+    auto out = answer_head(request) + rest;
+    return out.replace(out.find("200"), status.size(), status);
+}
+
+const std::string until_close = "\r\nother";
+const std::string with_length = "Content-Length: 5\r\n\r\nother";
+const std::string as_stream = "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: other\n\n";
+const std::vector<std::string> numbers_that_are_no_status{"000", "001", "042", "099", "101", "600", "999"};
+
+} // namespace
+
+TEST_CASE("a request that may run once fails at once if the number of its answer is no status")
+{
+    // Guards against answers without a valid status that reach the caller.
+    const auto status = GENERATE(from_range(numbers_that_are_no_status));
+    const auto rest = GENERATE(until_close, with_length, as_stream);
+    const auto kind = GENERATE(route_kind::unsafe, route_kind::streaming);
+    INFO(status << " " << rest);
+    auto declared = route_of(kind, 2);
+    declared.resumable = false;
+    served_gateway it{declared};
+    scripted_endpoint endpoint{[&](QTcpSocket& to)
+                               {
+                                   to.write(answer_with(status, "r1", rest).c_str());
+                                   to.disconnectFromHost();
+                               }};
+    it.add_endpoint("e1", endpoint.port());
+    const auto started = core::runtime_clock::now();
+    const auto out = it.call("r1", 100);
+    CHECK(out.status == 502);
+    CHECK(out.body.find("other") == std::string::npos);
+    CHECK(endpoint.requests == 1);
+    CHECK(core::runtime_clock::now() - started < core::seconds{2});
+    CHECK(it.log().find(R"("reason":"invalid_status")") != std::string::npos);
+}
+
+TEST_CASE("a repeatable request whose answer has no valid status runs at another endpoint")
+{
+    const auto status = GENERATE(from_range(numbers_that_are_no_status));
+    const auto rest = GENERATE(until_close, with_length, as_stream);
+    const auto kind = GENERATE(route_kind::safe, route_kind::streaming);
+    INFO(status << " " << rest);
+    served_gateway it{route_of(kind, 2)};
+    int runs = 0;
+    const auto answer = [&](QTcpSocket& to)
+    {
+        const bool is_stream = kind == route_kind::streaming;
+        to.write(++runs == 1 ? answer_with(status, "r1", rest).c_str()
+                             : (answer_head("r1") +
+                                (is_stream ? "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: due\n\n"
+                                           : "\r\ndue"))
+                                   .c_str());
+        to.disconnectFromHost();
+    };
+    scripted_endpoint one{answer};
+    scripted_endpoint two{answer};
+    it.add_endpoint("e1", one.port());
+    it.add_endpoint("e2", two.port());
+    const auto out = it.call("r1", 100);
+    CHECK(out.status == 200);
+    CHECK(out.ended);
+    CHECK(out.body.find("due") != std::string::npos);
+    CHECK(out.body.find("other") == std::string::npos);
+    CHECK(one.requests == 1);
+    CHECK(two.requests == 1);
+}
--- a/src/runlink/gateway/http_caller.cpp
+++ b/src/runlink/gateway/http_caller.cpp
@@ -60,7 +60,7 @@
     out.sent = [] {};
     out.head = [this, it](const net::http_response_head& e)
     {
-        it->answer.status = e.status;
+        it->answer.status = e.status.value();
         for (const auto& field : e.fields)
             it->answer.fields.emplace_back(field.name, field.value);
         const auto length = net::announced_length(e.fields);
--- a/src/runlink/gateway/translation.cpp
+++ b/src/runlink/gateway/translation.cpp
@@ -15,8 +15,6 @@
 using core::errc;
 using core::failure;
 
-constexpr int first_success = 200;
-constexpr int first_redirect = 300;
 /// Deadline of requests that do not name one.
 constexpr core::milliseconds default_deadline{60000};
 
@@ -164,8 +162,8 @@
     out.is_sealed =
         head.fields.find(names.digest) != nullptr && head.fields.find("Content-Encoding") == nullptr;
     const auto* type = head.fields.find("Content-Type");
-    out.is_event_stream = head.status >= first_success && head.status < first_redirect && type != nullptr &&
-                          type->starts_with("text/event-stream");
+    out.is_event_stream =
+        head.status.is_success() && type != nullptr && type->starts_with("text/event-stream");
     int n = 0;
     if (const auto* it = head.fields.find(names.confidence); it != nullptr && parse_number(*it, n))
         out.confidence = n;
@@ -179,7 +177,7 @@
     const auto* id = head.fields.find(names.request_id);
     if (id != nullptr)
         return *id == request.str();
-    return head.status >= first_redirect;
+    return head.status.is_failure();
 }
 
 net::http_fields forwarded_fields(const net::http_response_head& head)
--- a/src/runlink/net/http_codec.cpp
+++ b/src/runlink/net/http_codec.cpp
@@ -21,7 +21,8 @@
 
 /// Bytes besides the body that each byte of a body may bring along.
 constexpr std::uint64_t max_framing_ratio = 16;
-constexpr int first_final_status = 200;
+/// Answers a request to upgrade, which clients here never send.
+constexpr core::http_status status_switching_protocols = 101;
 
 std::string text(string_view it)
 {
@@ -274,12 +275,19 @@
     http_response_head head;
     std::function<void(const http_response_head&)> on_head;
 
-    bool is_interim() const { return head.status < first_final_status; }
+    bool has_invalid_status = false;
 
     void on_request_impl(http::verb, string_view, string_view, int, error_code&) override {}
-    void on_response_impl(int status, string_view reason, int, error_code&) override
+    void on_response_impl(int n, string_view reason, int, error_code& ec) override
     {
-        head.status = status;
+        const auto status = core::http_status::from(n);
+        has_invalid_status = !status || *status == status_switching_protocols;
+        if (has_invalid_status)
+        {
+            ec = http::error::bad_status;
+            return;
+        }
+        head.status = *status;
         head.reason = text(reason);
     }
     void on_header_impl(error_code&) override
@@ -289,7 +297,7 @@
         head.framing = chunked()    ? body_framing::chunked
                        : need_eof() ? body_framing::until_close
                                     : body_framing::length;
-        if (!is_interim())
+        if (!head.status.is_interim())
             on_head(head);
     }
 };
@@ -304,8 +312,11 @@
 
 codec_error http_response_reader::feed(std::string_view bytes)
 {
+    if (error_ != codec_error::none)
+        return error_;
     rest_.append(bytes);
-    return run();
+    error_ = run();
+    return error_;
 }
 
 codec_error http_response_reader::run()
@@ -324,10 +335,10 @@
         }
         bool needs_more = false;
         if (const auto ec = parse_some(*parser_, rest_, framing_, needs_more); ec != codec_error::none)
-            return ec;
+            return parser_->has_invalid_status ? codec_error::invalid_status : ec;
         if (parser_->is_done())
         {
-            const bool interim = parser_->is_interim();
+            const bool interim = parser_->head.status.is_interim();
             parser_.reset();
             if (interim)
                 continue;
@@ -343,7 +354,7 @@
 
 void http_response_reader::finish_input()
 {
-    if (!parser_ || !parser_->is_header_done() || !parser_->need_eof())
+    if (error_ != codec_error::none || !parser_ || !parser_->is_header_done() || !parser_->need_eof())
         return;
     error_code ec;
     parser_->put_eof(ec);
@@ -368,17 +379,17 @@
     return out;
 }
 
-std::string write_response_head(int status, std::string_view reason, const http_fields& fields)
+std::string write_response_head(core::http_status status, std::string_view reason, const http_fields& fields)
 {
     std::string out;
     out.reserve(256);
-    out.append("HTTP/1.1 ").append(std::to_string(status)).append(" ").append(reason).append("\r\n");
+    out.append("HTTP/1.1 ").append(std::to_string(status.value())).append(" ").append(reason).append("\r\n");
     for (const auto& it : fields)
         out.append(it.name).append(": ").append(it.value).append("\r\n");
     return out.append("\r\n");
 }
 
-std::string write_response(int status, http_fields fields, std::string_view body)
+std::string write_response(core::http_status status, http_fields fields, std::string_view body)
 {
     fields.add("Content-Length", std::to_string(body.size()));
     return write_response_head(status, reason_of(status), fields).append(body);
@@ -395,9 +406,9 @@
     return size.append("\r\n").append(bytes).append("\r\n");
 }
 
-std::string_view reason_of(int status)
+std::string_view reason_of(core::http_status status)
 {
-    const auto it = http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status)));
+    const auto it = http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status.value())));
     return {it.data(), it.size()};
 }
 
--- a/src/runlink/net/http_codec_test.cpp
+++ b/src/runlink/net/http_codec_test.cpp
@@ -292,3 +292,105 @@
         feed(request, chunked_request + bytes);
     }
 }
+
+namespace
+{
+
+/// The first line of a response with a three-digit status.
+std::string status_line(int status)
+{
+    auto digits = std::to_string(status);
+    digits.insert(0, 3 - digits.size(), '0');
+    return "HTTP/1.1 " + digits + " OK\r\n";
+}
+
+/// Fields and body of a response, for each way in which the end of a body is determined.
+const std::vector<std::string> framings{
+    "\r\nbody",
+    "\r\n",
+    "Content-Length: 4\r\n\r\nbody",
+    "Content-Length: 0\r\n\r\n",
+    "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n",
+};
+
+bool is_final_status(int n)
+{
+    return n >= 200 && n <= 599;
+}
+
+/// Interim responses have no body; 101 answers a request to upgrade, which the client never sends.
+bool is_skipped_status(int n)
+{
+    return n >= 100 && n <= 199 && n != 101;
+}
+
+} // namespace
+
+TEST_CASE("a response with a number that is no status is rejected however its body is framed")
+{
+    // Guards against a status of 000 that reaches a caller as a response without a head.
+    for (int status = 0; status <= 999; ++status)
+        for (const auto& framing : framings)
+        {
+            if (is_final_status(status) || is_skipped_status(status))
+                continue;
+            const auto bytes = status_line(status) + framing;
+            INFO(bytes);
+            for (const auto piece : {std::size_t{1}, bytes.size()})
+            {
+                read_response it;
+                auto ec = codec_error::none;
+                for (std::size_t at = 0; at < bytes.size(); at += piece)
+                    if (const auto e = it.reader.feed(std::string_view{bytes}.substr(at, piece));
+                        ec == codec_error::none)
+                        ec = e;
+                it.reader.finish_input();
+                REQUIRE(ec == codec_error::invalid_status);
+                REQUIRE(it.heads.empty());
+                REQUIRE(it.body.empty());
+                REQUIRE(it.ends == 0);
+            }
+        }
+}
+
+TEST_CASE("the head, body and end of a response are reported only in this order")
+{
+    // Guards against a body or an end of a response whose head was not reported.
+    for (unsigned seed = 1; seed <= 2000; ++seed)
+    {
+        INFO("seed " << seed);
+        std::mt19937 random{seed};
+        const auto pick = [&](std::size_t n) {
+            return std::uniform_int_distribution<std::size_t>{0, n - 1}(random);
+        };
+        std::string bytes;
+        for (auto n = 1 + pick(4); n > 0; --n)
+            bytes += status_line(static_cast<int>(pick(2) == 0 ? pick(1000) : 100 + pick(500))) +
+                     framings[pick(framings.size())];
+        for (auto n = pick(3); n > 0; --n)
+            bytes[pick(bytes.size())] = static_cast<char>(pick(256));
+        bytes.resize(pick(3) == 0 ? pick(bytes.size()) : bytes.size());
+        bool in_response = false;
+        bool is_rejected = false;
+        http_response_reader reader{{[&](const http_response_head& it)
+                                     {
+                                         REQUIRE_FALSE((in_response || is_rejected));
+                                         REQUIRE(is_final_status(it.status.value()));
+                                         in_response = true;
+                                     },
+                                     [&](std::string_view) { REQUIRE((in_response && !is_rejected)); },
+                                     [&]
+                                     {
+                                         REQUIRE((in_response && !is_rejected));
+                                         in_response = false;
+                                     }}};
+        while (!bytes.empty())
+        {
+            const auto n = 1 + pick(bytes.size());
+            is_rejected = reader.feed(std::string_view{bytes}.substr(0, n)) != codec_error::none;
+            bytes.erase(0, n);
+        }
+        reader.finish_input();
+    }
+}
--- a/src/runlink/net/http_exchange.cpp
+++ b/src/runlink/net/http_exchange.cpp
@@ -31,6 +31,16 @@
     return ec == std::errc{} ? core::milliseconds{n * 1000} : default_keep_alive;
 }
 
+exchange_failure failure_of(codec_error it)
+{
+    switch (it)
+    {
+    case codec_error::invalid_status: return exchange_failure::invalid_status;
+    case codec_error::header_too_large: return exchange_failure::head_too_large;
+    default: return exchange_failure::malformed;
+    }
+}
+
 } // namespace
 
 std::string_view to_string(exchange_failure it)
@@ -43,6 +53,7 @@
     case exchange_failure::reset: return "reset";
     case exchange_failure::closed: return "closed";
     case exchange_failure::malformed: return "malformed";
+    case exchange_failure::invalid_status: return "invalid_status";
     case exchange_failure::head_too_large: return "head_too_large";
     case exchange_failure::surplus_too_large: return "surplus_too_large";
     }
@@ -138,8 +149,7 @@
     if (!hooks_)
         return;
     if (ec != codec_error::none && !response_complete_)
-        return fail(ec == codec_error::malformed ? exchange_failure::malformed
-                                                 : exchange_failure::head_too_large);
+        return fail(failure_of(ec));
     if (!has_head_ && surplus_bytes_ > max_surplus_bytes)
         return fail(exchange_failure::surplus_too_large);
     // Bytes after the complete response make the connection unusable for further requests.
--- a/src/runlink/net/http_exchange_test.cpp
+++ b/src/runlink/net/http_exchange_test.cpp
@@ -104,6 +104,33 @@
     CHECK(peer.connections == 2);
 }
 
+TEST_CASE("a late response whose number is no status does not add its body to the response that is due")
+{
+    // Guards against a body that is reported although the head before it was not.
+    const auto status = GENERATE("000", "099", "101", "600", "999");
+    raw_peer peer;
+    connection_pool pool;
+    peer.on_bytes = [&]
+    {
+        peer.send("HTTP/1.1 " + std::string{status} +
+                  " OK\r\nId: old\r\nContent-Length: 3\r\n\r\nold"
+                  "HTTP/1.1 200 OK\r\nId: new\r\nContent-Length: 3\r\n\r\nnew");
+    };
+    outcome it;
+    auto hooks = it.hooks();
+    hooks.is_due = [](const http_response_head& head) { return *head.fields.find("Id") == "new"; };
+    pool.send(peer.address(), request, {}, hooks);
+    REQUIRE(wait_for([&] { return it.over(); }));
+    CHECK(it.failure == exchange_failure::invalid_status);
+    CHECK(it.body.empty());
+    outcome next;
+    peer.on_bytes = [&] { peer.send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"); };
+    pool.send(peer.address(), request, {}, next.hooks());
+    REQUIRE(wait_for([&] { return next.over(); }));
+    CHECK(next.body == "a");
+    CHECK(peer.connections == 2);
+}
+
 TEST_CASE("a late response to an earlier request is skipped")
 {
     raw_peer peer;
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -10,19 +10,12 @@
 namespace
 {
 
-constexpr int first_success = 200;
-constexpr int first_redirect = 300;
-constexpr int first_server_error = 500;
+constexpr int status_ok = 200;
 constexpr int status_misdirected = 421;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
 
-bool is_success(int status)
-{
-    return status >= first_success && status < first_redirect;
-}
-
 std::string_view to_string(attempt_loss it)
 {
     switch (it)
@@ -45,8 +38,8 @@
     if (request_flow == nullptr)
         return;
     const bool refused = head.not_run || head.status == status_misdirected;
-    const bool is_invalid = is_success(head.status) && !head.is_sealed;
-    const bool is_bad = is_invalid || head.status >= first_server_error;
+    const bool is_invalid = head.status.is_success() && !head.is_sealed;
+    const bool is_bad = is_invalid || head.status.is_server_error();
     // An endpoint may fail at once without running the request, so an error does not clear a suspected
     // request.
     if (!refused && !is_bad)
@@ -58,7 +51,7 @@
     auto line = describe(now, *request_flow, refused ? "endpoint_refused" : "endpoint_answered");
     line.endpoint = from->endpoint.str();
     line.version = from->version.str();
-    line.status = head.status;
+    line.status = head.status.value();
     line.attempt = from->number;
     hooks_.log(line);
     if (refused)
@@ -90,7 +83,7 @@
     cancel_attempts(now, *request_flow);
     ++counters_.answered;
     hooks_.forward_answer(request_flow->id, id);
-    finish(now, *request_flow, "answered", head.status);
+    finish(now, *request_flow, "answered", head.status.value());
 }
 
 void request_forwarder::note_run(flow& it)
@@ -248,7 +241,7 @@
     cancel_attempts(now, *it);
     ++counters_.answered;
     hooks_.forward_end(it->id);
-    finish(now, *it, "answered", first_success);
+    finish(now, *it, "answered", status_ok);
 }
 
 // Losses
--- a/tests/support/raw_peer.hpp
+++ b/tests/support/raw_peer.hpp
@@ -77,7 +77,7 @@
     {
         exchange_hooks out;
         out.sent = [this] { sent = true; };
-        out.head = [this](const http_response_head& it) { status = it.status; };
+        out.head = [this](const http_response_head& it) { status = it.status.value(); };
         out.body = [this](std::string_view it) { body.append(it); };
         out.end = [this] { ended = true; };
         out.failed = [this](exchange_failure it) { failure = it; };
