HTTP client: a response whose number is no status is not complete

The first product passed an endpoint's answer with a number such as 042 or 666 on as an answer, and counted one with 101.

--- a/include/runlink/net/http_client.hpp
+++ b/include/runlink/net/http_client.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include <QNetworkReply>
 #include <QPointer>
 
+#include "runlink/core/http_status.hpp"
 #include "runlink/net/http_server.hpp"
 
 namespace runlink::net
@@ -33,7 +35,7 @@
 /// Status and header fields of a response.
 struct http_answer_head
 {
-    int status = 0; ///< 0 if no response has begun
+    std::optional<core::http_status> status; ///< nothing if no response to the request has begun
     std::string content_type;
     header_list headers;
 
@@ -44,7 +46,7 @@
 /// Outcome of a call.
 struct http_result : http_answer_head
 {
-    bool complete = false; ///< the whole response has arrived
+    bool complete = false; ///< the whole response has arrived, and it has a status
     bool body_sent = true; ///< false only if the request has a body and the library has read none of it
     std::string error;     ///< Qt's error text, for logs
 };
--- a/src/runlink/app/attempt_runner.cpp
+++ b/src/runlink/app/attempt_runner.cpp
@@ -56,6 +56,12 @@
     bool invalid = false;
 
     bool is_streamed() const { return stream && status < first_error_status; }
+    /// Whether an answer of this status tells that the request did not start.
+    bool is_not_started(int answered) const
+    {
+        return std::find(not_started_statuses.begin(), not_started_statuses.end(), answered) !=
+               not_started_statuses.end();
+    }
 };
 
 attempt_runner::attempt_runner(net::http_client& client, attempt_hooks hooks)
@@ -103,11 +109,10 @@
 {
     // Reported with the head because a stream may end seconds later or be cancelled before its end.
     report_endpoint_state(it, head);
-    it.status = head.status;
+    it.status = head.status->value();
     it.content_type = head.content_type;
-    const auto& refusals = it.not_started_statuses;
-    if (std::find(refusals.begin(), refusals.end(), head.status) == refusals.end())
-        hooks_.head(it.id, head.status, head.content_type);
+    if (!it.is_not_started(it.status))
+        hooks_.head(it.id, it.status, head.content_type);
 }
 
 void attempt_runner::on_bytes(running_attempt& it, const std::string& bytes)
@@ -153,16 +158,15 @@
         return;
     const auto it = found->second;
     running_.erase(found);
-    const auto& refusals = it->not_started_statuses;
-    if (result.complete && std::find(refusals.begin(), refusals.end(), result.status) != refusals.end())
-        return hooks_.refused(id);
     if (!result.complete)
         return hooks_.lost(id, {{errc::endpoint_lost, it->endpoint.str()}, result.body_sent});
+    if (it->is_not_started(result.status->value()))
+        return hooks_.refused(id);
     const bool complete = !it->is_streamed() || !it->done_event.empty();
     if (it->invalid || !complete)
         return hooks_.lost(id, {{errc::endpoint_answer_invalid, it->endpoint.str()}, true});
     core::endpoint_answer answer;
-    answer.status = result.status;
+    answer.status = result.status->value();
     answer.content_type = result.content_type;
     answer.usage = it->is_streamed() ? it->usage : usage_of(it->body);
     answer.tail = it->is_streamed() ? std::move(it->done_event) : std::move(it->body);
--- a/src/runlink/app/operator_client.cpp
+++ b/src/runlink/app/operator_client.cpp
@@ -10,13 +10,13 @@
 using nlohmann::json;
 
 constexpr int timeout_ms = 10'000;
-constexpr int first_error_status = 400;
+constexpr core::http_status first_error_status = 400;
 
-core::failure failure_of(const json& doc, int status)
+core::failure failure_of(const json& doc, core::http_status status)
 {
     const auto error = doc.is_object() ? doc.value("error", json::object()) : json::object();
     const auto name = error.value("code", "internal");
-    return {code_of(name), error.value("message", "HTTP status " + std::to_string(status))};
+    return {code_of(name), error.value("message", "HTTP status " + std::to_string(status.value()))};
 }
 
 } // namespace
@@ -70,7 +70,7 @@
         return core::failure{core::errc::endpoint_lost, address_.str() + ": " + result.error};
     auto doc = json::parse(text, nullptr, false);
     if (result.status >= first_error_status)
-        return failure_of(doc, result.status);
+        return failure_of(doc, *result.status);
     if (doc.is_discarded())
         return core::failure{core::errc::endpoint_answer_invalid, address_.str()};
     return doc;
--- a/src/runlink/net/http_client.cpp
+++ b/src/runlink/net/http_client.cpp
@@ -68,10 +68,17 @@
     return out;
 }
 
+/// Status of the response; nothing if there is none yet, or if its number is no status of a final response.
+std::optional<core::http_status> status_of(const QNetworkReply& it)
+{
+    const auto out = core::http_status::from(it.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt());
+    return out && out->is_interim() ? std::nullopt : out;
+}
+
 http_answer_head head_of(const QNetworkReply& it)
 {
     http_answer_head out;
-    out.status = it.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+    out.status = status_of(it);
     out.content_type = it.header(QNetworkRequest::ContentTypeHeader).toString().toStdString();
     for (const auto& [name, value] : it.rawHeaderPairs())
         out.headers.emplace_back(name.toStdString(), value.toStdString());
@@ -145,8 +152,9 @@
     if (found == calls_.end())
         return;
     auto& it = *found->second;
-    const int status = it.reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-    if (!it.head_reported && status != 0)
+    if (!status_of(*it.reply))
+        return;
+    if (!it.head_reported)
     {
         it.head_reported = true;
         if (it.hooks.head)
@@ -170,9 +178,10 @@
     static_cast<http_answer_head&>(out) = head_of(*it->reply);
     const auto error = static_cast<int>(it->reply->error());
     const bool resend_refused = it->reply->error() == QNetworkReply::ContentReSendError;
-    out.complete = out.status != 0 && !resend_refused && (error == 0 || error > last_network_error);
+    out.complete = out.status && !resend_refused && (error == 0 || error > last_network_error);
     out.body_sent = it->body == nullptr || it->body->was_read();
-    out.error = it->reply->errorString().toStdString();
+    out.error = error == 0 && !out.status ? "the response has no valid status"
+                                          : it->reply->errorString().toStdString();
     release(*it);
     it->hooks.done(out);
 }
--- a/src/runlink/net/http_test.cpp
+++ b/src/runlink/net/http_test.cpp
@@ -144,6 +144,25 @@
     }
 }
 
+TEST_CASE("a response whose number is no status is not complete and reports no bytes")
+{
+    // Guards against answers without a valid status that count as answers of an endpoint.
+    const auto status = GENERATE("000", "001", "042", "099", "101", "600", "666", "999");
+    const auto rest = GENERATE("\r\nother", "Content-Length: 5\r\n\r\nother");
+    INFO(status << " " << rest);
+    raw_server server{[&](QTcpSocket* socket)
+                      {
+                          socket->write(("HTTP/1.1 " + std::string{status} + " OK\r\n" + rest).c_str());
+                          socket->disconnectFromHost();
+                      }};
+    http_client client;
+    collected it;
+    fetch(client, call_to(server.port()), it.handler());
+    REQUIRE(run_until([&] { return it.done; }));
+    CHECK_FALSE(it.result.complete);
+    CHECK(it.body.empty());
+}
+
 TEST_CASE("more than six calls to a host run concurrently")
 {
     std::vector<std::shared_ptr<http_exchange>> held;
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -253,8 +253,9 @@
     for (std::size_t n = 0; n < calls.size(); ++n)
     {
         const auto& it = *calls[n];
-        INFO("call " << n << ": status " << it.result.status << ", complete " << it.result.complete
-                     << ", outcome " << it.outcome() << ", body: " << it.body);
+        INFO("call " << n << ": status " << (it.result.status ? it.result.status->value() : 0)
+                     << ", complete " << it.result.complete << ", outcome " << it.outcome()
+                     << ", body: " << it.body);
         CHECK((it.is_whole() || it.outcome() == "not_run" || !it.result.body_sent));
     }
     check_bills(group, calls);
