HTTP: a line end in a written value does not end its header field

An endpoint got fields, or a whole request, that nobody had sent: what wrote a head took each value as it was, and the name of an endpoint comes from the key of an entry that any writer may leave. The writers of heads now put a space in the place of CR, LF and NUL in each method, target, reason, name and value (RFC 9110, section 5.5).

--- a/include/runlink/net/http_codec.hpp
+++ b/include/runlink/net/http_codec.hpp
@@ -192,8 +192,8 @@
     codec_error error_ = codec_error::none;
 };
 
-/// Serializes a request with its body. Adds `Content-Length` when the body is not empty or the method is
-/// POST, PUT or PATCH.
+/// Serializes a request with its body. Line ends in its fields and its target become spaces. Adds
+/// `Content-Length` when the body is not empty or the method is POST, PUT or PATCH.
 std::string write_request(const http_request_head& head, std::string_view body);
 
 /// Serializes the head of a response. `fields` must include the framing fields (`Content-Length` or
--- a/src/runlink/net/http_codec.cpp
+++ b/src/runlink/net/http_codec.cpp
@@ -366,13 +366,41 @@
 
 // Writers
 
+namespace
+{
+
+/// Appends text with spaces in place of the characters that would end its line or the message (RFC 9110,
+/// section 5.5).
+void append_in_line(std::string& to, std::string_view text)
+{
+    const auto is_end = [](char c) { return c == '\r' || c == '\n' || c == '\0'; };
+    const auto begin = to.size();
+    to.append(text);
+    std::replace_if(to.begin() + static_cast<std::ptrdiff_t>(begin), to.end(), is_end, ' ');
+}
+
+void append_fields(std::string& to, const http_fields& fields)
+{
+    for (const auto& it : fields)
+    {
+        append_in_line(to, it.name);
+        to.append(": ");
+        append_in_line(to, it.value);
+        to.append("\r\n");
+    }
+}
+
+} // namespace
+
 std::string write_request(const http_request_head& head, std::string_view body)
 {
     std::string out;
     out.reserve(512 + body.size());
-    out.append(head.method).append(" ").append(head.target).append(" HTTP/1.1\r\n");
-    for (const auto& it : head.fields)
-        out.append(it.name).append(": ").append(it.value).append("\r\n");
+    append_in_line(out, head.method);
+    out.append(" ");
+    append_in_line(out, head.target);
+    out.append(" HTTP/1.1\r\n");
+    append_fields(out, head.fields);
     if (!body.empty() || head.method == "POST" || head.method == "PUT" || head.method == "PATCH")
         out.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
     out.append("\r\n").append(body);
@@ -383,9 +411,10 @@
 {
     std::string out;
     out.reserve(256);
-    out.append("HTTP/1.1 ").append(std::to_string(status.value())).append(" ").append(reason).append("\r\n");
-    for (const auto& it : fields)
-        out.append(it.name).append(": ").append(it.value).append("\r\n");
+    out.append("HTTP/1.1 ").append(std::to_string(status.value())).append(" ");
+    append_in_line(out, reason);
+    out.append("\r\n");
+    append_fields(out, fields);
     return out.append("\r\n");
 }
 
--- a/src/runlink/net/http_codec_test.cpp
+++ b/src/runlink/net/http_codec_test.cpp
@@ -394,3 +394,32 @@
         reader.finish_input();
     }
 }
+
+TEST_CASE("a line end in a written value ends neither its field nor the message")
+{
+    // Guards against values that add fields, or a second request, to a message.
+    const std::string forged =
+        std::string{"a\r\nX-Other: 1\r\n\r\nGET /other HTTP/1.1\r\nHost: h\r\n\r\n"} + std::string("\0\n", 2);
+    http_request_head head;
+    head.method = "GET";
+    head.target = "/x";
+    head.fields.add("Host", "h");
+    head.fields.add("X-Name", forged);
+    head.fields.add("X-Last", "1");
+    read_request request;
+    REQUIRE(request.reader.feed(write_request(head, {})) == codec_error::none);
+    REQUIRE(request.ends == 1);
+    CHECK(request.heads[0].fields.count("X-Other") == 0);
+    CHECK(request.heads[0].fields.count("X-Last") == 1);
+    REQUIRE(request.reader.next() == codec_error::none);
+    CHECK(request.heads.size() == 1);
+    head.target += forged;
+    read_request target;
+    CHECK(target.reader.feed(write_request(head, {})) != codec_error::none);
+    CHECK(target.heads.empty());
+    read_response response;
+    REQUIRE(response.reader.feed(write_response_head(200, forged, head.fields)) == codec_error::none);
+    REQUIRE(response.heads.size() == 1);
+    CHECK(response.heads[0].fields.count("X-Other") == 0);
+    CHECK(response.body.empty());
+}
