--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -281,7 +281,7 @@
     auto status = std::make_shared<int>(0);
     net::exchange_hooks hooks;
     hooks.sent = [] {};
-    hooks.head = [status](const net::http_response_head& it) { *status = it.status; };
+    hooks.head = [status](const net::http_response_head& it) { *status = it.status.value(); };
     hooks.body = [](std::string_view) {};
     hooks.end = [status, to] { to(*status == status_ok); };
     hooks.failed = [to](net::exchange_failure) { to(false); };
