--- a/src/runlink/gateway/gateway_settings.cpp
+++ b/src/runlink/gateway/gateway_settings.cpp
@@ -6,6 +6,7 @@
 #include <sstream>
 
 #include "runlink/core/json_reader.hpp"
+#include "runlink/core/names.hpp"
 
 namespace runlink::gateway
 {
@@ -68,6 +69,14 @@
     return core::milliseconds{static_cast<core::milliseconds::rep>(s * ms_per_s)};
 }
 
+std::string read_name(json_object_reader& in, const std::string& name)
+{
+    auto out = in.required_string(name);
+    if (!out.empty() && !core::is_name(out))
+        in.fault(name, "must be a name: at most 256 bytes, no control characters, no blanks at its ends");
+    return out;
+}
+
 /// Reads the region of each failure domain.
 places::region_map read_regions(json_object_reader& in)
 {
@@ -184,8 +193,8 @@
     required("instance",
              [&](auto& e)
              {
-                 out.id = core::instance_id{e.required_string("id")};
-                 out.failure_domain = core::failure_domain_id{e.required_string("failure_domain")};
+                 out.id = core::instance_id{read_name(e, "id")};
+                 out.failure_domain = core::failure_domain_id{read_name(e, "failure_domain")};
                  out.memory_mb =
                      static_cast<std::uint32_t>(e.optional_number("memory_mb", 0, 0, max_memory_mb));
                  out.descriptors =
--- a/src/runlink/gateway/gateway_test.cpp
+++ b/src/runlink/gateway/gateway_test.cpp
@@ -236,6 +236,19 @@
         CHECK(bad.error().detail.find(path) != std::string::npos);
 }
 
+TEST_CASE("settings with a name that would end a header field are rejected")
+{
+    for (const auto* member : {"\"id\"", "\"failure_domain\""})
+    {
+        auto text = settings_text;
+        const auto from = text.find('"', text.find(':', text.find(member)));
+        text.insert(from + 1, "a\\r\\nX-Other: 1");
+        const auto read = parse_gateway_settings(text);
+        REQUIRE_FALSE(read);
+        CHECK(read.error().detail.find("must be a name") != std::string::npos);
+    }
+}
+
 TEST_CASE("the memory of a process bounds the answers that it holds")
 {
     constexpr std::size_t mb = 1'000'000;
