Store: an item that cannot be read does not hide the others

With one entry whose key holds half of a surrogate pair, or without a revision, in the store, no list and no watch could be read any more: each call ended as malformed, was tried again, and new endpoints and configurations were not seen.

Cause: an answer was parsed and read as a whole. Items are now read one by one. One whose key or revision cannot be read is left out, counted and logged (store_items_unreadable); one whose value cannot be read is refused under its key, like any other malformed document. Invalid text in a string no longer fails the parse. A page without a readable item and with more to come is tried again later, since the next page would begin after the same key.

--- a/include/runlink/control/kv_store.hpp
+++ b/include/runlink/control/kv_store.hpp
@@ -2,6 +2,7 @@
 /// Interface to the platform's key-value store: typed messages and asynchronous calls.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -39,6 +40,7 @@
     std::vector<kv_item> items;
     bool has_more = false;
     core::store_revision store_revision;
+    std::size_t unreadable_items = 0; ///< left out of `items`: their key or revision can't be read
 };
 
 /// Result of a watch. No events if its wait ended without a change.
@@ -46,6 +48,7 @@
 {
     std::vector<kv_event> events;
     core::store_revision store_revision;
+    std::size_t unreadable_items = 0; ///< left out of `events`: their key or revision can't be read
 };
 
 /// A precondition of a transaction: the key is at this revision, or absent if the revision is 0.
--- a/include/runlink/core/json_reader.hpp
+++ b/include/runlink/core/json_reader.hpp
@@ -34,6 +34,11 @@
 /// Parses JSON text. Malformed text and duplicate member names are faults; malformed text gives no value.
 std::optional<nlohmann::json> parse_json(std::string_view text, json_faults& faults);
 
+/// Parses JSON text in which single strings are not valid: bytes that are no UTF-8, escapes of one half of a
+/// surrogate pair and control characters become NUL characters. Throws `nlohmann::json::exception` for text
+/// that is malformed otherwise.
+nlohmann::json parse_json_with_invalid_strings(const std::string& text);
+
 /// Reads one JSON object. The destructor reports members that were never read as unknown fields.
 class json_object_reader
 {
--- a/include/runlink/gateway/kv_http_store.hpp
+++ b/include/runlink/gateway/kv_http_store.hpp
@@ -43,6 +43,7 @@
     std::uint64_t unanswered = 0; ///< calls of any kind without an answer
     std::uint64_t refused = 0;    ///< calls of any kind answered with 429 or 503
     std::uint64_t cut_off = 0;    ///< calls of any kind whose answer ended before it was whole
+    std::uint64_t unreadable = 0; ///< items left out of answers, because they could not be read
     std::uint64_t bytes = 0;      ///< of the bodies of answers, also of those that were not whole
 
     std::uint64_t all() const { return lists + watches + commits; }
@@ -64,6 +65,8 @@
     std::function<void(core::store_era)> on_era = [](auto) {};
     /// A call has ended. Called before its handler.
     std::function<void(kv_call, const call_report&)> on_call_ended = [](auto, const auto&) {};
+    /// This many items of an answer could not be read and are left out. Called before the handler.
+    std::function<void(kv_call, std::size_t)> on_items_left_out = [](auto, auto) {};
 
 private:
     using answer_handler = std::function<void(const control::http_answer&)>;
@@ -72,6 +75,7 @@
     http_caller::call_ptr send(kv_call kind, const control::http_call& request,
                                const core::transfer_limits& limits, answer_handler handler);
     void count(int status, const call_report& report);
+    void count_unreadable(kv_call kind, std::size_t items);
 
     kv_http_options options_;
     control::kv_wire wire_;
--- a/src/runlink/control/control_test.cpp
+++ b/src/runlink/control/control_test.cpp
@@ -40,6 +40,18 @@
     CHECK(f.store.watched_after == std::vector<std::uint64_t>{5});
 }
 
+TEST_CASE("a page without a readable item is not asked for again at once")
+{
+    // Guards against an endless series of calls for the same page.
+    followed f;
+    fake_kv::answer(f.store.lists, kv_result<kv_page>{kv_page{{}, true, 5, 1}});
+    CHECK(f.store.lists.empty());
+    CHECK(f.told == std::vector<std::string>{"lost malformed"});
+    f.advance(core::seconds{10});
+    fake_kv::answer(f.store.lists, kv_result<kv_page>{kv_page{{{"a", "", 2}}, false, 5}});
+    CHECK(f.told.back() == "listed 1");
+}
+
 TEST_CASE("a proof counts from when its call was sent, not from when it was answered")
 {
     followed f;
--- a/src/runlink/control/store_follower.cpp
+++ b/src/runlink/control/store_follower.cpp
@@ -249,8 +249,16 @@
     // The pages are no snapshot, so changes are watched from the revision of the first page.
     if (list_revision_.is_none())
         list_revision_ = it.store_revision;
+    if (it.has_more && it.items.empty())
+    {
+        // The next page would begin after the same key again.
+        is_listing_ = false;
+        note_failure(now, kv_error::malformed);
+        next_list_ = now + retry_delay();
+        return;
+    }
     std::move(it.items.begin(), it.items.end(), std::back_inserter(pages_));
-    if (!it.has_more || pages_.empty())
+    if (!it.has_more)
         return finish_list();
     request_page(pages_.back().key);
 }
--- a/src/runlink/core/json_reader.cpp
+++ b/src/runlink/core/json_reader.cpp
@@ -1,5 +1,7 @@
 #include "runlink/core/json_reader.hpp"
 
+#include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace runlink::core
@@ -30,6 +32,79 @@
     std::vector<std::set<std::string>> names_;
 };
 
+constexpr std::string_view nul_escape = "\\u0000";
+constexpr std::size_t unicode_escape_bytes = 6; ///< `\uXXXX`
+
+/// The code unit of an escape `\uXXXX` at the beginning of the text; nothing if there is none.
+std::optional<unsigned> unicode_escape_of(std::string_view text)
+{
+    unsigned out = 0;
+    if (text.size() < unicode_escape_bytes || !text.starts_with("\\u"))
+        return std::nullopt;
+    const auto* end = text.data() + unicode_escape_bytes;
+    const auto [last, ec] = std::from_chars(text.data() + 2, end, out, 16);
+    return ec == std::errc{} && last == end ? std::optional{out} : std::nullopt;
+}
+
+/// Length of the character of several bytes that UTF-8 text begins with; 0 if it is not valid.
+std::size_t utf8_length(std::string_view text)
+{
+    const auto byte = [&](std::size_t n)
+    { return n < text.size() ? static_cast<unsigned char>(text[n]) : 0U; };
+    const auto is_next = [&](std::size_t n, unsigned min = 0x80, unsigned max = 0xbf)
+    { return byte(n) >= min && byte(n) <= max; };
+    const auto first = byte(0);
+    if (first >= 0xc2 && first <= 0xdf)
+        return is_next(1) ? 2 : 0;
+    if (first >= 0xe0 && first <= 0xef)
+        return is_next(1, first == 0xe0 ? 0xa0 : 0x80, first == 0xed ? 0x9f : 0xbf) && is_next(2) ? 3 : 0;
+    if (first >= 0xf0 && first <= 0xf4)
+        return is_next(1, first == 0xf0 ? 0x90 : 0x80, first == 0xf4 ? 0x8f : 0xbf) && is_next(2) &&
+                       is_next(3)
+                   ? 4
+                   : 0;
+    return 0;
+}
+
+/// Length of the valid piece of a string that the text begins with, or 0 and the length of the invalid piece.
+std::pair<std::size_t, std::size_t> string_piece_of(std::string_view text)
+{
+    constexpr unsigned first_high = 0xd800;
+    constexpr unsigned first_low = 0xdc00;
+    constexpr unsigned after_low = 0xe000;
+    if (const auto unit = unicode_escape_of(text))
+    {
+        const auto next = unicode_escape_of(text.substr(unicode_escape_bytes));
+        if (*unit < first_high || *unit >= after_low)
+            return {unicode_escape_bytes, 0};
+        if (*unit < first_low && next && *next >= first_low && *next < after_low)
+            return {2 * unicode_escape_bytes, 0};
+        return {0, unicode_escape_bytes};
+    }
+    if (text[0] == '\\')
+        return {std::min<std::size_t>(text.size(), 2), 0};
+    const auto byte = static_cast<unsigned char>(text[0]);
+    if (byte >= 0x80)
+        return {utf8_length(text), 1};
+    return {byte < ' ' ? 0 : 1, 1};
+}
+
+std::string with_valid_strings(std::string_view text)
+{
+    std::string out;
+    out.reserve(text.size());
+    bool in_string = false;
+    while (!text.empty())
+    {
+        auto [valid, invalid] = in_string ? string_piece_of(text) : std::pair<std::size_t, std::size_t>{1, 0};
+        if (text[0] == '"')
+            in_string = !in_string;
+        out += valid > 0 ? text.substr(0, valid) : nul_escape;
+        text.remove_prefix(valid > 0 ? valid : invalid);
+    }
+    return out;
+}
+
 } // namespace
 
 std::string json_faults::str() const
@@ -44,6 +119,12 @@
     return out;
 }
 
+nlohmann::json parse_json_with_invalid_strings(const std::string& text)
+{
+    auto out = nlohmann::json::parse(text, nullptr, false);
+    return out.is_discarded() ? nlohmann::json::parse(with_valid_strings(text)) : out;
+}
+
 std::optional<nlohmann::json> parse_json(std::string_view text, json_faults& faults)
 {
     try
--- a/src/runlink/gateway/gateway_daemon.cpp
+++ b/src/runlink/gateway/gateway_daemon.cpp
@@ -116,6 +116,14 @@
     follower_.clock = clock_;
     store_.on_era = [this](core::store_era it) { follower_.on_era(it); };
     store_.on_call_ended = [this](kv_call kind, const call_report& it) { log_transfer(kind, it); };
+    store_.on_items_left_out = [this](kv_call kind, std::size_t n)
+    {
+        log_.write(clock_(),
+                   observe::log_line{"store_items_unreadable"}
+                       .text("reason", to_string(kind))
+                       .number("items", static_cast<std::int64_t>(n)),
+                   observe::log_rank::notable);
+    };
     forwarder_.rollouts().on_verdict =
         [this](const core::service_id& service, const routing::version_fault& why)
     {
--- a/src/runlink/gateway/gateway_daemon_metrics.cpp
+++ b/src/runlink/gateway/gateway_daemon_metrics.cpp
@@ -56,6 +56,8 @@
         counter("runlink_store_unanswered_total", "Calls of the store without an answer", calls.unanswered),
         counter("runlink_store_refused_total", "Calls that the store refused", calls.refused),
         counter("runlink_store_cut_off_total", "Calls whose answer ended before it was whole", calls.cut_off),
+        counter("runlink_store_items_unreadable_total", "Items left out of answers of the store",
+                calls.unreadable),
         counter("runlink_store_bytes_total", "Bytes of the store's answers", calls.bytes),
         counter("runlink_connections_opened_total", "Connections opened to endpoints",
                 gateway_.pool().totals().opened),
--- a/src/runlink/gateway/kv_http_store.cpp
+++ b/src/runlink/gateway/kv_http_store.cpp
@@ -41,7 +41,13 @@
     {
         ++counters_.lists;
         send(kv_call::list, wire_.list(after), options_.transfer,
-             [this, to](const control::http_answer& it) { to(wire_.read_page(it)); });
+             [this, to](const control::http_answer& it)
+             {
+                 const auto page = wire_.read_page(it);
+                 if (const auto* read = std::get_if<control::kv_page>(&page))
+                     count_unreadable(kv_call::list, read->unreadable_items);
+                 to(page);
+             });
     };
     out.watch = [this](std::uint64_t after, core::milliseconds wait,
                        const std::function<void(control::kv_result<control::kv_changes>)>& to)
@@ -50,7 +56,13 @@
         auto limits = options_.transfer;
         limits.first_byte = wait + options_.watch_slack;
         watch_ = send(kv_call::watch, wire_.watch(after, wait), limits,
-                      [this, to](const control::http_answer& it) { to(wire_.read_changes(it)); });
+                      [this, to](const control::http_answer& it)
+                      {
+                          const auto changes = wire_.read_changes(it);
+                          if (const auto* read = std::get_if<control::kv_changes>(&changes))
+                              count_unreadable(kv_call::watch, read->unreadable_items);
+                          to(changes);
+                      });
     };
     out.commit =
         [this](const control::kv_transaction& it, const std::function<void(control::kv_commit_result)>& to)
@@ -83,6 +95,14 @@
         });
 }
 
+void kv_http_store::count_unreadable(kv_call kind, std::size_t items)
+{
+    if (items == 0)
+        return;
+    counters_.unreadable += items;
+    on_items_left_out(kind, items);
+}
+
 void kv_http_store::count(int status, const call_report& report)
 {
     counters_.bytes += report.bytes;
