HTTP: a very long keep-alive time does not overflow

A connection to a peer that names timeout= was not used again: the time overflowed and counted as over.

Before: http_exchange_test "a connection whose peer names a very long keep-alive time is reused" failed (2 connections); now it passes.

--- a/src/runlink/net/http_exchange.cpp
+++ b/src/runlink/net/http_exchange.cpp
@@ -12,6 +12,8 @@
 
 /// Assumed when a peer sends no keep-alive timeout; shorter than the timeout of common servers.
 constexpr core::milliseconds default_keep_alive{4000};
+/// Longer times are shortened to this one.
+constexpr core::milliseconds max_keep_alive = std::chrono::hours{24};
 /// A connection is reused only within this fraction (1/n) of the peer's keep-alive time. The remainder covers
 /// network delay.
 constexpr int keep_alive_divisor = 2;
@@ -28,7 +30,10 @@
     long long n = 0;
     const auto* first = field->data() + at + name.size();
     const auto [last, ec] = std::from_chars(first, field->data() + field->size(), n);
-    return ec == std::errc{} ? core::milliseconds{n * 1000} : default_keep_alive;
+    if (ec != std::errc{})
+        return default_keep_alive;
+    constexpr long long max_s = std::chrono::duration_cast<core::seconds>(max_keep_alive).count();
+    return core::seconds{std::clamp(n, 0LL, max_s)};
 }
 
 exchange_failure failure_of(codec_error it)
--- a/src/runlink/net/http_exchange_test.cpp
+++ b/src/runlink/net/http_exchange_test.cpp
@@ -131,6 +131,24 @@
     CHECK(peer.connections == 2);
 }
 
+TEST_CASE("a connection whose peer names a very long keep-alive time is reused")
+{
+    // Guards against a time that overflows and counts as over.
+    raw_peer peer;
+    connection_pool pool;
+    peer.on_bytes = [&] {
+        peer.send("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=9223372036854775807\r\nContent-Length: 1\r\n\r\na");
+    };
+    for (int n = 0; n < 2; ++n)
+    {
+        outcome it;
+        pool.send(peer.address(), request, {}, it.hooks());
+        REQUIRE(wait_for([&] { return it.over(); }));
+        CHECK(it.ended);
+    }
+    CHECK(peer.connections == 1);
+}
+
 TEST_CASE("a late response to an earlier request is skipped")
 {
     raw_peer peer;
