Routing: a stream whose event ids fall does not end as complete without an event

Cause: an id that is not above the last one was taken for the overlap of a resumed stream, though only the first events behind a resumption can be that. Ids are now compared within one attempt too: one that does not rise ends the attempt as broken (event_out_of_order), so that a resumable stream goes on at another endpoint behind the last event in order, and another one breaks off.

--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -256,10 +256,11 @@
         bool ends_with_connection = false; ///< see `attempt_head`
         std::optional<time_point> first_event;
         std::uint32_t events = 0;
-        time_point sampled_at{}; ///< start of the next sample of the time per token
-        answer_counts counted;   ///< what was already counted in the version statistics
-        bool is_trial = false;   ///< isolated run of a suspected request
-        bool has_ended = false;  ///< the endpoint has ended, as far as is known
+        std::optional<std::uint64_t> last_event; ///< the latest id that this endpoint sent
+        time_point sampled_at{};                 ///< start of the next sample of the time per token
+        answer_counts counted;                   ///< what was already counted in the version statistics
+        bool is_trial = false;                   ///< isolated run of a suspected request
+        bool has_ended = false;                  ///< the endpoint has ended, as far as is known
         bool is_stalled = false; ///< a successor was sought because the attempt made no progress
     };
 
@@ -468,6 +469,8 @@
     /// Adds the inputs of the denial to the log record.
     void describe_denial(time_point now, const flow& it, decision& to);
     void record_loss(time_point now, attempt_id id, attempt_loss loss);
+    /// The endpoint sent an event whose id does not rise, so an event before or behind it is missing.
+    void on_event_out_of_order(time_point now, attempt_id id);
     void record_failed_connection(time_point now, const attempt& it);
     std::optional<attempt> take_attempt(time_point now, attempt_id id);
     void cancel_attempts(time_point now, flow& it);
--- a/src/runlink/gateway/gateway_answers_test.cpp
+++ b/src/runlink/gateway/gateway_answers_test.cpp
@@ -162,3 +162,40 @@
     CHECK(one.requests == 1);
     CHECK(two.requests == 1);
 }
+
+TEST_CASE("a stream whose event ids fall goes on behind the last event before that, or breaks off")
+{
+    // Guards against an event that is dropped from a stream that ends as complete.
+    const auto event = [](int id, int n)
+    { return "id: " + std::to_string(id) + "\ndata: piece-" + std::to_string(n) + "\n\n"; };
+    const std::string head = answer_head("r1") + "Content-Type: text/event-stream\r\n\r\n";
+    const auto wrong_id = GENERATE(1, 2);
+    served_gateway it{route_of(route_kind::streaming, 2)};
+    int runs = 0;
+    const auto answer = [&](QTcpSocket& to)
+    {
+        const bool is_first = ++runs == 1;
+        to.write(
+            (head + (is_first ? event(1, 1) + event(2, 2) + event(wrong_id, 3) : event(3, 3)) + event(4, 4))
+                .c_str());
+        to.disconnectFromHost();
+    };
+    scripted_endpoint one{answer};
+    it.add_endpoint("e1", one.port());
+    SECTION("another endpoint goes on")
+    {
+        scripted_endpoint two{answer};
+        it.add_endpoint("e2", two.port());
+        const auto out = it.call("r1", 100);
+        CHECK(out.ended);
+        CHECK(out.body == event(1, 1) + event(2, 2) + event(3, 3) + event(4, 4));
+        CHECK(runs == 2);
+    }
+    SECTION("there is no other endpoint")
+    {
+        const auto out = it.call("r1", 100);
+        CHECK_FALSE(out.ended);
+        CHECK(out.body == event(1, 1) + event(2, 2));
+    }
+    CHECK(it.log().find("event_out_of_order") != std::string::npos);
+}
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -202,6 +202,10 @@
     if (it == nullptr)
         return;
     auto& from = attempts_.at(id);
+    if (event_id && from.last_event && *event_id <= *from.last_event)
+        return on_event_out_of_order(now, id);
+    if (event_id)
+        from.last_event = event_id;
     if (!from.first_event)
         from.first_event = now;
     ++from.events;
@@ -222,6 +226,17 @@
     hooks_.forward_bytes(it->id, event);
 }
 
+void request_forwarder::on_event_out_of_order(time_point now, attempt_id id)
+{
+    const auto& from = attempts_.at(id);
+    auto line = describe(now, flows_.at(from.flow), "event_out_of_order");
+    line.endpoint = from.endpoint.str();
+    line.attempt = from.number;
+    hooks_.log(line);
+    hooks_.cancel(id);
+    on_lost(now, id, attempt_loss::broken);
+}
+
 void request_forwarder::on_stream_end(time_point now, attempt_id id)
 {
     auto* it = find(id);
