Datagrams: a port or an age out of range is rejected

What instances tell each other was cast to narrower types: a port of 70,000 became 4,464, and an age of a proof beyond the signed range became negative, a proof of the future, by which a removed key would go on. Such datagrams are dropped like invalid bytes. No instance of ours sends them.

--- a/src/runlink/gateway/gateway_test.cpp
+++ b/src/runlink/gateway/gateway_test.cpp
@@ -365,6 +365,34 @@
     CHECK(out.loads == it.loads);
 }
 
+TEST_CASE("a datagram with a number out of range is rejected")
+{
+    // Guards against a port that wraps, and against a proof of the future.
+    const auto is_rejected = [](const std::string& bytes)
+    { return std::holds_alternative<std::monostate>(proto::decode_datagram(bytes)); };
+    // The numbers 20,000 and 70,000 as varints.
+    const std::string good_port{"\xa0\x9c\x01"};
+    const std::string bad_port{"\xf0\xa2\x04"};
+    control::sync_request request;
+    request.sender = {core::instance_id{"a"}, core::failure_domain_id{"n"}, "10.0.0.1", 20'000, 200};
+    paths::reach_reply reach;
+    reach.port = 20'000;
+    for (auto bytes : {proto::encode(request), proto::encode(reach)})
+    {
+        CHECK_FALSE(is_rejected(bytes));
+        REQUIRE(bytes.find(good_port) != std::string::npos);
+        CHECK(is_rejected(bytes.replace(bytes.find(good_port), good_port.size(), bad_port)));
+    }
+    control::sync_reply reply;
+    for (const auto age : {core::milliseconds{-1}, core::milliseconds::min(), core::milliseconds::max()})
+    {
+        reply.proof_age = age;
+        CHECK(is_rejected(proto::encode(reply)));
+    }
+    reply.proof_age = core::milliseconds{60'000};
+    CHECK_FALSE(is_rejected(proto::encode(reply)));
+}
+
 TEST_CASE("datagrams keep their contents when encoded and decoded; invalid bytes are rejected")
 {
     routing::gossip_message it;
--- a/src/runlink/proto/gossip_codec.cpp
+++ b/src/runlink/proto/gossip_codec.cpp
@@ -1,7 +1,9 @@
 #include "runlink/proto/gossip_codec.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
+#include <limits>
 
 #include "gossip.pb.h"
 
@@ -10,6 +12,9 @@
 namespace
 {
 
+constexpr std::uint32_t max_port = std::numeric_limits<std::uint16_t>::max();
+constexpr core::milliseconds max_age = std::chrono::days{366};
+
 void to_wire(const std::monostate&, wire::Datagram&) {}
 
 void to_wire(const core::store_revision& it, wire::StoreRevision& to)
@@ -319,6 +324,8 @@
 datagram from_wire(const wire::ReachReply& in)
 {
     paths::reach_reply out;
+    if (in.port() > max_port)
+        return {};
     out.sender = core::instance_id{in.sender()};
     out.number = in.number();
     out.endpoint = core::endpoint_id{in.endpoint()};
@@ -474,6 +481,8 @@
 datagram from_wire(const wire::SyncRequest& in)
 {
     control::sync_request out;
+    if (in.port() > max_port)
+        return {};
     out.sender.id = core::instance_id{in.sender()};
     out.sender.failure_domain = core::failure_domain_id{in.failure_domain()};
     out.sender.host = in.host();
@@ -489,6 +498,8 @@
 datagram from_wire(const wire::SyncReply& in)
 {
     control::sync_reply out;
+    if (in.proof_age_ms() > static_cast<std::uint64_t>(max_age.count()))
+        return {};
     out.sender = core::instance_id{in.sender()};
     out.number = in.number();
     if (in.has_proof())
