Tests: an answer that is cut at any byte of its head reaches no caller

They pass on the code as it was.

Two conditions hold it, each by itself: finish_input asks for a whole head, and Beast reports a partial message.

--- a/src/runlink/app/app_test.cpp
+++ b/src/runlink/app/app_test.cpp
@@ -14,6 +14,7 @@
 #include "runlink/app/sse_splitter.hpp"
 #include "runlink/app/tables.hpp"
 #include "runlink/observe/metrics.hpp"
+#include "support/cut_answers.hpp"
 #include "support/wait_for.hpp"
 
 using namespace runlink;
@@ -258,3 +259,42 @@
     CHECK_FALSE(has_ended);
     runner.cancel(start.attempt);
 }
+
+TEST_CASE("an attempt whose answer is cut at any byte of its head is lost")
+{
+    // Guards against an answer cut in its head that reaches a caller as a whole one without a body.
+    for (const auto& answer : tests::framed_answers())
+        for (std::size_t n = 0; n < answer.head.size(); ++n)
+        {
+            INFO(answer.head << "cut after " << n);
+            QTcpServer endpoint;
+            REQUIRE(endpoint.listen(QHostAddress::LocalHost, 0));
+            QObject::connect(&endpoint, &QTcpServer::newConnection, &endpoint,
+                             [&]
+                             {
+                                 auto* to = endpoint.nextPendingConnection();
+                                 to->write(answer.head.substr(0, n).c_str());
+                                 to->disconnectFromHost();
+                             });
+            net::http_client client;
+            int heads = 0;
+            std::string outcome;
+            attempt_hooks hooks;
+            hooks.head = [&](core::attempt_id, int, const std::string&) { ++heads; };
+            hooks.bytes = [](core::attempt_id, const std::string&) {};
+            hooks.answered = [&](core::attempt_id, const core::endpoint_answer&) { outcome = "answered"; };
+            hooks.refused = [&](core::attempt_id) { outcome = "refused"; };
+            hooks.lost = [&](core::attempt_id, const core::attempt_loss&) { outcome = "lost"; };
+            hooks.endpoint_state = [](const auto&, auto, bool) {};
+            attempt_runner runner{client, hooks};
+            core::attempt_start start;
+            start.attempt = core::attempt_id{1};
+            start.endpoint.host = "127.0.0.1";
+            start.endpoint.port = endpoint.serverPort();
+            start.time_left = core::milliseconds{1000};
+            runner.start(start, {503}, {"/v1/x", "application/json", "{}", true});
+            REQUIRE(tests::wait_for([&] { return !outcome.empty(); }));
+            CHECK(outcome == "lost");
+            CHECK(heads == 0);
+        }
+}
--- a/src/runlink/gateway/gateway_answers_test.cpp
+++ b/src/runlink/gateway/gateway_answers_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "support/cut_answers.hpp"
 #include "support/served_gateway.hpp"
 
 using namespace runlink;
@@ -175,9 +176,10 @@
     const auto answer = [&](QTcpSocket& to)
     {
         const bool is_first = ++runs == 1;
-        to.write(
-            (head + (is_first ? event(1, 1) + event(2, 2) + event(wrong_id, 3) : event(3, 3)) + event(4, 4))
-                .c_str());
+        to.write((head +
+                  (is_first ? event(1, 1) + event(2, 2) + event(wrong_id, 3) : event(2, 2) + event(3, 3)) +
+                  event(4, 4))
+                     .c_str());
         to.disconnectFromHost();
     };
     scripted_endpoint one{answer};
@@ -199,3 +201,71 @@
     }
     CHECK(it.log().find("event_out_of_order") != std::string::npos);
 }
+
+TEST_CASE(
+    "an answer that is cut at any byte of its head reaches no caller, also while the request is being sent")
+{
+    // Guards against an answer cut in its head that reaches a caller as a whole one without a body.
+    const auto body_bytes = GENERATE(std::size_t{100}, std::size_t{1'000'000});
+    const auto kind = GENERATE(route_kind::safe, route_kind::unsafe, route_kind::streaming);
+    const gateway::header_names names;
+    for (const auto& answer : framed_answers(names.request_id + ": r1\r\n" + names.digest + ": d\r\n"))
+    {
+        // With a long body each byte is cut only behind the status line, where a status is known.
+        const std::size_t first = body_bytes > 100 ? answer.head.size() - 60 : 0;
+        for (std::size_t n = first; n < answer.head.size(); ++n)
+        {
+            INFO(answer.head << "cut after " << n << ", body " << body_bytes);
+            served_gateway it{route_of(kind, 1)};
+            scripted_endpoint endpoint{[&](QTcpSocket& to)
+                                       {
+                                           to.write(answer.head.substr(0, n).c_str());
+                                           to.disconnectFromHost();
+                                       }};
+            it.add_endpoint("e1", endpoint.port());
+            const auto out = it.call("r1", body_bytes);
+            CHECK(out.status == 502);
+            CHECK(out.body.find("error") != std::string::npos);
+            CHECK(endpoint.requests == 1);
+        }
+    }
+}
+
+TEST_CASE(
+    "a stream whose second run is cut at any byte of its head goes on at a third endpoint, or breaks off")
+{
+    // Guards against a cut head that ends a resumed stream as complete.
+    const gateway::header_names names;
+    const auto max_attempts = GENERATE(2U, 3U);
+    for (const auto& answer : framed_answers(names.request_id + ": r1\r\n" + names.digest + ": d\r\n"))
+    {
+        for (std::size_t n = 0; n < answer.head.size(); ++n)
+        {
+            INFO(answer.head << "cut after " << n);
+            served_gateway it{route_of(route_kind::streaming, max_attempts)};
+            int runs = 0;
+            const auto script = [&](QTcpSocket& to)
+            {
+                const auto events =
+                    answer_head("r1") + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n";
+                switch (++runs)
+                {
+                case 1: to.write(events.c_str()); return reset(to);
+                case 2: to.write(answer.head.substr(0, n).c_str()); break;
+                default: to.write((events + "id: 2\ndata: b\n\n").c_str());
+                }
+                to.disconnectFromHost();
+            };
+            scripted_endpoint one{script};
+            scripted_endpoint two{script};
+            scripted_endpoint three{script};
+            it.add_endpoint("e1", one.port());
+            it.add_endpoint("e2", two.port());
+            it.add_endpoint("e3", three.port());
+            const auto out = it.call("r1", 100);
+            CHECK(out.ended == (max_attempts == 3));
+            CHECK(out.body ==
+                  (max_attempts == 3 ? "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" : "id: 1\ndata: a\n\n"));
+        }
+    }
+}
--- a/src/runlink/net/http_test.cpp
+++ b/src/runlink/net/http_test.cpp
@@ -6,6 +6,7 @@
 
 #include "runlink/net/http_client.hpp"
 #include "runlink/net/http_server.hpp"
+#include "support/cut_answers.hpp"
 #include "support/event_loop.hpp"
 
 using namespace runlink::net;
@@ -144,6 +145,34 @@
     }
 }
 
+TEST_CASE("a response that is cut at any byte of its head is not complete, and its head is not reported")
+{
+    // Guards against an answer cut in its head that reaches a caller as a whole one without a body.
+    for (const auto& answer : runlink::tests::framed_answers())
+        for (std::size_t n = 0; n < answer.head.size(); ++n)
+        {
+            INFO(answer.head << "cut after " << n);
+            raw_server server{[&](QTcpSocket* socket)
+                              {
+                                  socket->write(answer.head.substr(0, n).c_str());
+                                  socket->disconnectFromHost();
+                              }};
+            http_client client;
+            int heads = 0;
+            std::string body;
+            std::optional<http_result> result;
+            http_call_hooks hooks;
+            hooks.head = [&](const http_answer_head&) { ++heads; };
+            hooks.bytes = [&](const std::string& it) { body += it; };
+            hooks.done = [&](const http_result& it) { result = it; };
+            client.start(call_to(server.port()), std::move(hooks));
+            REQUIRE(run_until([&] { return result.has_value(); }));
+            CHECK_FALSE(result->complete);
+            CHECK(heads == 0);
+            CHECK(body.empty());
+        }
+}
+
 TEST_CASE("a response whose number is no status is not complete and reports no bytes")
 {
     // Guards against answers without a valid status that count as answers of an endpoint.
--- a/tests/slow_store_test.cpp
+++ b/tests/slow_store_test.cpp
@@ -8,6 +8,7 @@
 #include <QTimer>
 
 #include "runlink/gateway/kv_http_store.hpp"
+#include "support/cut_answers.hpp"
 #include "support/endless_peer.hpp"
 #include "support/event_loop.hpp"
 #include "support/raw_peer.hpp"
@@ -148,6 +149,36 @@
     CHECK(timer.elapsed() < (sending + noticed_within).count());
 }
 
+TEST_CASE("an answer of the store that is cut at any byte of its head is none")
+{
+    // Guards against a store that seems to be empty, or to have written, because its answer was cut.
+    for (const auto& answer : tests::framed_answers())
+        for (std::size_t n = 0; n < answer.head.size(); ++n)
+        {
+            INFO(answer.head << "cut after " << n);
+            tests::raw_peer peer;
+            peer.on_bytes = [&]
+            {
+                peer.send(answer.head.substr(0, n));
+                peer.socket->disconnectFromHost();
+            };
+            kv_http_store store{{}, peer.address(), plain_wire()};
+            std::optional<control::kv_result<control::kv_page>> page;
+            std::optional<control::kv_result<control::kv_changes>> changes;
+            std::optional<control::kv_commit_result> written;
+            store.port().list({}, [&](const auto& it) { page = it; });
+            net::run_until([&] { return page.has_value(); });
+            store.port().watch(1, core::milliseconds{100}, [&](const auto& it) { changes = it; });
+            net::run_until([&] { return changes.has_value(); });
+            store.port().commit({}, [&](const auto& it) { written = it; });
+            net::run_until([&] { return written.has_value(); });
+            REQUIRE((page && changes && written));
+            CHECK(std::holds_alternative<control::kv_error>(*page));
+            CHECK(std::holds_alternative<control::kv_error>(*changes));
+            CHECK(std::holds_alternative<control::kv_error>(*written));
+        }
+}
+
 TEST_CASE("an answer of the store without end is given up at its limit, and the connection is closed")
 {
     const std::string head = "HTTP/1.1 200 OK\r\n";
