HTTP: the id of an event is its whole value, or none

A stream with `id: 7x` for `id: 2` went on behind 7 after a loss, and its caller missed pieces of a stream that ended as complete.

Cause: event_id_of read the digits at the start of the value and ignored the rest, skipped any number of spaces, and took the first of several id fields. Now the whole value behind one optional space has to be a number of 64 bits, and an event with two id fields has none.

Before: http_codec_test "the id of an event is the whole value ..." fails at `7x`; now it passes.

--- a/src/runlink/net/event_reader.cpp
+++ b/src/runlink/net/event_reader.cpp
@@ -9,6 +9,34 @@
 {
 
 constexpr std::size_t max_event_bytes = 1024 * 1024;
+constexpr std::string_view id_field = "id";
+
+/// The next line of an event without its end, which is removed from `event`.
+std::string_view take_line(std::string_view& event)
+{
+    const auto end = std::min(event.find('\n'), event.size());
+    auto out = event.substr(0, end);
+    event.remove_prefix(std::min(end + 1, event.size()));
+    if (out.ends_with('\r'))
+        out.remove_suffix(1);
+    return out;
+}
+
+/// The value of a line with this field; nothing for another line.
+std::optional<std::string_view> value_of(std::string_view line, std::string_view field)
+{
+    if (!line.starts_with(field))
+        return std::nullopt;
+    line.remove_prefix(field.size());
+    if (line.empty())
+        return line;
+    if (line.front() != ':')
+        return std::nullopt;
+    line.remove_prefix(1);
+    if (line.starts_with(' '))
+        line.remove_prefix(1);
+    return line;
+}
 
 /// Returns the position after the blank line that ends the first complete event at or after `from`, or npos.
 std::size_t event_end(std::string_view bytes, std::size_t from)
@@ -51,23 +79,20 @@
 
 std::optional<std::uint64_t> event_id_of(std::string_view event)
 {
-    constexpr std::string_view name = "id:";
-    std::size_t at = 0;
-    while (at < event.size())
+    std::optional<std::uint64_t> out;
+    while (!event.empty())
     {
-        const auto end = std::min(event.find('\n', at), event.size());
-        auto line = event.substr(at, end - at);
-        at = end + 1;
-        if (line.substr(0, name.size()) != name)
+        const auto value = value_of(take_line(event), id_field);
+        if (!value)
             continue;
-        line.remove_prefix(name.size());
-        while (!line.empty() && line.front() == ' ')
-            line.remove_prefix(1);
         std::uint64_t n = 0;
-        const auto [last, ec] = std::from_chars(line.data(), line.data() + line.size(), n);
-        return ec == std::errc{} ? std::optional{n} : std::nullopt;
+        const auto* end = value->data() + value->size();
+        const auto [last, ec] = std::from_chars(value->data(), end, n);
+        if (out || ec != std::errc{} || last != end)
+            return std::nullopt;
+        out = n;
     }
-    return std::nullopt;
+    return out;
 }
 
 } // namespace runlink::net
--- a/src/runlink/net/http_codec_test.cpp
+++ b/src/runlink/net/http_codec_test.cpp
@@ -164,6 +164,21 @@
     }
 }
 
+TEST_CASE("the id of an event is the whole value of its only id field, or none")
+{
+    // Guards against a damaged id that reads as that of another event.
+    CHECK(event_id_of("id: 7\ndata: a\n\n") == 7U);
+    CHECK(event_id_of("id:7\r\n\r\n") == 7U);
+    CHECK(event_id_of("data: a\nid: 18446744073709551615\n\n") == 18446744073709551615U);
+    for (const auto* line :
+         {"id: 7x", "id: 7 ", "id:  7", "id: -1", "id: +1", "id: ", "id:", "id", "id: x", "id: 7\rx",
+          "id: 18446744073709551616", "ie: 7", "Id: 7", "idx: 7", " id: 7", "id: 7\nid: 7", "id: 7\nid: x"})
+    {
+        INFO(line);
+        CHECK_FALSE(event_id_of(line + std::string{"\ndata: a\n\n"}));
+    }
+}
+
 TEST_CASE("chunks are written with their size in hexadecimal")
 {
     CHECK(write_chunk("hello") == "5\r\nhello\r\n");
