Routing: a stream goes on only behind an event id that another event confirmed

Cause: an id was believed before anything confirmed it. The caller's position was the latest id, whoever gave it, and a run was compared only with itself. Of two ids that contradict each other the later one counted as the wrong one.

Change: stream_position decides the place of each event, for a first run, a continued one and one that the caller resumed. An id is confirmed by a later, higher one of its run. A run begins behind the latest confirmed id and has to repeat the one event behind it under the same id, or, where the run before contradicted itself, under one below the contradicting id. Otherwise, at an overlap that does not reach the id that was asked for, an event without a readable id among others with ids, or an end before that event, the attempt is lost: the stream goes on elsewhere or breaks off. A stream without ids is not continued. Comments between events are no events. The log has both ids, and behind which id an attempt was sent.

--- a/include/runlink/net/event_reader.hpp
+++ b/include/runlink/net/event_reader.hpp
@@ -35,4 +35,7 @@
 /// not a number of 64 bits.
 std::optional<std::uint64_t> event_id_of(std::string_view event);
 
+/// Whether the bytes up to a blank line carry neither data nor an id, such as `: keep-alive`.
+bool is_comment(std::string_view event);
+
 } // namespace runlink::net
--- a/include/runlink/routing/forwarder_hooks.hpp
+++ b/include/runlink/routing/forwarder_hooks.hpp
@@ -41,6 +41,9 @@
     int status = -1;
     int confidence = -1;
     std::int64_t attempt = -1;
+    std::string resumed_after;     ///< id of the event behind which an attempt continues a stream
+    std::string event_id;          ///< id of an event that contradicts the one before; empty without one
+    std::string previous_event_id; ///< id of the event before, or the one to resume after
     std::int64_t elapsed_ms = -1;
     std::int64_t time_left_ms = -1;
     std::int64_t proof_age_ms = -1;
--- a/include/runlink/routing/request_forwarder.hpp
+++ b/include/runlink/routing/request_forwarder.hpp
@@ -23,6 +23,7 @@
 #include "runlink/routing/repeated_news.hpp"
 #include "runlink/routing/routing_table.hpp"
 #include "runlink/routing/session_pins.hpp"
+#include "runlink/routing/stream_position.hpp"
 #include "runlink/routing/succession.hpp"
 
 namespace runlink::routing
@@ -31,7 +32,7 @@
 /// Receives requests and the results of their attempts, and decides what is sent where and when.
 ///
 /// A refusal says `not_run` only if no attempt may have run. A request that is not idempotent has at most one
-/// attempt that may have run. A stream is resumed at another endpoint only after its last complete event, and
+/// attempt that may have run. A stream is resumed at another endpoint as `stream_position` says, and
 /// the attempt before is cancelled before an event of the new one is forwarded.
 class request_forwarder
 {
@@ -104,6 +105,8 @@
     /// One complete stream event.
     void on_stream_event(time_point now, attempt_id id, std::string_view event,
                          std::optional<std::uint64_t> event_id);
+    /// Bytes between events that carry no data, such as a comment that keeps the connection open.
+    void on_stream_comment(time_point now, attempt_id id, std::string_view bytes);
     void on_stream_end(time_point now, attempt_id id);
     void on_lost(time_point now, attempt_id id, attempt_loss loss);
 
@@ -227,7 +230,7 @@
         bool run_counted = false; ///< `forwarder_hooks::run_began` was called
         /// Why no further attempt was allowed, since the latest one was sent.
         std::optional<succession_denial> denied;
-        std::optional<std::uint64_t> last_event;
+        stream_position position;
         std::uint32_t events = 0; ///< forwarded to the caller, over all attempts
         time_point last_progress{};
         time_point move_denied_at{}; ///< when a move was last denied
@@ -256,11 +259,11 @@
         bool ends_with_connection = false; ///< see `attempt_head`
         std::optional<time_point> first_event;
         std::uint32_t events = 0;
-        std::optional<std::uint64_t> last_event; ///< the latest id that this endpoint sent
-        time_point sampled_at{};                 ///< start of the next sample of the time per token
-        answer_counts counted;                   ///< what was already counted in the version statistics
-        bool is_trial = false;                   ///< isolated run of a suspected request
-        bool has_ended = false;                  ///< the endpoint has ended, as far as is known
+        stream_run run;
+        time_point sampled_at{}; ///< start of the next sample of the time per token
+        answer_counts counted;   ///< what was already counted in the version statistics
+        bool is_trial = false;   ///< isolated run of a suspected request
+        bool has_ended = false;  ///< the endpoint has ended, as far as is known
         bool is_stalled = false; ///< a successor was sought because the attempt made no progress
     };
 
@@ -469,8 +472,9 @@
     /// Adds the inputs of the denial to the log record.
     void describe_denial(time_point now, const flow& it, decision& to);
     void record_loss(time_point now, attempt_id id, attempt_loss loss);
-    /// The endpoint sent an event whose id does not rise, so an event before or behind it is missing.
-    void on_event_out_of_order(time_point now, attempt_id id);
+    /// The event, or the end of the stream if it has no id, does not fit the ids before it. The attempt is
+    /// lost.
+    void on_event_out_of_order(time_point now, attempt_id id, std::optional<std::uint64_t> event_id);
     void record_failed_connection(time_point now, const attempt& it);
     std::optional<attempt> take_attempt(time_point now, attempt_id id);
     void cancel_attempts(time_point now, flow& it);
@@ -543,6 +547,8 @@
     void replace_earlier_life(time_point now, const endpoint_entry& it);
 
     decision describe(time_point now, const flow& it, std::string_view event) const;
+    /// The id for the log; empty without one.
+    static std::string text_of_id(std::optional<std::uint64_t> event_id);
     /// The first shared parts of the prompt, for the log.
     static std::string text_of_parts(const flow& it);
 
--- a/include/runlink/routing/succession.hpp
+++ b/include/runlink/routing/succession.hpp
@@ -30,6 +30,7 @@
 enum class succession_denial
 {
     may_run_once,    ///< the request may run only once, and an attempt may have run
+    no_position,     ///< the caller has events of a stream without ids
     attempts_spent,  ///< the route's attempts or the sends of one request are used up
     last_attempt,    ///< the last attempt is reserved for a broken connection
     time_spent,      ///< too little time is left
@@ -51,6 +52,7 @@
 struct succession_input
 {
     bool may_repeat = true;       ///< the request is idempotent, or no attempt may have run
+    bool may_resume = true;       ///< see `stream_position`
     std::uint32_t runs_left = 1;  ///< attempts that may run
     std::uint32_t sends_left = 1; ///< attempts of any outcome
     core::duration time_left{};
--- a/src/runlink/gateway/gateway.cpp
+++ b/src/runlink/gateway/gateway.cpp
@@ -236,7 +236,12 @@
     }
     it->events = std::make_unique<net::event_reader>(
         [this, it = it.get()](std::string_view event, std::optional<std::uint64_t> id)
-        { forwarder_->on_stream_event(clock_(), it->id, event, id); });
+        {
+            if (net::is_comment(event))
+                forwarder_->on_stream_comment(clock_(), it->id, event);
+            else
+                forwarder_->on_stream_event(clock_(), it->id, event, id);
+        });
     forwarder_->on_stream_head(clock_(), it->id, it->parsed_head);
     on_activity();
 }
@@ -483,6 +488,9 @@
     number("status", decision.status);
     number("confidence", decision.confidence);
     number("attempt", decision.attempt);
+    text("resumed_after", decision.resumed_after);
+    text("event_id", decision.event_id);
+    text("previous_event_id", decision.previous_event_id);
     number("elapsed_ms", decision.elapsed_ms);
     number("time_left_ms", decision.time_left_ms);
     number("proof_age_ms", decision.proof_age_ms);
--- a/src/runlink/net/event_reader.cpp
+++ b/src/runlink/net/event_reader.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::size_t max_event_bytes = 1024 * 1024;
 constexpr std::string_view id_field = "id";
+constexpr std::string_view data_field = "data";
 
 /// The next line of an event without its end, which is removed from `event`.
 std::string_view take_line(std::string_view& event)
@@ -95,4 +96,15 @@
     return out;
 }
 
+bool is_comment(std::string_view event)
+{
+    while (!event.empty())
+    {
+        const auto line = take_line(event);
+        if (value_of(line, id_field) || value_of(line, data_field))
+            return false;
+    }
+    return true;
+}
+
 } // namespace runlink::net
--- a/src/runlink/net/http_codec_test.cpp
+++ b/src/runlink/net/http_codec_test.cpp
@@ -179,6 +179,15 @@
     }
 }
 
+TEST_CASE("a comment carries neither data nor an id")
+{
+    for (const auto* bytes :
+         {": keep-alive\n\n", "\n", "retry: 3000\n\n", "event: ping\r\n\r\n", "idx: 7\n\n"})
+        CHECK(is_comment(bytes));
+    for (const auto* bytes : {"data: a\n\n", "id: 7\n\n", "id\n\n", ": a\ndata\n\n", "ie: 7\ndata:a\r\n\r\n"})
+        CHECK_FALSE(is_comment(bytes));
+}
+
 TEST_CASE("chunks are written with their size in hexadecimal")
 {
     CHECK(write_chunk("hello") == "5\r\nhello\r\n");
--- a/src/runlink/routing/request_forwarder.cpp
+++ b/src/runlink/routing/request_forwarder.cpp
@@ -189,7 +189,6 @@
     order.account = request_flow.account;
     order.priority = request_flow.priority;
     order.time_left = std::chrono::floor<milliseconds>(request_flow.deadline - now);
-    order.last_event = request_flow.last_event;
     const auto* service = table_->find_service(request_flow.service);
     order.runs_models = service != nullptr && service->runs_models;
     order.needs_new_connection = !request_flow.matched_route->is_idempotent();
@@ -209,6 +208,8 @@
     record.model = order.model;
     record.number = request_flow.sends;
     record.started = now;
+    record.run = request_flow.position.begin_run();
+    order.last_event = record.run.after;
     record.is_trial = to.is_trial;
     record.stream = plan_stream(now, request_flow, to, order.id);
     record.prompt = place_prompt(now, endpoint, to.prompt, record.stream);
@@ -252,6 +253,7 @@
     line.parts = text_of_parts(it);
     line.reason = sent.is_trial ? "trial" : "";
     line.attempt = sent.number;
+    line.resumed_after = text_of_id(order.last_event);
     line.time_left_ms = order.time_left.count();
     if (costs_allowance(cause))
     {
--- a/src/runlink/routing/request_forwarder_answers.cpp
+++ b/src/runlink/routing/request_forwarder_answers.cpp
@@ -202,10 +202,9 @@
     if (it == nullptr)
         return;
     auto& from = attempts_.at(id);
-    if (event_id && from.last_event && *event_id <= *from.last_event)
-        return on_event_out_of_order(now, id);
-    if (event_id)
-        from.last_event = event_id;
+    const auto place = it->position.place(from.run, event_id);
+    if (place == event_place::contradiction)
+        return on_event_out_of_order(now, id, event_id);
     if (!from.first_event)
         from.first_event = now;
     ++from.events;
@@ -218,20 +217,32 @@
     it->last_progress = now;
     it->probe_at = now + liveness_.options().probe_after;
     cancel_others(now, *it, id);
-    if (event_id && it->last_event && *event_id <= *it->last_event)
-        return; // the caller already has this event
-    if (event_id)
-        it->last_event = event_id;
+    if (place == event_place::repeat)
+        return;
     ++it->events;
     hooks_.forward_bytes(it->id, event);
 }
 
-void request_forwarder::on_event_out_of_order(time_point now, attempt_id id)
+void request_forwarder::on_stream_comment(time_point now, attempt_id id, std::string_view bytes)
+{
+    auto* it = find(id);
+    if (it == nullptr)
+        return;
+    const auto& from = attempts_.at(id);
+    on_heard(now, from.endpoint);
+    if (it->position.is_current(from.run))
+        hooks_.forward_bytes(it->id, bytes);
+}
+
+void request_forwarder::on_event_out_of_order(time_point now, attempt_id id,
+                                              std::optional<std::uint64_t> event_id)
 {
     const auto& from = attempts_.at(id);
     auto line = describe(now, flows_.at(from.flow), "event_out_of_order");
     line.endpoint = from.endpoint.str();
     line.attempt = from.number;
+    line.event_id = text_of_id(event_id);
+    line.previous_event_id = text_of_id(from.run.last ? from.run.last : from.run.after);
     hooks_.log(line);
     hooks_.cancel(id);
     on_lost(now, id, attempt_loss::broken);
@@ -246,6 +257,8 @@
     // An endpoint that crashes before the first event ends the connection too.
     if (ended.ends_with_connection && ended.events == 0)
         return on_lost(now, id, attempt_loss::broken);
+    if (!it->position.may_end(ended.run))
+        return on_event_out_of_order(now, id, std::nullopt);
     // A resumed stream without further events shows nothing about the effect of the request on an endpoint.
     if (ended.events > 0)
         report_answered(now, *it, ended, ended.ends_with_connection);
@@ -371,6 +384,11 @@
     flows_.erase(it.id);
 }
 
+std::string request_forwarder::text_of_id(std::optional<std::uint64_t> event_id)
+{
+    return event_id ? std::to_string(*event_id) : std::string{};
+}
+
 std::string request_forwarder::text_of_parts(const flow& it)
 {
     constexpr std::size_t max_logged_parts = 8;
--- a/src/runlink/routing/request_forwarder_arrival.cpp
+++ b/src/runlink/routing/request_forwarder_arrival.cpp
@@ -198,7 +198,7 @@
         it.shared_parts = core::stable_hash(request.prompt[n].id, it.shared_parts);
         it.shared_tokens += request.prompt[n].tokens;
     }
-    it.last_event = request.last_event;
+    it.position = stream_position{request.last_event};
     if (!it.matched_route->model_sizes.empty() && request.model.empty())
         it.model_index = cascade_.first_size(*it.matched_route);
     std::uint64_t sum = 0;
--- a/src/runlink/routing/request_forwarder_succession.cpp
+++ b/src/runlink/routing/request_forwarder_succession.cpp
@@ -43,6 +43,7 @@
     const auto left = [](std::uint32_t of, std::uint32_t used) { return of > used ? of - used : 0; };
     succession_input out;
     out.may_repeat = it.matched_route->is_idempotent() || runs == 0;
+    out.may_resume = it.position.may_resume();
     out.runs_left = left(std::max(it.matched_route->max_attempts, 1U), runs);
     out.sends_left = std::min(left(options_.max_sends, it.sends - it.unsent),
                               left(options_.max_unsent_attempts, it.unsent));
--- a/src/runlink/routing/succession.cpp
+++ b/src/runlink/routing/succession.cpp
@@ -8,6 +8,7 @@
     switch (it)
     {
     case succession_denial::may_run_once: return "may_run_once";
+    case succession_denial::no_position: return "no_position";
     case succession_denial::attempts_spent: return "attempts_spent";
     case succession_denial::last_attempt: return "last_attempt";
     case succession_denial::time_spent: return "time_spent";
@@ -31,6 +32,8 @@
 {
     if (!it.may_repeat)
         return succession_denial::may_run_once;
+    if (!it.may_resume)
+        return succession_denial::no_position;
     if (it.runs_left == 0 || it.sends_left == 0)
         return succession_denial::attempts_spent;
     if (it.time_left <= it.min_time_left)
--- a/tests/cut_stream_test.cpp
+++ b/tests/cut_stream_test.cpp
@@ -126,6 +126,7 @@
 answer a2 500
 sent a3
 head a3
+event a3 1
 event a3 2
 end a3
 )";
@@ -173,6 +174,7 @@
     const std::string rest = R"(advance 480
 sent a2
 head a2
+event a2 13
 event a2 14
 end a2
 )";
@@ -269,6 +271,7 @@
 asked e1 answered
 sent a2
 head a2
+event a2 1
 event a2 2
 advance 480
 event a2 3
@@ -277,6 +280,7 @@
 advance 30
 sent a3
 head a3
+event a3 3
 event a3 4
 end a3
 )";
