Gateway: a Last-Event-Id that cannot be read is refused

A caller that resumed a stream with `Last-Event-Id: 4x`, or with two such fields, got the stream from its beginning: the value was dropped, and the pieces that the caller had came again. It now gets 400, malformed_request, not run; no endpoint is asked. An empty value still means none.

Before: stream_ids_test "a caller's last event id that cannot be read ..." failed; now it passes.

--- a/src/runlink/gateway/stream_ids_test.cpp
+++ b/src/runlink/gateway/stream_ids_test.cpp
@@ -180,3 +180,24 @@
     CHECK(out.body.ends_with("\n\n: keep-alive\n\n"));
     CHECK(spoilt_stream{}.has_each_once(out.body));
 }
+
+TEST_CASE("a caller's last event id that cannot be read is refused, and no endpoint runs the request")
+{
+    // Guards against a stream that begins anew for a caller that has a part of it.
+    served_gateway it{route_of(route_kind::streaming, 2)};
+    scripted_endpoint endpoint{[](QTcpSocket& to) { to.disconnectFromHost(); }};
+    it.add_endpoint("e1", endpoint.port());
+    for (const auto& values : std::vector<std::vector<std::string>>{
+             {"x"}, {"-1"}, {"4x"}, {"4 5"}, {"18446744073709551616"}, {"4", "4"}, {"", "4"}})
+    {
+        net::http_fields more;
+        for (const auto& value : values)
+            more.add("Last-Event-Id", value);
+        const auto out = it.call("r1", 100, more);
+        INFO(values.at(0));
+        CHECK(out.status == 400);
+        CHECK(out.body.find("malformed_request") != std::string::npos);
+        CHECK(out.body.find("not_run") != std::string::npos);
+    }
+    CHECK(endpoint.requests == 0);
+}
--- a/src/runlink/gateway/translation.cpp
+++ b/src/runlink/gateway/translation.cpp
@@ -78,6 +78,20 @@
     return boost::outcome_v2::success();
 }
 
+core::result<void> read_last_event(const header_names& names, const net::http_request_head& head,
+                                   routing::inbound_request& to)
+{
+    const auto* text = head.fields.find(names.last_event);
+    const auto count = head.fields.count(names.last_event);
+    if (count == 0 || (count == 1 && text->empty()))
+        return boost::outcome_v2::success();
+    std::uint64_t n = 0;
+    if (count > 1 || !parse_number(*text, n))
+        return failure{errc::malformed_request, names.last_event};
+    to.last_event = n;
+    return boost::outcome_v2::success();
+}
+
 void copy_text(const net::http_fields& fields, const std::string& name, std::string& to)
 {
     if (const auto* it = fields.find(name))
@@ -120,9 +134,7 @@
     if (const auto* it = head.fields.find(names.length_hint);
         it != nullptr && parse_number(*it, hint) && hint > 0)
         out.length_hint = hint;
-    std::uint64_t last = 0;
-    if (const auto* it = head.fields.find(names.last_event); it != nullptr && parse_number(*it, last))
-        out.last_event = last;
+    BOOST_OUTCOME_TRYV(read_last_event(names, head, out));
     return out;
 }
 
