--- a/include/runlink/net/event_reader.hpp
+++ b/include/runlink/net/event_reader.hpp
@@ -31,8 +31,8 @@
     std::size_t search_position_ = 0;
 };
 
-/// The value of the `id` field of an event, or nothing if there is none, there are several, or the whole value is
-/// not a number of 64 bits.
+/// The value of the `id` field of an event, or nothing if there is none, there are several, or the whole
+/// value is not a number of 64 bits.
 std::optional<std::uint64_t> event_id_of(std::string_view event);
 
 /// Whether the bytes up to a blank line carry neither data nor an id, such as `: keep-alive`.
